--- /dev/null
+++ b/crates/hyssop-config/src/fleet/mod.rs
@@ -0,0 +1,15 @@
+//! The fleet configuration that operators apply: defaults, pools, queues, teams and exceptions.
+
+mod exception;
+mod layout;
+mod pool;
+mod queue;
+mod share;
+mod team;
+
+pub use exception::Exception;
+pub use layout::Fleet;
+pub use pool::Pool;
+pub use queue::Queue;
+pub use share::Share;
+pub use team::Team;
--- /dev/null
+++ b/crates/hyssop-config/src/unit/bytes.rs
@@ -0,0 +1,33 @@
+use super::Value;
+
+/// Is a size written with its unit, such as `64KiB`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Bytes(pub u64);
+
+/// The units and their sizes in bytes; longer names come first.
+const UNITS: [(&str, u64); 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+
+impl Value for Bytes {
+    const EXAMPLE: &'static str = "64KiB";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        for (unit, size) in UNITS {
+            let Some(number) = text.strip_suffix(unit) else {
+                continue;
+            };
+            let Ok(count) = number.trim().parse::<u64>() else {
+                continue;
+            };
+            return count
+                .checked_mul(size)
+                .map(Self)
+                .ok_or("it is too large".to_owned());
+        }
+        Err("it is not a whole number with one of the units B, KiB, MiB, GiB".to_owned())
+    }
+}
--- /dev/null
+++ b/crates/hyssop-config/src/unit/value.rs
@@ -0,0 +1,74 @@
+use strum::VariantNames;
+
+/// Is a type that settings can hold.
+pub trait Value: Sized {
+    /// Shows what a valid value looks like.
+    const EXAMPLE: &'static str;
+
+    /// Parses a value as it is written.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason when `text` is not a value of this type.
+    fn parse(text: &str) -> Result<Self, String>;
+}
+
+impl Value for String {
+    const EXAMPLE: &'static str = "text";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        if text.is_empty() {
+            return Err("it is empty".to_owned());
+        }
+        Ok(text.to_owned())
+    }
+}
+
+impl Value for u32 {
+    const EXAMPLE: &'static str = "8";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        text.parse()
+            .map_err(|_| "it is not a whole number".to_owned())
+    }
+}
+
+impl Value for u64 {
+    const EXAMPLE: &'static str = "8";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        text.parse()
+            .map_err(|_| "it is not a whole number".to_owned())
+    }
+}
+
+impl Value for f64 {
+    const EXAMPLE: &'static str = "0.1";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        let number: f64 = text.parse().map_err(|_| "it is not a number".to_owned())?;
+        if !number.is_finite() || number < 0.0 {
+            return Err("it is not a number from zero up".to_owned());
+        }
+        Ok(number)
+    }
+}
+
+impl Value for std::net::SocketAddr {
+    const EXAMPLE: &'static str = "127.0.0.1:7100";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        text.parse()
+            .map_err(|_| "it is not an IP number with a port".to_owned())
+    }
+}
+
+/// Parses a named variant of an enum of `strum`.
+///
+/// # Errors
+///
+/// Fails with the list of names when `text` is none of them.
+pub fn parse_variant<T: std::str::FromStr + VariantNames>(text: &str) -> Result<T, String> {
+    text.parse()
+        .map_err(|_| format!("it is none of {}", T::VARIANTS.join(", ")))
+}
--- /dev/null
+++ b/crates/hyssop-entry/src/daemon/life.rs
@@ -0,0 +1,210 @@
+use super::error::{Error, ListenSnafu, LogSnafu, SystemSnafu};
+use crate::core::{self, Inbox, Message};
+use crate::metric::Metrics;
+use crate::operator::Operator;
+use crate::peer::{self, Links};
+use crate::state::State;
+use crate::store::{self, Keeper};
+use crate::{backend, front};
+use hyssop_config::settings::Entry;
+use hyssop_event::{Kind, Recorder};
+use hyssop_model::clock::System;
+use hyssop_model::entry::{Id, Member};
+use hyssop_model::prelude::*;
+use hyssop_platform::http::Client;
+use hyssop_policy::dispatch::{self, Dispatcher};
+use rand::Rng;
+use snafu::ResultExt;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+
+/// Is the running entry.
+struct Life {
+    settings: Entry,
+    state: Arc<State>,
+    inbox: Inbox,
+    recorder: Recorder,
+}
+
+/// Runs the entry until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when an address can't be used or the operating system refuses a thread.
+pub fn run(settings: Entry) -> Result<(), Error> {
+    hyssop_event::log::start(&settings.process.name, &settings.process.log).context(LogSnafu)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads as usize)
+        .enable_all()
+        .build()
+        .context(SystemSnafu)?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Entry) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).context(SystemSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SystemSnafu)?;
+    let callers = bind(settings.callers).await?;
+    let peers = bind(settings.peers).await?;
+    let member = member(&settings, &callers, &peers);
+    let clock: Arc<dyn Clock> = Arc::new(System);
+    let recorder = Recorder::new(&settings.process.name, clock.clone());
+    let metrics = Arc::new(Metrics::new());
+    let state = Arc::new(State::new(member.clone(), settings.isolation, clock.now()));
+    let backends = Arc::new(backend::Pool::new(settings.limits.answer));
+    let (inbox, messages) = flume::unbounded();
+    let runtime = tokio::runtime::Handle::current();
+    let links = Arc::new(Links::new(
+        member.clone(),
+        runtime,
+        recorder.clone(),
+        metrics.clone(),
+    ));
+    let core = core::Parts {
+        clock: clock.clone(),
+        state: state.clone(),
+        links,
+        backends: backends.clone(),
+        recorder: recorder.clone(),
+        metrics: metrics.clone(),
+        dispatcher: Dispatcher::new(member.id, dispatch_settings(&settings, member.id)),
+    };
+    let core_thread = core::spawn(core, inbox.clone(), messages).context(SystemSnafu)?;
+    let timeout_s = settings.process.platform_timeout.as_secs().max(1);
+    let client = Arc::new(Client::new(settings.process.platform.clone(), timeout_s));
+    let keeper = Keeper::new(store::Parts {
+        process: settings.process.clone(),
+        clock: clock.clone(),
+        table: client.clone(),
+        objects: client.clone(),
+        state: state.clone(),
+        inbox: inbox.clone(),
+        recorder: recorder.clone(),
+        metrics: metrics.clone(),
+    });
+    let is_over = Arc::new(AtomicBool::new(false));
+    let keeper_over = is_over.clone();
+    let keeper_thread = std::thread::Builder::new()
+        .name("store".to_owned())
+        .spawn(move || keeper.run(&|| keeper_over.load(Ordering::SeqCst)))
+        .context(SystemSnafu)?;
+    let front = Arc::new(front::Front {
+        state: state.clone(),
+        limits: settings.limits.clone(),
+        inbox: inbox.clone(),
+        backends: backends.clone(),
+        metrics,
+        recorder: recorder.clone(),
+        operator: Arc::new(Operator {
+            region: settings.process.region.clone(),
+            clock: clock.clone(),
+            table: client.clone(),
+            objects: client,
+            recorder: recorder.clone(),
+        }),
+        requests: AtomicU64::new(0),
+    });
+    let (stop, stopped) = watch::channel(false);
+    let front_task = tokio::spawn(front::serve(callers, front, stopped));
+    tokio::spawn(peer::listen(
+        peers,
+        inbox.clone(),
+        recorder.clone(),
+        state.clone(),
+    ));
+    tokio::spawn(backend::probe_forever(inbox.clone(), backends));
+    announce(&member, &recorder);
+    let life = Life {
+        settings,
+        state,
+        inbox,
+        recorder,
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    life.stop(&stop, front_task).await;
+    is_over.store(true, Ordering::SeqCst);
+    // The threads end by the flag and the message; a panic of theirs was logged already.
+    let _ = tokio::task::spawn_blocking(move || keeper_thread.join()).await;
+    let _ = life.inbox.send(Message::Stop);
+    let _ = tokio::task::spawn_blocking(move || core_thread.join()).await;
+    life.recorder.record(Kind::ProcessStopped, &[]);
+    Ok(())
+}
+
+impl Life {
+    /// Stops without cutting off a request: not ready, then no new requests, then none left.
+    async fn stop(&self, stop: &watch::Sender<bool>, front_task: tokio::task::JoinHandle<()>) {
+        self.recorder.record(Kind::ProcessStopping, &[]);
+        self.state.stop();
+        tokio::time::sleep(self.settings.balancer_delay).await;
+        // The front is gone only when it failed.
+        let _ = stop.send(true);
+        let _ = front_task.await;
+        // The core is gone only when it failed.
+        let _ = self.inbox.send(Message::Close);
+        self.wait_until_idle().await;
+        let _ = self.inbox.send(Message::Leave);
+    }
+
+    async fn wait_until_idle(&self) {
+        const PAUSE: Duration = Duration::from_millis(20);
+        loop {
+            let (reply, snapshot) = flume::bounded(1);
+            if self.inbox.send(Message::Report(reply)).is_err() {
+                return;
+            }
+            match snapshot.recv_async().await {
+                Ok(snapshot) if snapshot.load > 0 => tokio::time::sleep(PAUSE).await,
+                _ => return,
+            }
+        }
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
+
+fn member(settings: &Entry, callers: &TcpListener, peers: &TcpListener) -> Member {
+    let local = |listener: &TcpListener, wanted: SocketAddr| {
+        listener.local_addr().unwrap_or(wanted).to_string()
+    };
+    Member {
+        id: Id(rand::rng().random()),
+        name: settings.process.name.clone(),
+        address: local(callers, settings.callers),
+        peer_address: local(peers, settings.peers),
+        data_centre: settings.process.data_centre.clone(),
+    }
+}
+
+fn dispatch_settings(settings: &Entry, id: Id) -> dispatch::Settings {
+    dispatch::Settings {
+        allocation: settings.allocation,
+        admission: settings.admission,
+        seed: id.0,
+        ..dispatch::Settings::default()
+    }
+}
+
+/// Tells whoever started the process that it serves.
+fn announce(member: &Member, recorder: &Recorder) {
+    recorder.record(
+        Kind::ProcessStarted,
+        &[("address", &member.address), ("incarnation", &member.id)],
+    );
+    println!(
+        "ready entry=http://{} pid={}",
+        member.address,
+        std::process::id()
+    );
+}
--- /dev/null
+++ b/crates/hyssop-entry/src/front/mod.rs
@@ -0,0 +1,12 @@
+//! The callers' HTTP/1.1 front.
+
+mod call;
+mod control;
+mod reject;
+mod response;
+mod server;
+mod service;
+mod task;
+
+pub(crate) use response::{json, text, Reply};
+pub(crate) use server::{serve, Front};
--- /dev/null
+++ b/crates/hyssop-entry/src/front/task.rs
@@ -0,0 +1,196 @@
+use super::call::{Call, ATTEMPT_HEADER};
+use super::reject::Reject;
+use super::response::{self, Reply};
+use super::server::Front;
+use crate::backend;
+use crate::core::{Decision, Inbox, Message};
+use bytes::Bytes;
+use hyper::StatusCode;
+use hyssop_event::Kind;
+use hyssop_model::request;
+use hyssop_policy::attempt::End;
+use hyssop_policy::dispatch::{Arrival, Fate};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Tells the core when a caller goes away before its request started.
+struct Departure {
+    inbox: Inbox,
+    key: request::Key,
+    is_answered: bool,
+}
+
+impl Drop for Departure {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            // The core is gone only when the process stops.
+            let _ = self.inbox.send(Message::Cancel(self.key));
+        }
+    }
+}
+
+/// Takes a call through queue, slots and attempts to its answer.
+///
+/// The work goes on in a task of its own when the caller leaves midway, so that a slot is held as
+/// long as the backend server works and the end of every attempt is known.
+pub(crate) async fn run(
+    front: Arc<Front>,
+    number: u64,
+    id: String,
+    call: Call,
+    body: Bytes,
+    started: Instant,
+) -> Reply {
+    let key = request::Key(number);
+    let mut departure = Departure {
+        inbox: front.inbox.clone(),
+        key,
+        is_answered: false,
+    };
+    let request = id.clone();
+    let task = tokio::spawn(async move {
+        Task {
+            front,
+            key,
+            id,
+            call,
+        }
+        .drive(body, started)
+        .await
+    });
+    let reply = task.await;
+    departure.is_answered = true;
+    reply.unwrap_or_else(|_| response::unknown(&request, StatusCode::GATEWAY_TIMEOUT, None))
+}
+
+/// Is one call in the hands of the core.
+struct Task {
+    front: Arc<Front>,
+    key: request::Key,
+    id: String,
+    call: Call,
+}
+
+impl Task {
+    async fn drive(self, body: Bytes, started: Instant) -> Reply {
+        let (decide, decisions) = flume::unbounded();
+        let arrival = self.arrival(body.len(), started);
+        if self
+            .front
+            .inbox
+            .send(Message::Arrive(arrival, decide))
+            .is_err()
+        {
+            return response::not_run(&self.id, "stopping", Duration::from_secs(1));
+        }
+        let mut last: Option<(String, End)> = None;
+        while let Ok(decision) = decisions.recv_async().await {
+            match decision {
+                Decision::Finish(fate) => return self.finish(fate, last.as_ref()),
+                Decision::Start {
+                    instance,
+                    address,
+                    attempt,
+                    timeout,
+                } => {
+                    let reply = self
+                        .attempt(&instance, address, attempt, timeout, body.clone())
+                        .await;
+                    let end = reply.end;
+                    if let Some(answer) = reply.answer {
+                        return response::answered(&self.id, &instance, answer);
+                    }
+                    last = Some((instance, end));
+                }
+            }
+        }
+        // The core forgot the request because its caller left while it waited.
+        response::not_run(&self.id, "caller-left", Duration::from_secs(1))
+    }
+
+    fn arrival(&self, body_bytes: usize, started: Instant) -> Arrival {
+        const OVERHEAD_BYTES: u64 = 1024;
+        Arrival {
+            key: self.key,
+            pool: self.call.pool.clone(),
+            queue: self.call.queue.clone(),
+            class: self.call.class,
+            deadline: started + self.call.patience,
+            bytes: body_bytes as u64 + OVERHEAD_BYTES,
+            is_idempotent: self.call.is_idempotent,
+            is_retried_upstream: self.call.is_retried_upstream,
+        }
+    }
+
+    async fn attempt(
+        &self,
+        instance: &str,
+        address: SocketAddr,
+        attempt: u32,
+        timeout: Duration,
+        body: Bytes,
+    ) -> backend::Reply {
+        let mut headers = self.call.headers.clone();
+        headers.insert(ATTEMPT_HEADER, attempt.into());
+        let request = backend::Request {
+            id: self.id.clone(),
+            method: self.call.method.clone(),
+            path: self.call.path.clone(),
+            headers,
+            body,
+        };
+        let reply = self.front.backends.send(address, request, timeout).await;
+        let end: &'static str = reply.end.into();
+        self.front.metrics.attempts.with_label_values(&[end]).inc();
+        self.front.recorder.record_quietly(
+            Kind::RequestSent,
+            &[
+                ("request", &self.id),
+                ("instance", &instance),
+                ("attempt", &attempt),
+                ("end", &end),
+            ],
+        );
+        let message = Message::End {
+            key: self.key,
+            end: reply.end,
+        };
+        // The core is gone only when the process stops.
+        let _ = self.front.inbox.send(message);
+        reply
+    }
+
+    fn finish(&self, fate: Fate, last: Option<&(String, End)>) -> Reply {
+        match fate {
+            Fate::NotRun(refusal) => {
+                response::not_run(&self.id, refusal.reason.into(), refusal.retry_after)
+            }
+            Fate::Unknown => {
+                let status = match last {
+                    Some((_, End::TimedOut)) | None => StatusCode::GATEWAY_TIMEOUT,
+                    Some(_) => StatusCode::BAD_GATEWAY,
+                };
+                response::unknown(
+                    &self.id,
+                    status,
+                    last.map(|(instance, _)| instance.as_str()),
+                )
+            }
+            Fate::UnknownPool => {
+                let message = format!(
+                    "there is no pool {:?}; `hyssopctl pools` lists them",
+                    self.call.pool
+                );
+                response::rejected(&self.id, &Reject::new(StatusCode::NOT_FOUND, message))
+            }
+            Fate::UnknownQueue => {
+                let message = format!(
+                    "pool {:?} has no queue {:?}",
+                    self.call.pool, self.call.queue
+                );
+                response::rejected(&self.id, &Reject::new(StatusCode::NOT_FOUND, message))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssop-entry/src/metric/mod.rs
@@ -0,0 +1,5 @@
+//! The entry's Prometheus metrics.
+
+mod registry;
+
+pub(crate) use registry::Metrics;
--- /dev/null
+++ b/crates/hyssop-entry/src/peer/mod.rs
@@ -0,0 +1,8 @@
+//! Links to peers: WebSocket connections that carry CBOR frames.
+
+mod dialer;
+mod links;
+mod listener;
+
+pub(crate) use links::Links;
+pub(crate) use listener::listen;
--- /dev/null
+++ b/crates/hyssop-lab/src/measure/mod.rs
@@ -0,0 +1,5 @@
+//! The measures, one file each.
+
+mod overhead;
+
+pub(crate) use overhead::overhead;
--- /dev/null
+++ b/crates/hyssop-lab/src/report/mod.rs
@@ -0,0 +1,5 @@
+//! Results on the terminal and in files.
+
+mod table;
+
+pub(crate) use table::{print_promises, print_summaries, write_json};
--- /dev/null
+++ b/crates/hyssop-lab/src/report/table.rs
@@ -0,0 +1,58 @@
+use crate::check::Promises;
+use crate::error::{Error, FileSnafu};
+use comfy_table::{presets, Table};
+use hyssop_load::{Summary, Told};
+use serde::Serialize;
+use snafu::ResultExt;
+
+const OUTPUT_DIRECTORY: &str = "out";
+
+/// Prints one line a stream.
+pub(crate) fn print_summaries(summaries: &[Summary]) {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING);
+    let header = [
+        "stream", "requests", "in time", "answered", "not-run", "unknown", "nothing", "p50 ms",
+        "p99 ms",
+    ];
+    table.set_header(header);
+    for summary in summaries {
+        let ms = |us: u64| format!("{:.2}", us as f64 / 1000.0);
+        table.add_row([
+            summary.name.clone(),
+            summary.requests.to_string(),
+            summary.in_time.to_string(),
+            (summary.count(Told::Answered) + summary.count(Told::Repeated)).to_string(),
+            summary.count(Told::NotRun).to_string(),
+            (summary.count(Told::Unknown) + summary.count(Told::InProgress)).to_string(),
+            (summary.count(Told::Nothing) + summary.count(Told::NoConnection)).to_string(),
+            ms(summary.p50_us),
+            ms(summary.p99_us),
+        ]);
+    }
+    println!("{table}");
+}
+
+/// Prints the counts of broken promises.
+pub(crate) fn print_promises(promises: &Promises) {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING);
+    table.set_header(["promise broken", "times"]);
+    for (name, count) in promises.rows() {
+        table.add_row([name.to_owned(), count.to_string()]);
+    }
+    println!("{table}");
+    for example in &promises.examples {
+        println!("  {example}");
+    }
+}
+
+/// Writes a result to `out/NAME.json`.
+pub(crate) fn write_json<T: Serialize>(name: &str, value: &T) -> Result<(), Error> {
+    std::fs::create_dir_all(OUTPUT_DIRECTORY).context(FileSnafu {
+        path: OUTPUT_DIRECTORY,
+    })?;
+    let path = format!("{OUTPUT_DIRECTORY}/{name}.json");
+    let text = serde_json::to_string_pretty(value).unwrap_or_default();
+    std::fs::write(&path, text).context(FileSnafu { path })
+}
--- /dev/null
+++ b/crates/hyssop-load/src/client/mod.rs
@@ -0,0 +1,5 @@
+//! The callers' HTTP client: pooled connections by target.
+
+mod pool;
+
+pub(crate) use pool::{Call, Pool, Reply};
--- /dev/null
+++ b/crates/hyssop-load/src/run/mod.rs
@@ -0,0 +1,6 @@
+//! Runs streams against a balancer.
+
+mod caller;
+mod schedule;
+
+pub use schedule::run;
--- /dev/null
+++ b/crates/hyssop-load/src/summary/figures.rs
@@ -0,0 +1,83 @@
+use crate::{Record, Stream, Told};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Sums up the requests of one stream, or of several.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Summary {
+    /// The stream's name.
+    pub name: String,
+    /// The number of requests.
+    pub requests: u64,
+    /// The number of requests by what was told.
+    pub told: BTreeMap<Told, u64>,
+    /// The requests that were answered with success within their deadline.
+    pub in_time: u64,
+    /// The median latency of answered requests, in microseconds.
+    pub p50_us: u64,
+    /// The 99th percentile of the latency of answered requests, in microseconds.
+    pub p99_us: u64,
+    /// The longest latency of an answered request, in microseconds.
+    pub max_us: u64,
+    /// The 99th percentile of how late requests were sent, in microseconds.
+    pub lag_p99_us: u64,
+}
+
+const LONGEST_US: u64 = 600_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+impl Summary {
+    /// Sums up the requests of `records` that `is_counted` picks.
+    pub fn of<'a>(
+        name: &str,
+        records: impl Iterator<Item = &'a Record>,
+        deadline: Duration,
+    ) -> Self {
+        let mut summary = Self {
+            name: name.to_owned(),
+            ..Self::default()
+        };
+        let mut latencies = histogram();
+        let mut lags = histogram();
+        for record in records {
+            summary.requests += 1;
+            *summary.told.entry(record.told).or_default() += 1;
+            lags.saturating_record(record.lag.as_micros() as u64);
+            if matches!(record.told, Told::Answered | Told::Repeated) {
+                latencies.saturating_record(record.latency.as_micros() as u64);
+                let is_success = record.status < 400;
+                summary.in_time += u64::from(is_success && record.latency <= deadline);
+            }
+        }
+        summary.p50_us = latencies.value_at_quantile(0.5);
+        summary.p99_us = latencies.value_at_quantile(0.99);
+        summary.max_us = latencies.max();
+        summary.lag_p99_us = lags.value_at_quantile(0.99);
+        summary
+    }
+
+    /// Sums up each stream by itself.
+    pub fn by_stream(streams: &[Stream], records: &[Record]) -> Vec<Self> {
+        let summaries = streams.iter().enumerate().map(|(index, stream)| {
+            let own = records.iter().filter(|record| record.stream == index);
+            Self::of(&stream.name, own, stream.deadline)
+        });
+        summaries.collect()
+    }
+
+    /// Returns the number of requests that were told `told`.
+    pub fn count(&self, told: Told) -> u64 {
+        self.told.get(&told).copied().unwrap_or(0)
+    }
+}
+
+/// Makes an empty histogram of microseconds.
+///
+/// # Panics
+///
+/// Panics when the library refuses its bounds, which it does not for the constants here.
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST_US, SIGNIFICANT_DIGITS).expect("the bounds are valid")
+}
--- /dev/null
+++ b/crates/hyssop-load/src/summary/mod.rs
@@ -0,0 +1,5 @@
+//! Figures over many requests.
+
+mod figures;
+
+pub use figures::Summary;
--- /dev/null
+++ b/crates/hyssop-model/src/clock/system.rs
@@ -0,0 +1,16 @@
+use super::Clock;
+use std::time::{Instant, SystemTime};
+
+/// Reads the operating system's clocks.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct System;
+
+impl Clock for System {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
--- /dev/null
+++ b/crates/hyssop-model/src/config/mod.rs
@@ -0,0 +1,5 @@
+//! Versions of the fleet configuration.
+
+mod head;
+
+pub use head::{Head, Version};
--- /dev/null
+++ b/crates/hyssop-model/src/entry/id.rs
@@ -0,0 +1,22 @@
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+
+/// Names one incarnation of an entry: a process start draws a new one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Id(pub u64);
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Id {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
--- /dev/null
+++ b/crates/hyssop-model/src/lease/mod.rs
@@ -0,0 +1,5 @@
+//! Leases in the table service.
+
+mod record;
+
+pub use record::Record;
--- /dev/null
+++ b/crates/hyssop-model/src/pool/mod.rs
@@ -0,0 +1,10 @@
+//! Pools of instances.
+
+mod record;
+
+pub use record::{Record, Ticket};
+
+crate::arena_key!(
+    /// Names a pool within one process.
+    Key
+);
--- /dev/null
+++ b/crates/hyssop-planner/src/daemon/error.rs
@@ -0,0 +1,29 @@
+use snafu::Snafu;
+
+/// Says why the planner could not start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum Error {
+    /// The log can't be set up.
+    #[snafu(display("{source}"))]
+    Log {
+        /// What the set-up said.
+        source: hyssop_event::log::Error,
+    },
+    /// The status address can't be used.
+    #[snafu(display(
+        "{address} can't be listened on: {reason}; choose a free address in the settings"
+    ))]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// What the library said.
+        reason: String,
+    },
+    /// The operating system refused a thread or a signal handler.
+    #[snafu(display("the operating system refused a thread or a signal handler: {source}"))]
+    System {
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+}
--- /dev/null
+++ b/crates/hyssop-planner/src/daemon/life.rs
@@ -0,0 +1,56 @@
+use super::error::{Error, ListenSnafu, LogSnafu, SystemSnafu};
+use super::region::Region;
+use crate::status::{Metrics, Server};
+use hyssop_config::settings::Planner;
+use hyssop_event::{Kind, Recorder};
+use hyssop_model::clock::System;
+use hyssop_model::prelude::*;
+use hyssop_platform::http::Client;
+use rand::Rng;
+use snafu::ResultExt;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+/// Runs the planner until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when the status address can't be used or the operating system refuses a thread.
+pub fn run(settings: Planner) -> Result<(), Error> {
+    hyssop_event::log::start(&settings.process.name, &settings.process.log).context(LogSnafu)?;
+    let is_stopping = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, is_stopping.clone()).context(SystemSnafu)?;
+    }
+    let server = tiny_http::Server::http(settings.status).map_err(|error| {
+        ListenSnafu {
+            address: settings.status,
+            reason: error.to_string(),
+        }
+        .build()
+    })?;
+    let clock: Arc<dyn Clock> = Arc::new(System);
+    let recorder = Recorder::new(&settings.process.name, clock.clone());
+    let metrics = Arc::new(Metrics::new());
+    let address = server.server_addr().to_string();
+    let status = Server {
+        recorder: recorder.clone(),
+        metrics: metrics.clone(),
+    };
+    std::thread::Builder::new()
+        .name("status".to_owned())
+        .spawn(move || status.serve(&server))
+        .context(SystemSnafu)?;
+    recorder.record(Kind::ProcessStarted, &[("address", &address)]);
+    println!("ready planner=http://{address} pid={}", std::process::id());
+    let timeout_s = settings.process.platform_timeout.as_secs().max(1);
+    let client = Arc::new(Client::new(settings.process.platform.clone(), timeout_s));
+    let mut region = Region::new(&settings.process, clock, client, recorder.clone(), metrics);
+    while !is_stopping.load(Ordering::SeqCst) {
+        let pause = region.run_once();
+        std::thread::sleep(pause.mul_f64(rand::rng().random_range(0.8..1.2)));
+    }
+    region.stop();
+    recorder.record(Kind::ProcessStopped, &[]);
+    Ok(())
+}
--- /dev/null
+++ b/crates/hyssop-planner/src/daemon/region.rs
@@ -0,0 +1,314 @@
+use crate::lease::Holder;
+use crate::reports::fetch_all;
+use crate::rows::{transaction, Snapshot};
+use crate::status::Metrics;
+use hyssop_config::fleet::Fleet;
+use hyssop_config::settings::Process;
+use hyssop_event::{Kind, Recorder};
+use hyssop_model::prelude::*;
+use hyssop_platform::http::Client;
+use hyssop_platform::object::Object;
+use hyssop_platform::roster::{Listing, Roster};
+use hyssop_platform::table::{Condition, Table, Transaction};
+use hyssop_platform::{keys, Error};
+use hyssop_policy::plan::{Draft, Note, Planner, View};
+use hyssop_policy::rollout::{self, Verdict};
+use rand::Rng;
+use std::sync::Arc;
+
+/// Plans one region.
+pub(super) struct Region {
+    name: String,
+    poll: Duration,
+    clock: Arc<dyn Clock>,
+    platform: Arc<Client>,
+    recorder: Recorder,
+    metrics: Arc<Metrics>,
+    holder: Holder,
+    planner: Planner,
+    last: Option<Snapshot>,
+    fleet: Option<(u64, Fleet)>,
+    roster: BTreeMap<String, Listing>,
+    own_live: Option<BTreeSet<String>>,
+    next_roster: Instant,
+    waiting: BTreeMap<String, String>,
+    failures: u32,
+}
+
+const ROSTER_INTERVAL: Duration = Duration::from_secs(1);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
+
+impl Region {
+    pub(super) fn new(
+        process: &Process,
+        clock: Arc<dyn Clock>,
+        platform: Arc<Client>,
+        recorder: Recorder,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let incarnation = rand::rng().random_range(1..u64::MAX);
+        let holder = Holder::new(
+            process.clone(),
+            incarnation,
+            clock.clone(),
+            recorder.clone(),
+        );
+        Self {
+            name: process.region.clone(),
+            poll: process.poll,
+            next_roster: clock.now(),
+            clock,
+            platform,
+            recorder,
+            metrics,
+            holder,
+            planner: Planner::default(),
+            last: None,
+            fleet: None,
+            roster: BTreeMap::new(),
+            own_live: None,
+            waiting: BTreeMap::new(),
+            failures: 0,
+        }
+    }
+
+    /// Takes one step and returns the pause before the next one.
+    pub(super) fn run_once(&mut self) -> Duration {
+        match self.step() {
+            Ok(()) => self.failures = 0,
+            Err(Error::Conflict { key }) => {
+                log::debug!("event=conflict row={key}");
+                self.metrics.conflicts.inc();
+                self.last = None;
+            }
+            Err(error) => {
+                log::warn!("event=step-failed reason={:?}", error.to_string());
+                self.metrics.failures.inc();
+                self.failures += 1;
+                self.last = None;
+            }
+        }
+        let backoff = self.poll.saturating_mul(1 << self.failures.min(6));
+        backoff.min(LONGEST_BACKOFF.max(self.poll))
+    }
+
+    /// Gives the lease up.
+    pub(super) fn stop(&mut self) {
+        if let Err(error) = self.holder.give_up(self.platform.as_ref()) {
+            log::warn!("event=give-up-failed reason={:?}", error.to_string());
+        }
+    }
+
+    fn step(&mut self) -> Result<(), Error> {
+        self.holder.keep(self.platform.as_ref())?;
+        let is_leader = self.holder.fence().is_some();
+        self.metrics.is_leader.set(i64::from(is_leader));
+        if !is_leader {
+            self.last = None;
+            self.planner = Planner::default();
+            return Ok(());
+        }
+        self.metrics.steps.inc();
+        let snapshot = Snapshot::read(self.platform.as_ref(), &self.name, self.last.take())?;
+        self.refresh_roster()?;
+        self.load_fleet(&snapshot)?;
+        self.roll_out(&snapshot)?;
+        self.bury_entries(&snapshot)?;
+        self.plan(&snapshot)?;
+        self.last = Some(snapshot);
+        Ok(())
+    }
+
+    fn refresh_roster(&mut self) -> Result<(), Error> {
+        let now = self.clock.now();
+        if now < self.next_roster {
+            return Ok(());
+        }
+        self.next_roster = now + ROSTER_INTERVAL;
+        let list = self.platform.list()?;
+        self.roster = list
+            .into_iter()
+            .map(|listing| (listing.name.clone(), listing))
+            .collect();
+        self.own_live = Some(self.platform.own()?.into_iter().collect());
+        Ok(())
+    }
+
+    fn load_fleet(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+        let accepted = &snapshot.config.accepted;
+        let known = self.fleet.as_ref().map_or(0, |(number, _)| *number);
+        if accepted.number == known {
+            return Ok(());
+        }
+        let Some(text) = self.platform.get(&accepted.object)? else {
+            return Ok(());
+        };
+        match Fleet::parse("configuration", &text) {
+            Ok(fleet) => self.fleet = Some((accepted.number, fleet)),
+            Err(error) => log::error!(
+                "event=config-refused version={} reason={:?}",
+                accepted.number,
+                error.to_string()
+            ),
+        }
+        Ok(())
+    }
+
+    /// Accepts a proposal that every entry that may be serving holds.
+    fn roll_out(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+        let may_serve: Vec<&entry::Record> = snapshot.entries.iter().collect();
+        let head = match rollout::accept(&snapshot.config, &may_serve) {
+            Verdict::Idle => return Ok(()),
+            Verdict::Wait(laggards) => {
+                for laggard in laggards {
+                    log::debug!(
+                        "event=roll-out-waits entry={} held={}",
+                        laggard.entry,
+                        laggard.held
+                    );
+                }
+                return Ok(());
+            }
+            Verdict::Accept(head) => head,
+        };
+        let epoch_key = keys::epoch(&self.name);
+        let Some(transaction) = self.fenced(|transaction| {
+            transaction
+                .require(Condition::as_read(
+                    keys::CONFIG,
+                    snapshot.rows.get(keys::CONFIG),
+                ))
+                .require(Condition::as_read(
+                    &epoch_key,
+                    snapshot.rows.get(&epoch_key),
+                ))
+                .put(keys::CONFIG, &head)
+        }) else {
+            return Ok(());
+        };
+        self.platform.commit(&transaction)?;
+        self.recorder
+            .record(Kind::ConfigAccepted, &[("version", &head.accepted.number)]);
+        Ok(())
+    }
+
+    /// Deletes the rows of entries whose lease ran out and whose process the platform sees gone.
+    fn bury_entries(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+        let Some(live) = &self.own_live else {
+            return Ok(());
+        };
+        let wall_ms = self.clock.wall_ms();
+        let gone = snapshot.entries.iter().filter(|record| {
+            let is_expired = record.expires_ms < wall_ms;
+            is_expired
+                && !live.contains(&record.member.name)
+                && !snapshot.epoch.contains(record.member.id)
+        });
+        for record in gone {
+            let key = keys::entry(&self.name, &record.member.name);
+            let Some(transaction) = self.fenced(|transaction| {
+                transaction
+                    .require(Condition::as_read(&key, snapshot.rows.get(&key)))
+                    .delete(&key)
+            }) else {
+                return Ok(());
+            };
+            self.platform.commit(&transaction)?;
+            self.recorder.record(
+                Kind::LeaseLost,
+                &[("entry", &record.member.name), ("cause", &"process-gone")],
+            );
+        }
+        Ok(())
+    }
+
+    fn plan(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+        let Some((_, fleet)) = &self.fleet else {
+            return Ok(());
+        };
+        let view = View {
+            wall_ms: self.clock.wall_ms(),
+            fleet: fleet.clone(),
+            drains: snapshot.drains.clone(),
+            wave: snapshot.wave.clone(),
+            roster: self.roster.clone(),
+            reports: fetch_all(&snapshot.entries),
+            may_serve: snapshot
+                .entries
+                .iter()
+                .map(|record| record.member.name.clone())
+                .collect(),
+        };
+        let mut draft = Draft::new(snapshot.instances.clone(), snapshot.pools.clone());
+        self.planner.step(&view, &mut draft);
+        if !draft.is_unchanged() {
+            let Some(fence) = self.holder.fence() else {
+                return Ok(());
+            };
+            let transaction = transaction(&self.name, snapshot, &draft, fence);
+            self.platform.commit(&transaction)?;
+            self.metrics.writes.inc_by(transaction.writes.len() as u64);
+        }
+        self.reboot(&draft)?;
+        self.note(&draft);
+        Ok(())
+    }
+
+    fn reboot(&self, draft: &Draft) -> Result<(), Error> {
+        for name in &draft.reboots {
+            self.recorder
+                .record(Kind::RebootAsked, &[("instance", name)]);
+            self.platform.reboot(name)?;
+        }
+        Ok(())
+    }
+
+    /// Starts a transaction that takes effect only while the lease is held.
+    fn fenced(&self, build: impl FnOnce(Transaction) -> Transaction) -> Option<Transaction> {
+        let fence = self.holder.fence()?;
+        let transaction = Transaction::new(uuid::Uuid::new_v4().to_string()).require(fence);
+        Some(build(transaction))
+    }
+
+    fn note(&mut self, draft: &Draft) {
+        let mut waiting = BTreeMap::new();
+        for note in &draft.notes {
+            match note {
+                Note::Registered { instance, pool } | Note::Serving { instance, pool } => {
+                    self.recorder.record(
+                        Kind::InstanceChanged,
+                        &[
+                            ("instance", instance),
+                            ("pool", pool),
+                            ("state", &"serving"),
+                        ],
+                    )
+                }
+                Note::Draining { instance, cause } => self.recorder.record(
+                    Kind::InstanceChanged,
+                    &[
+                        ("instance", instance),
+                        ("state", &"draining"),
+                        ("cause", cause),
+                    ],
+                ),
+                Note::Drained { instance } => self
+                    .recorder
+                    .record(Kind::DrainComplete, &[("instance", instance)]),
+                Note::Waits { instance, reason } => {
+                    if self.waiting.get(instance) != Some(reason) {
+                        let fields: [(&str, &dyn std::fmt::Display); 2] =
+                            [("instance", instance), ("reason", reason)];
+                        self.recorder.record(Kind::DisruptionWaits, &fields);
+                    }
+                    waiting.insert(instance.clone(), reason.clone());
+                }
+                Note::WaveDone => self
+                    .recorder
+                    .record(Kind::WaveChanged, &[("phase", &"done")]),
+            }
+        }
+        self.metrics.waiting.set(waiting.len() as i64);
+        self.waiting = waiting;
+    }
+}
--- /dev/null
+++ b/crates/hyssop-planner/src/lease/mod.rs
@@ -0,0 +1,5 @@
+//! The planner's lease of its region.
+
+mod holder;
+
+pub(crate) use holder::Holder;
--- /dev/null
+++ b/crates/hyssop-planner/src/status/server.rs
@@ -0,0 +1,115 @@
+use hyssop_event::Recorder;
+use prometheus::{Encoder, IntCounter, IntGauge, Registry, TextEncoder};
+use std::sync::Arc;
+use tiny_http::{Request, Response};
+
+/// Holds the planner's metrics.
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Steps taken while holding the lease.
+    pub(crate) steps: IntCounter,
+    /// Rows written.
+    pub(crate) writes: IntCounter,
+    /// Transactions that found a row changed.
+    pub(crate) conflicts: IntCounter,
+    /// Calls to the platform that failed.
+    pub(crate) failures: IntCounter,
+    /// Disruptions that wait for a budget.
+    pub(crate) waiting: IntGauge,
+    /// Whether the lease is held.
+    pub(crate) is_leader: IntGauge,
+}
+
+impl Metrics {
+    /// Makes the metrics.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a name is registered twice, which the names below are not.
+    pub(crate) fn new() -> Self {
+        let counter =
+            |name: &str, help: &str| IntCounter::new(name, help).expect("the name is valid");
+        let gauge = |name: &str, help: &str| IntGauge::new(name, help).expect("the name is valid");
+        let metrics = Self {
+            registry: Registry::new(),
+            steps: counter(
+                "hyssop_planner_steps_total",
+                "Steps taken while holding the lease.",
+            ),
+            writes: counter("hyssop_planner_writes_total", "Rows written."),
+            conflicts: counter(
+                "hyssop_planner_conflicts_total",
+                "Transactions in conflict.",
+            ),
+            failures: counter(
+                "hyssop_planner_failures_total",
+                "Calls to the platform that failed.",
+            ),
+            waiting: gauge(
+                "hyssop_planner_waiting",
+                "Disruptions that wait for a budget.",
+            ),
+            is_leader: gauge("hyssop_planner_is_leader", "Whether the lease is held."),
+        };
+        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
+            Box::new(metrics.steps.clone()),
+            Box::new(metrics.writes.clone()),
+            Box::new(metrics.conflicts.clone()),
+            Box::new(metrics.failures.clone()),
+            Box::new(metrics.waiting.clone()),
+            Box::new(metrics.is_leader.clone()),
+        ];
+        for collector in collectors {
+            metrics
+                .registry
+                .register(collector)
+                .expect("each name is registered once");
+        }
+        metrics
+    }
+
+    fn render(&self) -> String {
+        let mut text = Vec::new();
+        if TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .is_err()
+        {
+            return String::new();
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+/// Answers status requests.
+pub(crate) struct Server {
+    pub(crate) recorder: Recorder,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+impl Server {
+    /// Serves until the process ends.
+    pub(crate) fn serve(&self, server: &tiny_http::Server) {
+        for request in server.incoming_requests() {
+            let response = self.answer(&request);
+            // Whoever asked may have stopped waiting.
+            let _ = request.respond(response);
+        }
+    }
+
+    fn answer(&self, request: &Request) -> Response<std::io::Cursor<Vec<u8>>> {
+        const NOT_FOUND: u16 = 404;
+        let (path, query) = request.url().split_once('?').unwrap_or((request.url(), ""));
+        match path {
+            "/health/live" => Response::from_string("live\n"),
+            "/metrics" => Response::from_string(self.metrics.render()),
+            "/events" => {
+                let after = query
+                    .strip_prefix("after=")
+                    .and_then(|number| number.parse().ok());
+                let events = self.recorder.after(after.unwrap_or(0));
+                Response::from_data(serde_json::to_vec(&events).unwrap_or_default())
+            }
+            _ => Response::from_string("there is nothing here\n").with_status_code(NOT_FOUND),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssop-platform/src/table/write.rs
@@ -0,0 +1,10 @@
+use serde::{Deserialize, Serialize};
+
+/// Replaces or deletes one row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Write {
+    /// The row's key.
+    pub key: String,
+    /// The new value in JSON, or `None` to delete the row.
+    pub body: Option<String>,
+}
--- /dev/null
+++ b/crates/hyssop-platform/src/worker/signal.rs
@@ -0,0 +1,17 @@
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+/// Is what the platform can do to a running task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum Signal {
+    /// Extends the task's lease.
+    Renew,
+    /// Halves the task's processors.
+    Throttle,
+    /// Saves the task's progress and ends it.
+    Checkpoint,
+    /// Ends the task without saving.
+    Stop,
+}
--- /dev/null
+++ b/crates/hyssop-policy/src/demand/mod.rs
@@ -0,0 +1,7 @@
+//! Demand over all entries, and what each flow and entry is due of a pool.
+
+mod board;
+mod plan;
+
+pub use board::Board;
+pub use plan::{Plan, Queue};
--- /dev/null
+++ b/crates/hyssop-policy/src/dispatch/mod.rs
@@ -0,0 +1,18 @@
+//! An entry's request path: admission, slots, health and retries joined into one state machine.
+
+mod action;
+mod arrival;
+mod desk;
+mod dispatcher;
+mod event;
+mod running;
+mod settings;
+
+pub use action::{Action, Fate};
+pub use arrival::Arrival;
+pub use dispatcher::Dispatcher;
+pub use event::Event;
+pub use settings::Settings;
+
+pub(crate) use desk::{Desk, Pace};
+pub(crate) use running::Running;
--- /dev/null
+++ b/crates/hyssop-policy/src/lib.rs
@@ -0,0 +1,17 @@
+//! The decisions, one module each, without sockets, threads, clocks or randomness.
+//!
+//! Each module is a state machine that is fed the time with every call, so that a test, a
+//! benchmark or a daemon can drive it, with many nodes in one thread.
+
+pub mod admission;
+pub mod assign;
+pub mod attempt;
+pub mod demand;
+pub mod dispatch;
+pub mod health;
+pub mod membership;
+pub mod plan;
+pub mod retry;
+pub mod rollout;
+pub mod share;
+pub mod slot;
--- /dev/null
+++ b/crates/hyssop-policy/src/plan/lifecycle.rs
@@ -0,0 +1,124 @@
+use super::{Budget, Draft, View};
+use crate::assign;
+use hyssop_model::instance::{Cause, State};
+use hyssop_model::prelude::*;
+use hyssop_platform::roster::{Listing, Presence};
+
+/// Takes the platform's new instances into pools.
+pub(super) fn register(draft: &mut Draft, view: &View) {
+    let new = view
+        .roster
+        .values()
+        .filter(|listing| listing.presence == Presence::Live);
+    let new: Vec<&Listing> = new
+        .filter(|listing| !draft.instances.contains_key(&listing.name))
+        .collect();
+    for listing in new {
+        let Some(pool) = assign::pool_for_new(draft, &view.fleet, listing) else {
+            return;
+        };
+        draft.register(instance::Record {
+            key: listing.key,
+            name: listing.name.clone(),
+            address: listing.address.clone(),
+            rack: listing.rack.clone(),
+            data_centre: listing.data_centre.clone(),
+            slots: listing.slots,
+            connections: listing.connections,
+            pool,
+            state: State::Serving,
+            moving_to: None,
+            cause: None,
+            maintained_ms: 0,
+            boots: listing.boots,
+            revision: 0,
+        });
+    }
+}
+
+/// Completes the drains that every entry has confirmed.
+pub(super) fn complete_drains(draft: &mut Draft, view: &View) {
+    let draining = draft
+        .instances
+        .values()
+        .filter(|record| record.state == State::Draining);
+    let drained: Vec<instance::Record> = draining
+        .filter(|record| view.is_drained(&record.name, record.revision))
+        .cloned()
+        .collect();
+    for record in drained {
+        if record.cause == Some(Cause::Move) {
+            draft.serve(&record.name, None);
+            continue;
+        }
+        let boots = view
+            .roster
+            .get(&record.name)
+            .map_or(record.boots, |listing| listing.boots);
+        draft.take_out(&record.name, boots);
+    }
+}
+
+/// Begins the drains that operators asked for, and ends those that they withdrew.
+pub(super) fn follow_operators(draft: &mut Draft, view: &View) {
+    for name in view.drains.keys() {
+        let Some(record) = draft.instances.get(name).cloned() else {
+            continue;
+        };
+        match record.state {
+            State::Serving => begin(draft, view, &record, Cause::Operator),
+            State::Draining | State::Out => {}
+        }
+    }
+    let withdrawn: Vec<String> = draft
+        .instances
+        .values()
+        .filter(|record| {
+            record.cause == Some(Cause::Operator) && !view.drains.contains_key(&record.name)
+        })
+        .map(|record| record.name.clone())
+        .collect();
+    for name in withdrawn {
+        if is_live(view, &name) {
+            draft.serve(&name, None);
+        }
+    }
+}
+
+/// Begins the drains of instances that the platform takes away, and ends them when it no longer does.
+pub(super) fn follow_platform(draft: &mut Draft, view: &View) {
+    let leaving = view
+        .roster
+        .values()
+        .filter(|listing| listing.presence == Presence::Leaving);
+    for listing in leaving {
+        let Some(record) = draft.instances.get(&listing.name).cloned() else {
+            continue;
+        };
+        if record.state == State::Serving {
+            begin(draft, view, &record, Cause::Platform);
+        }
+    }
+    let staying: Vec<String> = draft
+        .instances
+        .values()
+        .filter(|record| record.cause == Some(Cause::Platform) && is_live(view, &record.name))
+        .map(|record| record.name.clone())
+        .collect();
+    for name in staying {
+        draft.serve(&name, None);
+    }
+}
+
+/// Begins a disruption if the budget permits it.
+pub(super) fn begin(draft: &mut Draft, view: &View, record: &instance::Record, cause: Cause) {
+    match Budget::check(draft, view, record) {
+        Ok(()) => draft.drain(&record.name, cause, None, view.wall_ms),
+        Err(refusal) => draft.wait(&record.name, refusal.to_string()),
+    }
+}
+
+pub(super) fn is_live(view: &View, name: &str) -> bool {
+    let listing = view.roster.get(name);
+    listing.is_some_and(|listing| listing.presence == Presence::Live)
+}
--- /dev/null
+++ b/crates/hyssop-policy/src/plan/mod.rs
@@ -0,0 +1,19 @@
+//! The planner's decisions: what happens to instances, pools and waves.
+//!
+//! A step reads a [`View`] of the rows and reports, and changes a [`Draft`] of the rows. The host
+//! commits all changes of a step in one transaction, on condition that nothing read has changed.
+
+mod budget;
+mod draft;
+mod lifecycle;
+mod planner;
+mod report;
+mod view;
+mod wave;
+
+pub use budget::{Budget, Refusal};
+pub use draft::{Draft, Note};
+pub use planner::Planner;
+pub use report::Report;
+pub use view::View;
+pub use wave::{Estimate, Progress};
--- /dev/null
+++ b/crates/hyssop-policy/src/retry/mod.rs
@@ -0,0 +1,5 @@
+//! Budgets that keep retries from multiplying the load.
+
+mod budget;
+
+pub use budget::Budget;
--- /dev/null
+++ b/crates/hyssop-policy/src/slot/mod.rs
@@ -0,0 +1,30 @@
+//! Which entry may start a request on which slot of which instance.
+
+mod action;
+mod allocator;
+mod board;
+mod borrowed;
+mod choices;
+mod clearance;
+mod event;
+mod grant;
+mod home;
+mod ledger;
+mod lent;
+mod settings;
+mod site;
+
+pub use action::Action;
+pub use allocator::{Allocator, Avoid};
+pub use choices::Choices;
+pub use event::Event;
+pub use grant::Grant;
+pub use home::Home;
+pub use settings::Settings;
+
+pub(crate) use board::Board;
+pub(crate) use borrowed::Borrowed;
+pub(crate) use clearance::Clearance;
+pub(crate) use ledger::Ledger;
+pub(crate) use lent::Lent;
+pub(crate) use site::Site;
--- /dev/null
+++ b/crates/hyssop-standin/src/bin/standin_platform.rs
@@ -0,0 +1,50 @@
+//! Starts the stand-in for the platform's services.
+
+use gumdrop::Options;
+use hyssop_standin::platform;
+use std::process::ExitCode;
+
+/// Plays the platform: table service, object store, list of instances and workers.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "prints this help")]
+    help: bool,
+    #[options(help = "prints the version")]
+    version: bool,
+    #[options(help = "the address", meta = "IP:PORT", default = "127.0.0.1:0")]
+    listen: String,
+    #[options(help = "row writes a second", meta = "N", default = "400")]
+    writes: u32,
+    #[options(help = "row reads a second", meta = "N", default = "2000")]
+    reads: u32,
+    #[options(
+        help = "the delay of the list of instances, in milliseconds",
+        meta = "MS",
+        default = "2000"
+    )]
+    lag_ms: u64,
+    #[options(help = "the number of workers", meta = "N", default = "8")]
+    workers: u32,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.version {
+        println!("standin-platform {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let options = platform::Options {
+        listen: arguments.listen,
+        writes_per_second: arguments.writes,
+        reads_per_second: arguments.reads,
+        lag_ms: arguments.lag_ms,
+        workers: arguments.workers,
+    };
+    match platform::run(options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standin-platform: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssop-standin/src/bin/standin_server.rs
@@ -0,0 +1,73 @@
+//! Starts the stand-in for the backend servers.
+
+use gumdrop::Options;
+use hyssop_config::settings::Machines;
+use hyssop_standin::server;
+use std::process::ExitCode;
+
+/// Plays every instance of a fleet in one process, each on an address of its own.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "prints this help")]
+    help: bool,
+    #[options(help = "prints the version")]
+    version: bool,
+    #[options(
+        help = "the platform's base address, such as http://127.0.0.1:7000",
+        meta = "URL"
+    )]
+    platform: Option<String>,
+    #[options(
+        help = "the inspection address",
+        meta = "IP:PORT",
+        default = "127.0.0.1:0"
+    )]
+    listen: String,
+    #[options(
+        help = "how long a reboot takes, in milliseconds",
+        meta = "MS",
+        default = "2000"
+    )]
+    reboot_ms: u64,
+    #[options(help = "threads", meta = "N", default = "2")]
+    threads: usize,
+    #[options(free, help = "the machines file")]
+    machines: Option<String>,
+}
+
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.version {
+        println!("standin-server {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = arguments.machines else {
+        eprintln!(
+            "standin-server: no machines file; call it as `standin-server --platform URL FILE`"
+        );
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let machines = match Machines::read(&path) {
+        Ok(machines) => machines,
+        Err(error) => {
+            eprintln!("standin-server: {error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let options = server::Options {
+        machines,
+        platform: arguments.platform,
+        listen: arguments.listen,
+        reboot_ms: arguments.reboot_ms,
+        threads: arguments.threads.max(1),
+    };
+    match server::run(options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standin-server: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssop-standin/src/platform/mod.rs
@@ -0,0 +1,16 @@
+//! The platform's services over HTTP, with rate limits and faults.
+
+mod fault;
+mod limit;
+mod process;
+mod roster;
+mod service;
+mod stats;
+
+pub use process::{run, Options};
+pub use stats::Stats;
+
+pub(crate) use fault::{Fault, Faults};
+pub(crate) use limit::Limit;
+pub(crate) use roster::History;
+pub(crate) use service::Service;
--- /dev/null
+++ b/crates/hyssop-timeline/src/lib.rs
@@ -0,0 +1,1 @@
+//! Merges the events of all processes into one ordered time line
--- /dev/null
+++ b/crates/hyssop-wire/src/health/mod.rs
@@ -0,0 +1,5 @@
+//! Opinions of instances, shared between entries.
+
+mod report;
+
+pub use report::Report;
--- /dev/null
+++ b/crates/hyssop-wire/src/slot/mod.rs
@@ -0,0 +1,11 @@
+//! Slots of instances: what is held, lent and returned.
+
+mod lend;
+mod loan;
+mod mask;
+mod status;
+
+pub use lend::{Lend, Return};
+pub use loan::Loan;
+pub use mask::Mask;
+pub use status::{Held, Status};
--- /dev/null
+++ b/crates/hyssopctl/src/command/explain.rs
@@ -0,0 +1,119 @@
+use super::{view, Command};
+use crate::client::Client;
+use crate::error::{Error, UsageSnafu};
+use crate::output::{print_json, span, Format};
+use gumdrop::Options;
+use hyssop_config::fleet::Pool;
+use hyssop_model::instance::{self, Cause, State};
+use hyssop_model::pool;
+
+/// Says why an instance or a pool is as it is.
+#[derive(Debug, Options)]
+pub(crate) struct Explain {
+    #[options(help = "prints this help")]
+    help: bool,
+    #[options(free, help = "the instance or the pool")]
+    name: Option<String>,
+}
+
+impl Command for Explain {
+    fn run(&self, client: &Client, format: Format) -> Result<(), Error> {
+        let Some(name) = &self.name else {
+            let message =
+                "no name; call it as `hyssopctl explain INSTANCE` or `hyssopctl explain POOL`";
+            return UsageSnafu { message }.fail();
+        };
+        let instances = view::instances(client)?;
+        let fleet = view::fleet(client)?;
+        let pool = fleet.as_ref().and_then(|fleet| fleet.pool(name));
+        let lines = match (instances.iter().find(|record| record.name == *name), pool) {
+            (Some(record), _) => explain_instance(client, record)?,
+            (None, Some(pool)) => explain_pool(client, pool, &instances)?,
+            (None, None) => {
+                let message = format!(
+                    "there is no instance and no pool {name}; `hyssopctl instances` lists them"
+                );
+                return UsageSnafu { message }.fail();
+            }
+        };
+        if format == Format::Json {
+            return print_json(&lines);
+        }
+        for line in lines {
+            println!("{line}");
+        }
+        Ok(())
+    }
+}
+
+fn explain_instance(client: &Client, record: &instance::Record) -> Result<Vec<String>, Error> {
+    let status = view::status(client)?;
+    let intents = view::intents(client)?;
+    let drain = intents
+        .drains
+        .iter()
+        .find(|drain| drain.instance == record.name);
+    let mut lines = vec![format!(
+        "{} belongs to pool {} and is {} since revision {}",
+        record.name, record.pool, record.state, record.revision
+    )];
+    match (record.state, record.cause) {
+        (State::Serving, _) => {}
+        (_, Some(Cause::Operator)) => lines.push("an operator asked for its drain".to_owned()),
+        (_, Some(Cause::Maintenance)) => lines.push("the maintenance wave reboots it".to_owned()),
+        (_, Some(Cause::Platform)) => lines.push("the platform takes it away".to_owned()),
+        (_, Some(Cause::Move)) => {
+            let to = record.moving_to.as_deref().unwrap_or("?");
+            lines.push(format!("the planner moves it to pool {to}"));
+        }
+        (_, None) => {}
+    }
+    if let Some(drain) = drain {
+        let age = span(status.wall_ms.saturating_sub(drain.asked_ms));
+        lines.push(format!("{} asked for its drain {age} ago", drain.author));
+        if record.state == State::Serving {
+            lines.push(format!(
+                "the drain waits: pool {} has no room in its budget; `hyssopctl explain {}` shows it",
+                record.pool, record.pool
+            ));
+        }
+    }
+    if record.state == State::Draining {
+        lines.push("it is out once every entry reports nothing in progress there".to_owned());
+    }
+    Ok(lines)
+}
+
+fn explain_pool(
+    client: &Client,
+    pool: &Pool,
+    instances: &[instance::Record],
+) -> Result<Vec<String>, Error> {
+    let members: Vec<&instance::Record> = instances
+        .iter()
+        .filter(|record| record.pool == pool.name)
+        .collect();
+    let serving = members
+        .iter()
+        .filter(|record| record.state == State::Serving)
+        .count();
+    let rows = view::pools(client)?;
+    let empty = pool::Record::default();
+    let row = rows.get(&pool.name).unwrap_or(&empty);
+    let mut lines = vec![
+        format!(
+            "{} has {} instances, {serving} of them serving; its quiet size is {}",
+            pool.name,
+            members.len(),
+            pool.size
+        ),
+        format!(
+            "its budget is {} healthy instances serving, also after the loss of {} racks",
+            pool.budget, pool.survive_racks
+        ),
+    ];
+    for (instance, ticket) in &row.tickets {
+        lines.push(format!("{instance} holds a ticket for {}", ticket.reason));
+    }
+    Ok(lines)
+}
--- /dev/null
+++ b/crates/hyssopctl/src/command/view.rs
@@ -0,0 +1,62 @@
+use crate::client::Client;
+use crate::error::{ConfigSnafu, Error};
+use hyssop_config::fleet::Fleet;
+use hyssop_model::intent::{Drain, Wave};
+use hyssop_model::{config, entry, epoch, instance, lease, pool};
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+use std::collections::BTreeMap;
+
+/// Is the control plane as an entry shows it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Status {
+    pub(super) region: String,
+    pub(super) wall_ms: u64,
+    pub(super) epoch: Option<epoch::Record>,
+    pub(super) entries: Vec<entry::Record>,
+    pub(super) planner: Option<lease::Record>,
+    pub(super) config: Option<config::Head>,
+}
+
+/// Is what operators asked for.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Intents {
+    pub(super) drains: Vec<Drain>,
+    pub(super) wave: Option<Wave>,
+}
+
+/// Is the configuration in force.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Config {
+    pub(super) head: config::Head,
+    pub(super) text: Option<String>,
+}
+
+pub(super) fn status(client: &Client) -> Result<Status, Error> {
+    client.get("status")
+}
+
+pub(super) fn intents(client: &Client) -> Result<Intents, Error> {
+    client.get("intents")
+}
+
+pub(super) fn config(client: &Client) -> Result<Config, Error> {
+    client.get("config")
+}
+
+pub(super) fn instances(client: &Client) -> Result<Vec<instance::Record>, Error> {
+    client.get("instances")
+}
+
+pub(super) fn pools(client: &Client) -> Result<BTreeMap<String, pool::Record>, Error> {
+    client.get("pools")
+}
+
+/// Returns the configuration in force, parsed, or `None` before the first one.
+pub(super) fn fleet(client: &Client) -> Result<Option<Fleet>, Error> {
+    let config = config(client)?;
+    let text = config.text.as_deref();
+    text.map(|text| Fleet::parse("configuration", text))
+        .transpose()
+        .context(ConfigSnafu)
+}
--- /dev/null
+++ b/crates/hyssopctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line
