Prove that no slot is held twice, and tell former members what is held

Cause: a property over lost, late, doubled and reordered frames, killed, leaving and joining entries found loans that never came back (case 222 of 400): a leaving entry had lent a slot, the borrower's return was lost, and statuses went to members only, so the lender never learned that the loan was over. Statuses now go to recently retired members too.

Before: no_loan_and_no_slot_is_lost_for_ever failed with 2 loans out after everything settled. After: 400 cases each of both properties pass.

--- a/crates/hyssop-policy/src/slot/home.rs
+++ b/crates/hyssop-policy/src/slot/home.rs
@@ -73,9 +73,11 @@
         self.ledger.lent.len()
     }
 
+    /// Returns the members and the former members that may still hold loans of theirs or ours.
     fn peers(&self) -> Vec<entry::Id> {
-        let ids = self.epoch.members.iter().map(|member| member.id);
-        ids.filter(|id| *id != self.id).collect()
+        let members = self.epoch.members.iter().map(|member| member.id);
+        let retired = self.epoch.retired.iter().map(|retired| retired.id);
+        members.chain(retired).filter(|id| *id != self.id).collect()
     }
 
     fn adopt(&mut self, now: Instant, epoch: epoch::Record) {
@@ -85,9 +87,9 @@
         self.clearance
             .adopt(self.id, &epoch, now + self.settings.quarantine);
         self.epoch = epoch;
-        let members: BTreeSet<entry::Id> = self.peers().into_iter().collect();
+        let epoch = &self.epoch;
         for need in self.needs.values_mut() {
-            need.wanted.retain(|id, _| members.contains(id));
+            need.wanted.retain(|id, _| epoch.contains(*id));
         }
         for key in self.board.keys() {
             self.rehome(key);
