Claim keyed requests at their home: the decisions and their properties

A keyed, non-idempotent request is claimed at the key's home before it is sent; claims live in memory. Not yet bound into the entry.

--- a/crates/hyssop-model/src/entry/record.rs
+++ b/crates/hyssop-model/src/entry/record.rs
@@ -1,4 +1,4 @@
-use super::{Id, Member};
+use super::Member;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 
@@ -26,6 +26,6 @@
     pub held_version: u64,
     /// The configuration version in force at the entry.
     pub config_version: u64,
-    /// The entry that took over the claims at a planned stop.
-    pub successor: Option<Id>,
+    /// Whether the entry handed its claims over and grants nothing any more.
+    pub is_handed_over: bool,
 }
--- a/crates/hyssop-model/src/epoch/record.rs
+++ b/crates/hyssop-model/src/epoch/record.rs
@@ -8,6 +8,8 @@
     pub id: entry::Id,
     /// When it was removed, in milliseconds of the writer's wall clock.
     pub removed_ms: u64,
+    /// Whether it stopped as planned and handed its claims over.
+    pub is_clean: bool,
 }
 
 /// Is the membership row of a region, replaced as a whole by compare-and-set.
@@ -21,8 +23,9 @@
     pub retired: Vec<Retired>,
     /// When this epoch was written, in milliseconds of the writer's wall clock.
     pub written_ms: u64,
-    /// Whether no member of the epoch before is left to vouch for its end.
-    pub cold: bool,
+    /// When an epoch last began without a member of the one before it, which could have vouched
+    /// for its end, in milliseconds of the writer's wall clock; 0 for never.
+    pub cold_ms: u64,
 }
 
 impl Record {
--- /dev/null
+++ b/crates/hyssop-policy/src/claim/action.rs
@@ -0,0 +1,24 @@
+use hyssop_model::{entry, request};
+use hyssop_wire::claim::Verdict;
+use hyssop_wire::Body;
+
+/// Is what a claim desk asks its host to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Tells a request what was decided.
+    Decide {
+        /// The request.
+        request: request::Key,
+        /// The decision.
+        verdict: Verdict,
+    },
+    /// Sends a frame to a peer.
+    Send {
+        /// The peer.
+        to: entry::Id,
+        /// The message.
+        body: Body,
+    },
+    /// Every heir has taken its part of the claims in.
+    HandedOver,
+}
--- /dev/null
+++ b/crates/hyssop-policy/src/claim/desk.rs
@@ -0,0 +1,417 @@
+use super::handover::Estate;
+use super::key::{home_among, Key};
+use super::{Action, Asker, Authority, Event, Handover, History, Registry, Settings};
+use hyssop_model::prelude::*;
+use hyssop_wire::claim::{Accepted, Ask, End, Reply, Settled, Verdict};
+use hyssop_wire::notice::Promise;
+use hyssop_wire::{claim, Body};
+
+/// Decides for one entry which keyed request may be sent: as the home of keys, and as asker.
+#[derive(Clone, Debug)]
+pub struct Desk {
+    id: entry::Id,
+    settings: Settings,
+    registry: Registry,
+    asker: Asker,
+    history: History,
+    authority: Authority,
+    epoch: epoch::Record,
+    /// The members that told, in the present epoch, that they act in it.
+    told: BTreeSet<entry::Id>,
+    /// How long after the last of them the entry begins to act.
+    act_wait: Duration,
+    /// When the last of them told so.
+    all_told_at: Option<Instant>,
+    estates: BTreeMap<entry::Id, Estate>,
+    handover: Option<Handover>,
+    is_frozen: bool,
+    last_random: u64,
+}
+
+impl Desk {
+    /// Makes the desk of entry `id`.
+    pub fn new(id: entry::Id, settings: Settings) -> Self {
+        Self {
+            id,
+            settings,
+            registry: Registry::default(),
+            asker: Asker::default(),
+            history: History::default(),
+            authority: Authority::default(),
+            epoch: epoch::Record::default(),
+            told: BTreeSet::new(),
+            act_wait: Duration::ZERO,
+            all_told_at: None,
+            estates: BTreeMap::new(),
+            handover: None,
+            is_frozen: false,
+            last_random: id.0,
+        }
+    }
+
+    /// Mints a bound key, or returns `None` when the entry grants nothing any more.
+    pub fn mint(&mut self, wall_ms: u64) -> Option<Key> {
+        if self.is_frozen {
+            return None;
+        }
+        self.last_random = self.last_random.wrapping_add(1);
+        Some(Key::Bound {
+            home: self.id,
+            minted_ms: wall_ms,
+            random: self.last_random,
+        })
+    }
+
+    /// Tells whether a question, a grant or a settlement of this entry is open.
+    pub fn is_busy(&self) -> bool {
+        self.asker.is_busy()
+    }
+
+    /// Takes in one event, at `wall_ms` of the wall clock.
+    pub fn step(&mut self, now: Instant, wall_ms: u64, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Claim {
+                request,
+                key,
+                fingerprint,
+            } => self.claim(now, wall_ms, request, &key, fingerprint, out),
+            Event::Settle { request, end } => self.settle_own(now, request, end, out),
+            Event::Frame { from, body } => self.hear(now, wall_ms, from, body, out),
+            Event::Epoch(epoch) => self.adopt(now, wall_ms, epoch),
+            Event::Lease(ends) => self.authority.renew(ends),
+            Event::HandOver => self.hand_over(now, out),
+            Event::Tick => self.tick(now, wall_ms, out),
+        }
+    }
+
+    fn adopt(&mut self, now: Instant, wall_ms: u64, epoch: epoch::Record) {
+        if epoch.number <= self.epoch.number {
+            return;
+        }
+        let removed = self.epoch.members.iter().any(|member| !epoch.contains(member.id));
+        self.history.begin(&epoch);
+        self.told.clear();
+        self.authority.forget();
+        // Only a removed member could go on in an earlier epoch, by promises given before.
+        let is_growth = !removed && epoch.retired.is_empty();
+        self.act_wait = if is_growth { Duration::ZERO } else { self.settings.promise };
+        self.all_told_at = None;
+        self.epoch = epoch;
+        let epoch = &self.epoch;
+        self.registry
+            .close_orphans(now, |owner| !epoch.contains(owner) && owner != self.id, &self.settings);
+        self.try_to_act(now, wall_ms);
+    }
+
+    /// Begins to act in the epoch once every other member has told that it is in it, and nobody
+    /// can be promising an earlier one any more.
+    fn try_to_act(&mut self, now: Instant, wall_ms: u64) {
+        let is_told = |id: &entry::Id| *id == self.id || self.told.contains(id);
+        if !self.epoch.contains(self.id) || !self.history.members().iter().all(is_told) {
+            return;
+        }
+        let all_told_at = *self.all_told_at.get_or_insert(now);
+        if now >= all_told_at + self.act_wait && wall_ms >= self.cold_end_ms() {
+            self.history.act(wall_ms);
+        }
+    }
+
+    /// Returns the wall clock at which no member of an epoch that ended unseen can be acting.
+    fn cold_end_ms(&self) -> u64 {
+        if self.epoch.cold_ms == 0 {
+            return 0;
+        }
+        let wait = self.settings.longest_outage + self.settings.promise + 2 * self.settings.clock_bound;
+        self.epoch.cold_ms + wait.as_millis() as u64
+    }
+
+    fn claim(
+        &mut self,
+        now: Instant,
+        wall_ms: u64,
+        request: request::Key,
+        key: &str,
+        fingerprint: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Ok(parsed) = key.parse::<Key>() else {
+            decide(request, Verdict::Malformed, out);
+            return;
+        };
+        let Some(home) = self.home_of(key, &parsed) else {
+            let verdict = match parsed {
+                Key::Bound { .. } => Verdict::Unknown,
+                Key::Unbound { .. } => Verdict::NotNow,
+            };
+            decide(request, verdict, out);
+            return;
+        };
+        let id = self.asker.next_id();
+        let ask = Ask {
+            id,
+            epoch: self.epoch.number,
+            key: key.to_owned(),
+            fingerprint,
+        };
+        if home != self.id {
+            self.asker.ask(now, id, request, key, home, &self.settings);
+            out.push(Action::Send {
+                to: home,
+                body: Body::Ask(ask),
+            });
+            return;
+        }
+        let verdict = self.judge(now, wall_ms, self.id, &ask);
+        if verdict == Verdict::Granted {
+            self.asker.grant(id, request, key, self.id);
+        }
+        decide(request, verdict, out);
+    }
+
+    /// Returns which entry decides on a key, or `None` when nobody does any more.
+    fn home_of(&self, key: &str, parsed: &Key) -> Option<entry::Id> {
+        match parsed {
+            Key::Bound { home, .. } if *home == self.id || self.epoch.contains(*home) => Some(*home),
+            Key::Bound { home, .. } => {
+                let is_clean = self.epoch.retired.iter().any(|retired| retired.id == *home && retired.is_clean);
+                if !is_clean {
+                    return None;
+                }
+                home_among(key, self.history.members().iter().copied())
+            }
+            Key::Unbound { .. } => home_among(key, self.history.members().iter().copied()),
+        }
+    }
+
+    /// Decides on a question as the home of its key.
+    fn judge(&mut self, now: Instant, wall_ms: u64, owner: entry::Id, ask: &Ask) -> Verdict {
+        let Ok(parsed) = ask.key.parse::<Key>() else {
+            return Verdict::Malformed;
+        };
+        if let Some(verdict) = self.registry.find(&ask.key, ask.fingerprint, owner, ask.id) {
+            return verdict;
+        }
+        if let Some(verdict) = self.refuse_new(now, wall_ms, &ask.key, &parsed) {
+            return verdict;
+        }
+        // An owner outside the epoch would never be missed, so its claim would never be closed.
+        let is_known = owner == self.id || self.epoch.contains(owner);
+        if self.is_frozen || !is_known || !self.registry.has_room(&self.settings) {
+            return Verdict::NotNow;
+        }
+        if self.registry.grant(&ask.key, ask.fingerprint, owner, ask.id) {
+            Verdict::Granted
+        } else {
+            Verdict::NotNow
+        }
+    }
+
+    /// Returns why a key without a claim must not be granted, if it must not.
+    fn refuse_new(&self, now: Instant, wall_ms: u64, key: &str, parsed: &Key) -> Option<Verdict> {
+        let bound_ms = self.settings.clock_bound.as_millis() as u64;
+        let retention_ms = self.settings.retention.as_millis() as u64;
+        let minted_ms = parsed.minted_ms();
+        // The claim of an older key may have been forgotten.
+        if minted_ms + retention_ms <= wall_ms {
+            return Some(Verdict::Unknown);
+        }
+        match parsed {
+            Key::Bound { .. } if minted_ms > wall_ms + 2 * bound_ms => Some(Verdict::Malformed),
+            Key::Bound { home, .. } if *home == self.id => None,
+            Key::Bound { home, .. } => {
+                let is_heir = self.estates.get(home).is_some_and(|estate| estate.covers(self.id, key));
+                (!is_heir).then_some(Verdict::Unknown)
+            }
+            Key::Unbound { .. } => {
+                if minted_ms > wall_ms + bound_ms {
+                    return Some(Verdict::Ahead(wall_ms));
+                }
+                let others: Vec<entry::Id> = self.history.members().iter().copied().filter(|id| *id != self.id).collect();
+                if !self.authority.is_held(now, &others, &self.settings) {
+                    return Some(Verdict::NotNow);
+                }
+                match self.history.home_since(self.id, key) {
+                    None => Some(Verdict::NotNow),
+                    // An earlier home may have granted a key minted before it stopped; its clock
+                    // and the minter's each differ from this one by the bound.
+                    Some(since_ms) if minted_ms < since_ms + 2 * bound_ms => Some(Verdict::Unknown),
+                    Some(_) => None,
+                }
+            }
+        }
+    }
+
+    fn settle_own(&mut self, now: Instant, request: request::Key, end: End, out: &mut Vec<Action>) {
+        let Some((id, key, home)) = self.asker.take_grant(request) else {
+            return;
+        };
+        if home == self.id {
+            self.registry.settle(now, &key, self.id, id, end, &self.settings);
+            return;
+        }
+        self.asker.settle(now, id, &key, home, end, &self.settings);
+        self.send_settlements(now, out);
+    }
+
+    fn send_settlements(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let epoch = &self.epoch;
+        let members = self.history.members();
+        let heir = |home: entry::Id, key: &str| {
+            if epoch.contains(home) {
+                return home;
+            }
+            home_among(key, members.iter().copied()).unwrap_or(home)
+        };
+        for (to, settle) in self.asker.due(now, &self.settings, heir) {
+            if to == self.id {
+                let id = settle.id;
+                self.registry
+                    .settle(now, &settle.key, self.id, id, settle.end, &self.settings);
+                self.asker.confirm(id);
+                continue;
+            }
+            out.push(Action::Send {
+                to,
+                body: Body::Settle(settle),
+            });
+        }
+    }
+
+    fn hear(&mut self, now: Instant, wall_ms: u64, from: entry::Id, body: Body, out: &mut Vec<Action>) {
+        match body {
+            Body::Ask(ask) => {
+                let verdict = self.judge(now, wall_ms, from, &ask);
+                let body = Body::Reply(Reply {
+                    id: ask.id,
+                    key: ask.key,
+                    verdict,
+                });
+                out.push(Action::Send { to: from, body });
+            }
+            Body::Reply(reply) => self.hear_reply(now, from, reply, out),
+            // The claims went to the heirs; the sender repeats it to them once the home has left.
+            Body::Settle(_) if self.is_frozen => {}
+            Body::Settle(settle) => {
+                self.registry
+                    .settle(now, &settle.key, from, settle.id, settle.end, &self.settings);
+                let body = Body::Settled(Settled { id: settle.id });
+                out.push(Action::Send { to: from, body });
+            }
+            Body::Settled(settled) => self.asker.confirm(settled.id),
+            Body::Status(status) => {
+                if status.epoch == self.epoch.number {
+                    self.told.insert(from);
+                    self.try_to_act(now, wall_ms);
+                }
+            }
+            Body::Promise(promise) => self.hear_promise(from, promise, out),
+            Body::Handover(part) => self.inherit(now, from, part, out),
+            Body::Accepted(accepted) => {
+                let is_last = self
+                    .handover
+                    .as_mut()
+                    .is_some_and(|handover| handover.confirm(from, accepted.parts));
+                if is_last {
+                    out.push(Action::HandedOver);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn hear_reply(&mut self, now: Instant, from: entry::Id, reply: Reply, out: &mut Vec<Action>) {
+        let Some(question) = self.asker.take(reply.id, from) else {
+            // A doubled question was granted after its first answer was used up.
+            if reply.verdict == Verdict::Granted && !self.asker.knows(reply.id) {
+                self.asker
+                    .settle(now, reply.id, &reply.key, from, End::NotRun, &self.settings);
+            }
+            return;
+        };
+        if reply.verdict == Verdict::Granted {
+            self.asker.grant(reply.id, question.request, &question.key, from);
+        }
+        decide(question.request, reply.verdict, out);
+    }
+
+    fn hear_promise(&mut self, from: entry::Id, promise: Promise, out: &mut Vec<Action>) {
+        if promise.epoch != self.epoch.number {
+            return;
+        }
+        match promise.lasts_ms {
+            Some(lasts_ms) => self
+                .authority
+                .accept(from, promise.id, Duration::from_millis(lasts_ms)),
+            None => out.push(Action::Send {
+                to: from,
+                body: Body::Promise(Promise {
+                    lasts_ms: Some(self.settings.promise.as_millis() as u64),
+                    ..promise
+                }),
+            }),
+        }
+    }
+
+    fn inherit(&mut self, now: Instant, from: entry::Id, part: claim::Handover, out: &mut Vec<Action>) {
+        let estate = self.estates.entry(from).or_default();
+        let is_whole = estate.receive(&part);
+        for held in part.claims {
+            self.registry.inherit(now, held, &self.settings);
+        }
+        if is_whole {
+            let body = Body::Accepted(Accepted { parts: part.parts });
+            out.push(Action::Send { to: from, body });
+        }
+    }
+
+    fn hand_over(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.is_frozen {
+            return;
+        }
+        self.is_frozen = true;
+        let members = self.history.members().to_vec();
+        let mut handover = Handover::new(now, self.id, &members, self.registry.held());
+        if handover.finish() {
+            out.push(Action::HandedOver);
+        }
+        self.handover = Some(handover);
+        self.send_handover(now, out);
+    }
+
+    fn send_handover(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let Some(handover) = &mut self.handover else {
+            return;
+        };
+        for (to, part) in handover.due(now, &self.settings) {
+            out.push(Action::Send {
+                to,
+                body: Body::Handover(part),
+            });
+        }
+    }
+
+    fn tick(&mut self, now: Instant, wall_ms: u64, out: &mut Vec<Action>) {
+        self.registry.expire(now);
+        self.try_to_act(now, wall_ms);
+        for (id, question) in self.asker.take_overdue(now) {
+            // The home may have granted it; it is told that nothing was sent.
+            self.asker
+                .settle(now, id, &question.key, question.home, End::NotRun, &self.settings);
+            decide(question.request, Verdict::NotNow, out);
+        }
+        self.send_settlements(now, out);
+        self.send_handover(now, out);
+        if let Some(promise) = self.authority.request(now, self.epoch.number, &self.settings) {
+            for peer in self.history.members().iter().filter(|id| **id != self.id) {
+                out.push(Action::Send {
+                    to: *peer,
+                    body: Body::Promise(promise),
+                });
+            }
+        }
+    }
+}
+
+fn decide(request: request::Key, verdict: Verdict, out: &mut Vec<Action>) {
+    out.push(Action::Decide { request, verdict });
+}
--- a/crates/hyssop-policy/src/lib.rs
+++ b/crates/hyssop-policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod assign;
 pub mod attempt;
+pub mod claim;
 pub mod demand;
 pub mod dispatch;
 pub mod health;
--- a/crates/hyssop-policy/src/membership/change.rs
+++ b/crates/hyssop-policy/src/membership/change.rs
@@ -20,6 +20,9 @@
 /// How long a former member stays in the epoch's record, in milliseconds.
 const RETIRED_LIFE_MS: u64 = 120_000;
 
+/// How long one that handed its claims over stays, so that its keys find their heirs.
+const CLEAN_LIFE_MS: u64 = 900_000;
+
 /// Returns the epoch that `observed.own` should write now, if any.
 ///
 /// An entry writes its own joining; the first living member in the epoch's order writes the rest,
@@ -53,12 +56,13 @@
     if is_unchanged || !(is_first || is_joining) {
         return None;
     }
+    let is_cold = staying.is_empty() && old.number > 0;
     let mut members: Vec<entry::Member> = staying.iter().map(|member| (*member).clone()).collect();
     members.extend(joining.iter().map(|record| record.member.clone()));
     Some(epoch::Record {
         number: old.number + 1,
         retired: retired(observed, old, &members),
-        cold: staying.is_empty(),
+        cold_ms: if is_cold { observed.wall_ms } else { old.cold_ms },
         members,
         written_ms: observed.wall_ms,
     })
@@ -69,13 +73,25 @@
     old: &epoch::Record,
     members: &[entry::Member],
 ) -> Vec<Retired> {
-    let is_recent = |retired: &&Retired| retired.removed_ms + RETIRED_LIFE_MS > observed.wall_ms;
+    let is_recent = |retired: &&Retired| {
+        let life_ms = if retired.is_clean {
+            CLEAN_LIFE_MS
+        } else {
+            RETIRED_LIFE_MS
+        };
+        retired.removed_ms + life_ms > observed.wall_ms
+    };
+    let is_clean = |id: entry::Id| {
+        let mut records = observed.entries.iter();
+        records.any(|record| record.member.id == id && record.is_handed_over)
+    };
     let earlier = old.retired.iter().filter(is_recent).copied();
     let is_member = |id: entry::Id| members.iter().any(|member| member.id == id);
     let removed = old.members.iter().filter(|member| !is_member(member.id));
     let now = removed.map(|member| Retired {
         id: member.id,
         removed_ms: observed.wall_ms,
+        is_clean: is_clean(member.id),
     });
     earlier.chain(now).collect()
 }
--- a/crates/hyssop-policy/tests/support/mod.rs
+++ b/crates/hyssop-policy/tests/support/mod.rs
@@ -35,10 +35,11 @@
             .map(|id| Retired {
                 id: Id(*id),
                 removed_ms: 0,
+                is_clean: false,
             })
             .collect(),
         written_ms: 0,
-        cold: false,
+        cold_ms: 0,
     }
 }
 
--- a/crates/hyssop-wire/src/claim/handover.rs
+++ b/crates/hyssop-wire/src/claim/handover.rs
@@ -37,7 +37,7 @@
     pub state: State,
 }
 
-/// Hands all claims of a leaving entry to its successor.
+/// Hands a leaving entry's claims to the receiver, as far as it is their heir.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Handover {
     /// The position of this part, from 0.
@@ -46,6 +46,9 @@
     /// The number of parts.
     #[serde(rename = "m")]
     pub parts: u32,
+    /// The entries between which the claims are divided by their keys.
+    #[serde(rename = "h")]
+    pub heirs: Vec<entry::Id>,
     /// The claims.
     #[serde(rename = "c")]
     pub claims: Vec<Held>,
@@ -54,7 +57,7 @@
 /// Confirms that every part of a hand-over was taken in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Accepted {
-    /// The number of claims taken in.
-    #[serde(rename = "c")]
-    pub claims: u64,
+    /// The number of parts.
+    #[serde(rename = "m")]
+    pub parts: u32,
 }
--- a/crates/hyssop-wire/src/claim/mod.rs
+++ b/crates/hyssop-wire/src/claim/mod.rs
@@ -10,4 +10,4 @@
 pub use ask::Ask;
 pub use handover::{Accepted, Handover, Held, State};
 pub use reply::{Reply, Verdict};
-pub use settle::{End, Settle};
+pub use settle::{End, Settle, Settled};
--- a/crates/hyssop-wire/src/claim/reply.rs
+++ b/crates/hyssop-wire/src/claim/reply.rs
@@ -36,6 +36,9 @@
     /// The id of the question.
     #[serde(rename = "i")]
     pub id: u64,
+    /// The key of the question.
+    #[serde(rename = "k")]
+    pub key: String,
     /// The decision.
     #[serde(rename = "v")]
     pub verdict: Verdict,
--- a/crates/hyssop-wire/src/claim/settle.rs
+++ b/crates/hyssop-wire/src/claim/settle.rs
@@ -28,3 +28,11 @@
     #[serde(rename = "r")]
     pub end: End,
 }
+
+/// Confirms a [`Settle`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settled {
+    /// The id of the question that was granted.
+    #[serde(rename = "i")]
+    pub id: u64,
+}
--- a/crates/hyssop-wire/src/frame/body.rs
+++ b/crates/hyssop-wire/src/frame/body.rs
@@ -32,7 +32,10 @@
     /// Tells the home of a key how the claimed request ended.
     #[serde(rename = "e")]
     Settle(claim::Settle),
-    /// Hands the claims of a leaving entry to its successor.
+    /// Confirms a [`claim::Settle`].
+    #[serde(rename = "k")]
+    Settled(claim::Settled),
+    /// Hands the claims of a leaving entry to their heirs.
     #[serde(rename = "x")]
     Handover(claim::Handover),
     /// Confirms that a hand-over was taken in as a whole.
