--- a/crates/hyssop-entry/src/backend/pool.rs
+++ b/crates/hyssop-entry/src/backend/pool.rs
@@ -28,6 +28,13 @@
     pub(crate) answer: Option<Answer>,
 }
 
+impl Reply {
+    /// Makes the end of an attempt that was never made.
+    pub(crate) fn not_sent() -> Self {
+        failed(End::NotSent)
+    }
+}
+
 /// Keeps idle connections by address.
 pub(crate) struct Pool {
     idle: Mutex<BTreeMap<SocketAddr, Vec<Connection>>>,
--- a/crates/hyssop-entry/src/core/host.rs
+++ b/crates/hyssop-entry/src/core/host.rs
@@ -7,7 +7,9 @@
 use hyssop_event::{Kind, Recorder};
 use hyssop_model::hash;
 use hyssop_model::prelude::*;
+use hyssop_policy::claim;
 use hyssop_policy::dispatch::{Action, Dispatcher, Event};
+use hyssop_wire::claim::Verdict;
 use hyssop_wire::{notice, Body};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,6 +23,11 @@
     pub(super) metrics: Arc<Metrics>,
     pub(super) inbox: Inbox,
     pub(super) dispatcher: Dispatcher,
+    pub(super) claims: claim::Desk,
+    pub(super) claiming: BTreeMap<request::Key, flume::Sender<Verdict>>,
+    pub(super) authority: Option<Instant>,
+    pub(super) handed_over: Option<flume::Sender<()>>,
+    pub(super) clock: Arc<dyn Clock>,
     pub(super) waiting: BTreeMap<request::Key, flume::Sender<Decision>>,
     pub(super) instances: BTreeMap<instance::Key, instance::Record>,
     pub(super) epoch: epoch::Record,
@@ -42,6 +49,36 @@
         self.metrics.load.set(self.dispatcher.load() as i64);
     }
 
+    /// Feeds the claim desk and carries out what follows.
+    pub(super) fn step_claims(&mut self, now: Instant, event: claim::Event) {
+        let mut actions = Vec::new();
+        self.claims
+            .step(now, self.clock.wall_ms(), event, &mut actions);
+        let authority = self.claims.vouched_until(now);
+        if authority != self.authority {
+            self.authority = authority;
+            self.step(now, Event::Authority(authority));
+        }
+        for action in actions {
+            match action {
+                claim::Action::Decide { request, verdict } => {
+                    if let Some(reply) = self.claiming.remove(&request) {
+                        // The request's task always waits for its verdict; see the front.
+                        let _ = reply.send(verdict);
+                    }
+                }
+                claim::Action::Send { to, body } => self.links.send(to, body),
+                claim::Action::HandedOver => {
+                    self.recorder.record(Kind::ClaimsHandedOver, &[]);
+                    if let Some(reply) = self.handed_over.take() {
+                        // Whoever stops the entry may have stopped waiting.
+                        let _ = reply.send(());
+                    }
+                }
+            }
+        }
+    }
+
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Start {
@@ -49,7 +86,8 @@
                 grant,
                 attempt,
                 timeout,
-            } => self.start(key, grant.instance, attempt, timeout),
+                send_by,
+            } => self.start(key, grant.instance, attempt, timeout, send_by),
             Action::Finish { key, fate } => {
                 if let Some(reply) = self.waiting.remove(&key) {
                     // The task is gone when its caller went away.
@@ -70,6 +108,7 @@
         instance: instance::Key,
         attempt: u32,
         timeout: Duration,
+        send_by: Instant,
     ) {
         let Some(record) = self.instances.get(&instance) else {
             return;
@@ -82,6 +121,7 @@
             address,
             attempt,
             timeout,
+            send_by,
         };
         if let Some(reply) = self.waiting.get(&key) {
             // A task whose caller went away still ends its attempts; see the front.
@@ -112,12 +152,13 @@
             &[("epoch", &epoch.number), ("members", &epoch.members.len())],
         );
         self.epoch = epoch.clone();
-        self.state.set_epoch(epoch.number);
+        self.state.set_member(epoch.contains(self.state.member.id));
         self.links.set_members(&epoch.members, &self.inbox);
         self.limit_idle_connections();
         if is_first_hand {
             self.broadcast(&Body::Epoch(epoch.clone()));
         }
+        self.step_claims(now, claim::Event::Epoch(epoch.clone()));
         self.step(now, Event::Epoch(epoch));
     }
 
--- a/crates/hyssop-entry/src/core/message.rs
+++ b/crates/hyssop-entry/src/core/message.rs
@@ -3,6 +3,7 @@
 use hyssop_policy::attempt::End;
 use hyssop_policy::dispatch::{Arrival, Fate};
 use hyssop_policy::health::Sample;
+use hyssop_wire::claim::{self, Verdict};
 use hyssop_wire::{demand, Body};
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -24,6 +25,8 @@
         attempt: u32,
         /// How long the attempt may take.
         timeout: Duration,
+        /// When it is too late to send it.
+        send_by: Instant,
     },
     /// Ends the request.
     Finish(Fate),
@@ -78,6 +81,24 @@
     Instances(Vec<instance::Record>),
     /// The table service told a configuration that is in force.
     Fleet(Fleet),
+    /// A keyed request wants to run; the verdict goes to the sender.
+    Claim {
+        request: request::Key,
+        key: String,
+        fingerprint: u64,
+        reply: flume::Sender<Verdict>,
+    },
+    /// A request that was granted ended.
+    Settle {
+        request: request::Key,
+        end: claim::End,
+    },
+    /// Asks for a new bound key.
+    Mint(flume::Sender<Option<String>>),
+    /// The own lease may be used until then.
+    Lease(Instant),
+    /// No claim is granted from now on; the sender learns when all are handed over.
+    HandOver(flume::Sender<()>),
     /// Asks for a snapshot.
     Report(flume::Sender<Snapshot>),
     /// No request is taken from now on.
--- a/crates/hyssop-entry/src/core/thread.rs
+++ b/crates/hyssop-entry/src/core/thread.rs
@@ -7,6 +7,7 @@
 use hyssop_config::fleet;
 use hyssop_event::Recorder;
 use hyssop_model::prelude::*;
+use hyssop_policy::claim;
 use hyssop_policy::dispatch::{Dispatcher, Event};
 use hyssop_wire::{notice, Body};
 use std::sync::Arc;
@@ -21,6 +22,7 @@
     pub(crate) recorder: Recorder,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) dispatcher: Dispatcher,
+    pub(crate) claims: claim::Desk,
 }
 
 const TICK: Duration = Duration::from_millis(20);
@@ -44,6 +46,11 @@
         metrics: parts.metrics,
         inbox,
         dispatcher: parts.dispatcher,
+        claims: parts.claims,
+        claiming: BTreeMap::new(),
+        authority: None,
+        handed_over: None,
+        clock: parts.clock,
         waiting: BTreeMap::new(),
         instances: BTreeMap::new(),
         epoch: epoch::Record::default(),
@@ -65,6 +72,7 @@
         let now = clock.now();
         if now >= next_tick {
             host.step(now, Event::Tick);
+            host.step_claims(now, claim::Event::Tick);
             next_tick = now + TICK;
         }
     }
@@ -98,6 +106,33 @@
         Message::Epoch(epoch) => host.adopt(now, epoch, true),
         Message::Instances(records) => host.insert_instances(now, records, true),
         Message::Fleet(fleet) => host.configure(now, fleet, true),
+        Message::Claim {
+            request,
+            key,
+            fingerprint,
+            reply,
+        } => {
+            host.claiming.insert(request, reply);
+            let event = claim::Event::Claim {
+                request,
+                key,
+                fingerprint,
+            };
+            host.step_claims(now, event);
+        }
+        Message::Settle { request, end } => {
+            host.step_claims(now, claim::Event::Settle { request, end })
+        }
+        Message::Mint(reply) => {
+            let key = host.claims.mint(host.clock.wall_ms());
+            // The caller may have stopped waiting.
+            let _ = reply.send(key.map(|key| key.to_string()));
+        }
+        Message::Lease(ends) => host.step_claims(now, claim::Event::Lease(ends)),
+        Message::HandOver(reply) => {
+            host.handed_over = Some(reply);
+            host.step_claims(now, claim::Event::HandOver);
+        }
         Message::Report(reply) => {
             // Whoever asked may have stopped waiting.
             let _ = reply.send(host.snapshot(now));
@@ -113,6 +148,23 @@
         Body::Epoch(epoch) => host.adopt(now, epoch, false),
         Body::Instances(records) => host.insert_instances(now, records, false),
         Body::Config(config) => hear_config(host, now, config),
+        Body::Status(_) => {
+            host.step_claims(
+                now,
+                claim::Event::Frame {
+                    from,
+                    body: body.clone(),
+                },
+            );
+            host.step(now, Event::Frame { from, body });
+        }
+        Body::Ask(_)
+        | Body::Reply(_)
+        | Body::Settle(_)
+        | Body::Settled(_)
+        | Body::Handover(_)
+        | Body::Accepted(_)
+        | Body::Promise(_) => host.step_claims(now, claim::Event::Frame { from, body }),
         body => host.step(now, Event::Frame { from, body }),
     }
 }
--- a/crates/hyssop-entry/src/daemon/life.rs
+++ b/crates/hyssop-entry/src/daemon/life.rs
@@ -12,6 +12,7 @@
 use hyssop_model::entry::{Id, Member};
 use hyssop_model::prelude::*;
 use hyssop_platform::http::Client;
+use hyssop_policy::claim;
 use hyssop_policy::dispatch::{self, Dispatcher};
 use rand::Rng;
 use snafu::ResultExt;
@@ -28,6 +29,7 @@
     state: Arc<State>,
     inbox: Inbox,
     recorder: Recorder,
+    nudge: flume::Sender<()>,
 }
 
 /// Runs the entry until it is told to stop.
@@ -72,10 +74,12 @@
         recorder: recorder.clone(),
         metrics: metrics.clone(),
         dispatcher: Dispatcher::new(member.id, dispatch_settings(&settings, member.id)),
+        claims: claim::Desk::new(member.id, claim_settings(&settings)),
     };
     let core_thread = core::spawn(core, inbox.clone(), messages).context(SystemSnafu)?;
     let timeout_s = settings.process.platform_timeout.as_secs().max(1);
     let client = Arc::new(Client::new(settings.process.platform.clone(), timeout_s));
+    let (nudge, nudges) = flume::bounded(1);
     let keeper = Keeper::new(store::Parts {
         process: settings.process.clone(),
         clock: clock.clone(),
@@ -85,6 +89,7 @@
         inbox: inbox.clone(),
         recorder: recorder.clone(),
         metrics: metrics.clone(),
+        nudges,
     });
     let is_over = Arc::new(AtomicBool::new(false));
     let keeper_over = is_over.clone();
@@ -123,6 +128,7 @@
         state,
         inbox,
         recorder,
+        nudge,
     };
     tokio::select! {
         _ = terminate.recv() => {}
@@ -151,6 +157,31 @@
         let _ = self.inbox.send(Message::Close);
         self.wait_until_idle().await;
         let _ = self.inbox.send(Message::Leave);
+        self.hand_over().await;
+    }
+
+    /// Hands the claims over and leaves the membership, as far as the platform and the heirs
+    /// answer in time; else the lease runs out by itself.
+    async fn hand_over(&self) {
+        const HEIRS_TIMEOUT: Duration = Duration::from_secs(5);
+        const EPOCH_TIMEOUT: Duration = Duration::from_secs(5);
+        const PAUSE: Duration = Duration::from_millis(50);
+        let (reply, handed_over) = flume::bounded(1);
+        if self.inbox.send(Message::HandOver(reply)).is_err() {
+            return;
+        }
+        let wait = tokio::time::timeout(HEIRS_TIMEOUT, handed_over.recv_async());
+        if !matches!(wait.await, Ok(Ok(()))) {
+            log::warn!("event=hand-over-unconfirmed");
+            return;
+        }
+        self.state.note_handover();
+        let give_up = Instant::now() + EPOCH_TIMEOUT;
+        while self.state.is_member() && Instant::now() < give_up {
+            // A full channel means that the keeper is about to poll anyway.
+            let _ = self.nudge.try_send(());
+            tokio::time::sleep(PAUSE).await;
+        }
     }
 
     async fn wait_until_idle(&self) {
@@ -196,6 +227,14 @@
     }
 }
 
+fn claim_settings(settings: &Entry) -> claim::Settings {
+    claim::Settings {
+        retention: settings.limits.answer_retention,
+        memory: settings.limits.answer_memory,
+        ..claim::Settings::default()
+    }
+}
+
 /// Tells whoever started the process that it serves.
 fn announce(member: &Member, recorder: &Recorder) {
     recorder.record(
--- a/crates/hyssop-entry/src/front/control.rs
+++ b/crates/hyssop-entry/src/front/control.rs
@@ -4,7 +4,10 @@
 use crate::state::Readiness;
 use bytes::Bytes;
 use hyper::{Method, StatusCode, Uri};
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// When a caller whom a stopping entry turned away may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Answers requests for the entry itself: health, metrics, events and operators' commands.
 pub(crate) async fn answer(front: &Front, method: &Method, uri: &Uri, body: Bytes) -> Reply {
@@ -14,6 +17,7 @@
         ("GET", "/metrics") => response::text(StatusCode::OK, front.metrics.render()),
         ("GET", "/events") => events(front, uri),
         ("GET", "/v1/control/report") => report(front).await,
+        ("POST", "/v1/keys") => mint(front).await,
         (_, path) if path.starts_with("/v1/operator/") => operate(front, method, uri, body).await,
         _ => response::text(
             StatusCode::NOT_FOUND,
@@ -54,6 +58,17 @@
     response::json(StatusCode::OK, &snapshot)
 }
 
+async fn mint(front: &Front) -> Reply {
+    let (reply, key) = flume::bounded(1);
+    if front.inbox.send(Message::Mint(reply)).is_err() {
+        return response::not_run("none", "stopping", RETRY_AFTER);
+    }
+    match key.recv_async().await {
+        Ok(Some(key)) => response::text(StatusCode::OK, format!("{key}\n")),
+        _ => response::not_run("none", "stopping", RETRY_AFTER),
+    }
+}
+
 async fn operate(front: &Front, method: &Method, uri: &Uri, body: Bytes) -> Reply {
     let operator = front.operator.clone();
     let (method, uri) = (method.clone(), uri.clone());
--- a/crates/hyssop-entry/src/front/mod.rs
+++ b/crates/hyssop-entry/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! The callers' HTTP/1.1 front.
 
 mod call;
+mod claim;
 mod control;
 mod reject;
 mod response;
--- a/crates/hyssop-entry/src/front/task.rs
+++ b/crates/hyssop-entry/src/front/task.rs
@@ -1,4 +1,5 @@
 use super::call::{Call, ATTEMPT_HEADER};
+use super::claim;
 use super::reject::Reject;
 use super::response::{self, Reply};
 use super::server::Front;
@@ -10,6 +11,7 @@
 use hyssop_model::request;
 use hyssop_policy::attempt::End;
 use hyssop_policy::dispatch::{Arrival, Fate};
+use hyssop_wire::claim::Verdict;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -73,7 +75,40 @@
 }
 
 impl Task {
+    /// Claims the request if it has a key to claim, runs it, and settles the claim.
     async fn drive(self, body: Bytes, started: Instant) -> Reply {
+        let Some(key) = self.call.key_to_claim().map(str::to_owned) else {
+            return self.drive_granted(body, started).await;
+        };
+        let verdict = self.claim(key, &body).await;
+        if let Some(reply) = claim::refusal(&self.id, &verdict) {
+            return reply;
+        }
+        let mut reply = self.drive_granted(body, started).await;
+        let end = claim::end(&mut reply).await;
+        // The core is gone only when the process stops.
+        let _ = self.front.inbox.send(Message::Settle {
+            request: self.key,
+            end,
+        });
+        reply
+    }
+
+    async fn claim(&self, key: String, body: &Bytes) -> Verdict {
+        let (reply, verdict) = flume::bounded(1);
+        let message = Message::Claim {
+            request: self.key,
+            key,
+            fingerprint: claim::fingerprint(&self.call, body),
+            reply,
+        };
+        if self.front.inbox.send(message).is_err() {
+            return Verdict::NotNow;
+        }
+        verdict.recv_async().await.unwrap_or(Verdict::NotNow)
+    }
+
+    async fn drive_granted(&self, body: Bytes, started: Instant) -> Reply {
         let (decide, decisions) = flume::unbounded();
         let arrival = self.arrival(body.len(), started);
         if self
@@ -93,10 +128,14 @@
                     address,
                     attempt,
                     timeout,
+                    send_by,
                 } => {
-                    let reply = self
-                        .attempt(&instance, address, attempt, timeout, body.clone())
-                        .await;
+                    let reply = if Instant::now() < send_by {
+                        self.attempt(address, attempt, timeout, body.clone()).await
+                    } else {
+                        backend::Reply::not_sent()
+                    };
+                    self.note(&instance, attempt, reply.end);
                     let end = reply.end;
                     if let Some(answer) = reply.answer {
                         return response::answered(&self.id, &instance, answer);
@@ -125,7 +164,6 @@
 
     async fn attempt(
         &self,
-        instance: &str,
         address: SocketAddr,
         attempt: u32,
         timeout: Duration,
@@ -140,8 +178,12 @@
             headers,
             body,
         };
-        let reply = self.front.backends.send(address, request, timeout).await;
-        let end: &'static str = reply.end.into();
+        self.front.backends.send(address, request, timeout).await
+    }
+
+    /// Tells the core and the time line how an attempt ended.
+    fn note(&self, instance: &str, attempt: u32, how: End) {
+        let end: &'static str = how.into();
         self.front.metrics.attempts.with_label_values(&[end]).inc();
         self.front.recorder.record_quietly(
             Kind::RequestSent,
@@ -154,11 +196,10 @@
         );
         let message = Message::End {
             key: self.key,
-            end: reply.end,
+            end: how,
         };
         // The core is gone only when the process stops.
         let _ = self.front.inbox.send(message);
-        reply
     }
 
     fn finish(&self, fate: Fate, last: Option<&(String, End)>) -> Reply {
--- a/crates/hyssop-entry/src/state/shared.rs
+++ b/crates/hyssop-entry/src/state/shared.rs
@@ -1,4 +1,4 @@
-use hyssop_model::entry::{Id, Member};
+use hyssop_model::entry::Member;
 use hyssop_policy::membership::Lease;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -35,11 +35,11 @@
     is_stopping: AtomicBool,
     held: AtomicU64,
     in_force: AtomicU64,
-    epoch: AtomicU64,
+    is_member: AtomicBool,
     contact: Mutex<Instant>,
     lease: Mutex<Lease>,
     texts: Mutex<BTreeMap<u64, String>>,
-    successor: Mutex<Option<Id>>,
+    is_handed_over: AtomicBool,
 }
 
 impl State {
@@ -50,11 +50,11 @@
             is_stopping: AtomicBool::new(false),
             held: AtomicU64::new(0),
             in_force: AtomicU64::new(0),
-            epoch: AtomicU64::new(0),
+            is_member: AtomicBool::new(false),
             contact: Mutex::new(now),
             lease: Mutex::default(),
             texts: Mutex::default(),
-            successor: Mutex::default(),
+            is_handed_over: AtomicBool::new(false),
         }
     }
 
@@ -63,7 +63,7 @@
             Readiness::Stopping
         } else if self.in_force() == 0 {
             Readiness::NoConfiguration
-        } else if self.epoch.load(Ordering::SeqCst) == 0 {
+        } else if !self.is_member() {
             Readiness::NoEpoch
         } else if now.saturating_duration_since(*lock(&self.contact)) > self.isolation {
             Readiness::Isolated
@@ -89,12 +89,13 @@
         lock(&self.lease)
     }
 
-    pub(crate) fn epoch(&self) -> u64 {
-        self.epoch.load(Ordering::SeqCst)
+    /// Tells whether the present epoch has this entry as a member.
+    pub(crate) fn is_member(&self) -> bool {
+        self.is_member.load(Ordering::SeqCst)
     }
 
-    pub(crate) fn set_epoch(&self, number: u64) {
-        self.epoch.store(number, Ordering::SeqCst);
+    pub(crate) fn set_member(&self, is_member: bool) {
+        self.is_member.store(is_member, Ordering::SeqCst);
     }
 
     /// Returns the highest configuration version that is held.
@@ -128,12 +129,13 @@
         self.in_force.fetch_max(number, Ordering::SeqCst);
     }
 
-    pub(crate) fn successor(&self) -> Option<Id> {
-        *lock(&self.successor)
+    /// Tells whether the claims were handed over, so that the entry may leave the membership.
+    pub(crate) fn is_handed_over(&self) -> bool {
+        self.is_handed_over.load(Ordering::SeqCst)
     }
 
-    pub(crate) fn set_successor(&self, id: Id) {
-        *lock(&self.successor) = Some(id);
+    pub(crate) fn note_handover(&self) {
+        self.is_handed_over.store(true, Ordering::SeqCst);
     }
 }
 
--- a/crates/hyssop-entry/src/store/keeper.rs
+++ b/crates/hyssop-entry/src/store/keeper.rs
@@ -24,6 +24,8 @@
     pub(crate) inbox: Inbox,
     pub(crate) recorder: Recorder,
     pub(crate) metrics: Arc<Metrics>,
+    /// Ends the pause between two polls.
+    pub(crate) nudges: flume::Receiver<()>,
 }
 
 /// Keeps the entry's lease and watches the rows that concern it.
@@ -37,6 +39,7 @@
     next_members: Instant,
     told_held: u64,
     told_in_force: u64,
+    told_handover: bool,
 }
 
 const CLOCK_BOUND_MS: u64 = 500;
@@ -56,6 +59,7 @@
             next_members: now,
             told_held: 0,
             told_in_force: 0,
+            told_handover: false,
         }
     }
 
@@ -64,7 +68,8 @@
         while !is_over() {
             let result = self.poll();
             self.note_result(&result);
-            std::thread::sleep(self.pause());
+            // A nudge and the end of the pause both mean that it is time to poll.
+            let _ = self.parts.nudges.recv_timeout(self.pause());
         }
         if let Err(error) = self.leave() {
             log::warn!("event=leave-failed reason={:?}", error.to_string());
@@ -215,7 +220,10 @@
     fn renew(&mut self, poll: &Poll) -> Result<(), Error> {
         let now = self.parts.clock.now();
         let (held, in_force) = (self.parts.state.held(), self.parts.state.in_force());
-        let has_news = held != self.told_held || in_force != self.told_in_force;
+        let is_handed_over = self.parts.state.is_handed_over();
+        let has_news = held != self.told_held
+            || in_force != self.told_in_force
+            || is_handed_over != self.told_handover;
         if now < self.next_renewal && !has_news {
             return Ok(());
         }
@@ -231,9 +239,17 @@
             .state
             .lease()
             .renew(now, process.lease, process.lease_margin);
+        let ends = now + process.lease.saturating_sub(process.lease_margin);
+        // The core is gone only when the process stops.
+        let _ = self.parts.inbox.send(Message::Lease(ends));
         self.next_renewal = now + process.lease / RENEWALS_PER_LEASE;
         self.told_held = held;
         self.told_in_force = in_force;
+        if is_handed_over && !self.told_handover {
+            // The membership is changed at once, so that the keys find their heirs.
+            self.next_members = now;
+        }
+        self.told_handover = is_handed_over;
         Ok(())
     }
 
@@ -241,7 +257,7 @@
         let state = &self.parts.state;
         Record {
             member: state.member.clone(),
-            phase: if state.is_stopping() {
+            phase: if state.is_handed_over() {
                 Phase::Leaving
             } else {
                 Phase::Serving
@@ -249,7 +265,7 @@
             expires_ms: self.parts.clock.wall_ms() + self.parts.process.lease.as_millis() as u64,
             held_version,
             config_version,
-            successor: state.successor(),
+            is_handed_over: state.is_handed_over(),
         }
     }
 
--- a/crates/hyssop-lab/src/command/measure.rs
+++ b/crates/hyssop-lab/src/command/measure.rs
@@ -21,10 +21,20 @@
 
 impl Measure {
     pub(crate) fn run(&self) -> Result<bool, Error> {
+        let call = measure::Call {
+            seed: self.seed,
+            config: self.config.clone(),
+        };
         match self.name.as_deref() {
             Some("overhead") => measure::overhead(self.seed),
+            Some("flood") => measure::flood(&call),
+            Some("skew") => measure::skew(&call),
+            Some("faults") => measure::faults(&call),
+            Some("outliers") => measure::outliers(&call),
+            Some("drain") => measure::drain(&call),
+            Some("rollout") => measure::rollout(&call),
             _ => {
-                let message = "no such measure; use overhead";
+                let message = "no such measure; use overhead, flood, skew, faults, outliers, drain or rollout";
                 UsageSnafu { message }.fail()
             }
         }
--- /dev/null
+++ b/crates/hyssop-lab/src/measure/faults.rs
@@ -0,0 +1,128 @@
+use super::load::Load;
+use super::Call;
+use crate::check::Promises;
+use crate::cluster::{Cluster, Options};
+use crate::error::{Error, SystemSnafu};
+use crate::report::{print_promises, print_summaries, write_json};
+use hyssop_load::stream::Keys;
+use hyssop_load::{Balancer, Record, Shape, Stream, Summary, Told};
+use nix::sys::signal::Signal;
+use rand::Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use snafu::ResultExt;
+use std::time::{Duration, Instant};
+
+const LENGTH: Duration = Duration::from_secs(75);
+const PAUSE: Duration = Duration::from_secs(12);
+const STOP_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// Kills, pauses and replaces entries while callers repeat keyed requests through the others.
+pub(crate) fn faults(call: &Call) -> Result<bool, Error> {
+    let mut cluster = Cluster::start(Options {
+        config: call.config.clone(),
+        ..Options::default()
+    })?;
+    let mut random = ChaCha8Rng::seed_from_u64(call.seed);
+    let balancer = cluster.balancer();
+    balancer.watch().context(SystemSnafu)?;
+    let streams = streams();
+    let started = Instant::now();
+    let load = Load::start(&streams, &balancer, LENGTH, call.seed)?;
+    std::thread::sleep(Duration::from_secs(5));
+    let graceful_from = started.elapsed();
+    let is_stopped = replace_gracefully(&mut cluster, &balancer, &mut random)?;
+    let graceful_until = started.elapsed();
+    std::thread::sleep(Duration::from_secs(2));
+    pause(&cluster, &mut random);
+    kill(&mut cluster, &balancer, &mut random)?;
+    std::thread::sleep(Duration::from_secs(10));
+    pause(&cluster, &mut random);
+    kill(&mut cluster, &balancer, &mut random)?;
+    let records = load.finish();
+    print_summaries(&Summary::by_stream(&streams, &records));
+    let mut promises = Promises::check(&cluster, &records)?;
+    promises.check_posts(&cluster, &records, |stream| {
+        streams[stream].method == "POST"
+    })?;
+    let cut_off = count_cut_off(&records, graceful_from, graceful_until);
+    println!("requests without an answer while an entry was replaced gracefully: {cut_off}");
+    print_promises(&promises);
+    write_json("faults", &promises)?;
+    let is_good = promises.are_kept(0) && cut_off == 0 && is_stopped;
+    if !is_good {
+        println!("logs: {}", cluster.directory.display());
+    }
+    cluster.stop();
+    Ok(is_good)
+}
+
+fn streams() -> Vec<Stream> {
+    let keyed = |name: &str, pool: &str, queue: &str, keys: Keys| {
+        let mut stream = Stream::new(pool, queue, "/work?ms=100", Shape::constant(60.0));
+        stream.name = name.to_owned();
+        stream.method = "POST".to_owned();
+        stream.keys = keys;
+        stream.deadline = Duration::from_secs(8);
+        stream
+    };
+    vec![
+        keyed("unbound keys", "fees", "charges", Keys::Unbound),
+        keyed("bound keys", "permits", "renewals", Keys::Bound),
+        keyed("POST without key", "notices", "street", Keys::None),
+        Stream::new("hauliers", "calls", "/work?ms=50", Shape::constant(60.0)),
+    ]
+}
+
+/// Stops one entry as planned, with a replacement started first, and returns whether it ended well.
+fn replace_gracefully(
+    cluster: &mut Cluster,
+    balancer: &Balancer,
+    random: &mut ChaCha8Rng,
+) -> Result<bool, Error> {
+    let added = cluster.add_entry()?;
+    balancer.add(added);
+    std::thread::sleep(Duration::from_secs(4));
+    let index = random.random_range(0..cluster.entries.len() - 1);
+    let mut entry = cluster.entries.remove(index);
+    println!("{} is stopped gracefully", entry.name);
+    entry.signal(Signal::SIGTERM);
+    let is_good = entry.wait(STOP_TIMEOUT);
+    balancer.remove(entry.address().parse().unwrap_or(added));
+    println!(
+        "{} ended {}",
+        entry.name,
+        if is_good { "well" } else { "BADLY" }
+    );
+    Ok(is_good)
+}
+
+fn pause(cluster: &Cluster, random: &mut ChaCha8Rng) {
+    let entry = &cluster.entries[random.random_range(0..cluster.entries.len())];
+    println!(
+        "{} is paused for {} s, beyond its lease",
+        entry.name,
+        PAUSE.as_secs()
+    );
+    entry.signal(Signal::SIGSTOP);
+    std::thread::sleep(PAUSE);
+    entry.signal(Signal::SIGCONT);
+}
+
+fn kill(cluster: &mut Cluster, balancer: &Balancer, random: &mut ChaCha8Rng) -> Result<(), Error> {
+    let index = random.random_range(0..cluster.entries.len());
+    let mut entry = cluster.entries.remove(index);
+    println!("{} is killed", entry.name);
+    entry.signal(Signal::SIGKILL);
+    entry.wait(Duration::from_secs(1));
+    let added = cluster.add_entry()?;
+    balancer.add(added);
+    Ok(())
+}
+
+/// Counts the requests due between two times that got no answer.
+fn count_cut_off(records: &[Record], from: Duration, until: Duration) -> usize {
+    let is_due = |record: &&Record| record.due >= from && record.due < until;
+    let is_cut_off = |record: &&Record| record.told == Told::Nothing;
+    records.iter().filter(is_due).filter(is_cut_off).count()
+}
--- a/crates/hyssop-lab/src/measure/mod.rs
+++ b/crates/hyssop-lab/src/measure/mod.rs
@@ -1,5 +1,27 @@
 //! The measures, one file each.
 
+mod drain;
+mod faults;
+mod flood;
+mod load;
+mod outliers;
 mod overhead;
+mod rollout;
+mod skew;
 
+pub(crate) use drain::drain;
+pub(crate) use faults::faults;
+pub(crate) use flood::flood;
+pub(crate) use outliers::outliers;
 pub(crate) use overhead::overhead;
+pub(crate) use rollout::rollout;
+pub(crate) use skew::skew;
+
+/// Is what a measure was called with.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    /// The seed of everything drawn.
+    pub(crate) seed: u64,
+    /// The operators' configuration.
+    pub(crate) config: String,
+}
--- /dev/null
+++ b/crates/hyssop-lab/src/measure/skew.rs
@@ -0,0 +1,127 @@
+use super::load::Load;
+use super::Call;
+use crate::check::Promises;
+use crate::cluster::{Cluster, Options};
+use crate::error::Error;
+use crate::report::{print_rows, write_json};
+use hyssop_config::settings::Allocation;
+use hyssop_load::{Balancer, Shape, Stream, Summary, Told};
+use serde::Serialize;
+use std::time::Duration;
+
+/// Is one run.
+#[derive(Debug, Serialize)]
+struct Skewed {
+    allocation: String,
+    arrival: String,
+    summary: Summary,
+    control_bytes_per_node: f64,
+    over_slots: u64,
+    are_promises_kept: bool,
+}
+
+const LENGTH: Duration = Duration::from_secs(15);
+const DEADLINE: Duration = Duration::from_millis(1000);
+
+/// Compares ways to divide slots, with callers spread evenly and all at one entry.
+pub(crate) fn skew(call: &Call) -> Result<bool, Error> {
+    let mut results = Vec::new();
+    for allocation in [Allocation::Loans, Allocation::Fixed, Allocation::TwoChoices] {
+        for arrival in ["even", "one-entry"] {
+            results.push(run_once(call, allocation, arrival)?);
+        }
+    }
+    print(&results);
+    write_json("skew", &results)?;
+    let ours = results
+        .iter()
+        .filter(|result| result.allocation == Allocation::Loans.to_string());
+    Ok(ours.filter(|result| !result.are_promises_kept).count() == 0)
+}
+
+fn run_once(call: &Call, allocation: Allocation, arrival: &str) -> Result<Skewed, Error> {
+    let cluster = Cluster::start(Options {
+        config: call.config.clone(),
+        allocation,
+        log: "warn".to_owned(),
+        ..Options::default()
+    })?;
+    let addresses = cluster.addresses();
+    let balancer = match arrival {
+        "even" => Balancer::new(&addresses),
+        _ => Balancer::new(&addresses[..1]),
+    };
+    // Nine tenths of what the pool holds, so that a share of the slots is not enough.
+    const RATE: f64 = 720.0;
+    let mut stream = Stream::new("permits", "default", "/work?ms=100", Shape::constant(RATE));
+    stream.deadline = DEADLINE;
+    let bytes_before = control_bytes(&cluster);
+    let records = Load::start(&[stream.clone()], &balancer, LENGTH, call.seed)?.finish();
+    let bytes = control_bytes(&cluster) - bytes_before;
+    let promises = Promises::check(&cluster, &records)?;
+    let mut summaries = Summary::by_stream(&[stream], &records);
+    let result = Skewed {
+        allocation: allocation.to_string(),
+        arrival: arrival.to_owned(),
+        summary: summaries.pop().unwrap_or_default(),
+        control_bytes_per_node: bytes / cluster.entries.len() as f64 / LENGTH.as_secs_f64(),
+        over_slots: promises.over_slots,
+        are_promises_kept: promises.are_kept(0),
+    };
+    cluster.stop();
+    Ok(result)
+}
+
+/// Returns the bytes of frames that all entries sent.
+pub(super) fn control_bytes(cluster: &Cluster) -> f64 {
+    let bytes = cluster
+        .entries
+        .iter()
+        .filter_map(|entry| metric(&entry.url, "hyssop_control_bytes_total"));
+    bytes.sum()
+}
+
+/// Reads one metric without labels.
+pub(super) fn metric(url: &str, name: &str) -> Option<f64> {
+    let response = minreq::get(format!("{url}/metrics"))
+        .with_timeout(2)
+        .send()
+        .ok()?;
+    let text = response.as_str().ok()?;
+    let line = text
+        .lines()
+        .find(|line| line.split(' ').next() == Some(name))?;
+    line.split(' ').nth(1)?.parse().ok()
+}
+
+fn print(results: &[Skewed]) {
+    let header = [
+        "allocation",
+        "arrival",
+        "requests",
+        "in time",
+        "not-run",
+        "p50 ms",
+        "p99 ms",
+        "bytes/s/node",
+        "over slots",
+    ];
+    let rows = results.iter().map(|result| {
+        let summary = &result.summary;
+        vec![
+            result.allocation.clone(),
+            result.arrival.clone(),
+            summary.requests.to_string(),
+            format!(
+                "{:.1}%",
+                summary.in_time as f64 * 100.0 / summary.requests.max(1) as f64
+            ),
+            summary.count(Told::NotRun).to_string(),
+            format!("{:.1}", summary.p50_us as f64 / 1000.0),
+            format!("{:.1}", summary.p99_us as f64 / 1000.0),
+            format!("{:.0}", result.control_bytes_per_node),
+            result.over_slots.to_string(),
+        ]
+    });
+    print_rows(&header, rows);
+}
--- a/crates/hyssop-lab/src/report/mod.rs
+++ b/crates/hyssop-lab/src/report/mod.rs
@@ -2,4 +2,4 @@
 
 mod table;
 
-pub(crate) use table::{print_promises, print_summaries, write_json};
+pub(crate) use table::{print_promises, print_rows, print_summaries, write_json};
--- a/crates/hyssop-lab/src/report/table.rs
+++ b/crates/hyssop-lab/src/report/table.rs
@@ -33,6 +33,17 @@
     println!("{table}");
 }
 
+/// Prints rows below a header.
+pub(crate) fn print_rows(header: &[&str], rows: impl Iterator<Item = Vec<String>>) {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING);
+    table.set_header(header.iter().copied());
+    for row in rows {
+        table.add_row(row);
+    }
+    println!("{table}");
+}
+
 /// Prints the counts of broken promises.
 pub(crate) fn print_promises(promises: &Promises) {
     let mut table = Table::new();
--- a/crates/hyssop-policy/src/claim/asker.rs
+++ b/crates/hyssop-policy/src/claim/asker.rs
@@ -37,7 +37,15 @@
     }
 
     /// Notes a question to a home.
-    pub(crate) fn ask(&mut self, now: Instant, id: u64, request: request::Key, key: &str, home: entry::Id, settings: &Settings) {
+    pub(crate) fn ask(
+        &mut self,
+        now: Instant,
+        id: u64,
+        request: request::Key,
+        key: &str,
+        home: entry::Id,
+        settings: &Settings,
+    ) {
         let question = Question {
             request,
             key: key.to_owned(),
@@ -49,7 +57,10 @@
 
     /// Takes the question that an answer is for; a second answer finds none.
     pub(crate) fn take(&mut self, id: u64, from: entry::Id) -> Option<Question> {
-        let is_from_home = self.questions.get(&id).is_some_and(|question| question.home == from);
+        let is_from_home = self
+            .questions
+            .get(&id)
+            .is_some_and(|question| question.home == from);
         if is_from_home {
             self.questions.remove(&id)
         } else {
@@ -64,7 +75,8 @@
 
     /// Tells whether a grant or a settlement bears the id of a question.
     pub(crate) fn knows(&self, id: u64) -> bool {
-        self.unsettled.contains_key(&id) || self.grants.values().any(|(granted, _, _)| *granted == id)
+        self.unsettled.contains_key(&id)
+            || self.grants.values().any(|(granted, _, _)| *granted == id)
     }
 
     /// Takes the grant of a request that ended.
@@ -74,14 +86,27 @@
 
     /// Takes the questions that waited too long, and those to homes that are gone.
     pub(crate) fn take_overdue(&mut self, now: Instant) -> Vec<(u64, Question)> {
-        let overdue = self.questions.iter().filter(|(_, question)| question.give_up_at <= now);
+        let overdue = self
+            .questions
+            .iter()
+            .filter(|(_, question)| question.give_up_at <= now);
         let ids: Vec<u64> = overdue.map(|(id, _)| *id).collect();
-        let taken = ids.into_iter().filter_map(|id| Some((id, self.questions.remove(&id)?)));
+        let taken = ids
+            .into_iter()
+            .filter_map(|id| Some((id, self.questions.remove(&id)?)));
         taken.collect()
     }
 
     /// Notes a settlement, which is sent until its home confirms it.
-    pub(crate) fn settle(&mut self, now: Instant, id: u64, key: &str, home: entry::Id, end: End, settings: &Settings) {
+    pub(crate) fn settle(
+        &mut self,
+        now: Instant,
+        id: u64,
+        key: &str,
+        home: entry::Id,
+        end: End,
+        settings: &Settings,
+    ) {
         let settle = Settle {
             id,
             key: key.to_owned(),
@@ -108,12 +133,16 @@
         settings: &Settings,
         heir: impl Fn(entry::Id, &str) -> entry::Id,
     ) -> Vec<(entry::Id, Settle)> {
-        self.unsettled.retain(|_, unsettled| unsettled.forget_at > now);
+        self.unsettled
+            .retain(|_, unsettled| unsettled.forget_at > now);
         let mut due = Vec::new();
         for unsettled in self.unsettled.values_mut() {
             if unsettled.send_at <= now {
                 unsettled.send_at = now + settings.settle_interval;
-                due.push((heir(unsettled.home, &unsettled.settle.key), unsettled.settle.clone()));
+                due.push((
+                    heir(unsettled.home, &unsettled.settle.key),
+                    unsettled.settle.clone(),
+                ));
             }
         }
         due
--- a/crates/hyssop-policy/src/claim/authority.rs
+++ b/crates/hyssop-policy/src/claim/authority.rs
@@ -39,9 +39,42 @@
         now < lease_ends + settings.longest_outage && peers.iter().all(is_promised)
     }
 
+    /// Returns until when this entry may use its slots, by its lease or by the promise of any
+    /// reachable peer; a sole member has nobody to ask and goes on.
+    ///
+    /// This asks for less than [`is_held`](Self::is_held): with the table service down, the loss of
+    /// one peer must not stop all serving.
+    pub(crate) fn vouched_until(
+        &self,
+        now: Instant,
+        peers: &[entry::Id],
+        settings: &Settings,
+    ) -> Option<Instant> {
+        let lease_ends = self.lease_ends?;
+        if peers.is_empty() {
+            return Some(now + settings.promise);
+        }
+        let promised = self
+            .promised
+            .iter()
+            .filter(|(peer, _)| peers.contains(peer));
+        Some(
+            promised
+                .map(|(_, until)| *until)
+                .fold(lease_ends, Instant::max),
+        )
+    }
+
     /// Returns the request for promises that is due, if the lease ran out.
-    pub(crate) fn request(&mut self, now: Instant, epoch: u64, settings: &Settings) -> Option<Promise> {
-        let is_leased = self.lease_ends.is_some_and(|ends| now + settings.promise < ends);
+    pub(crate) fn request(
+        &mut self,
+        now: Instant,
+        epoch: u64,
+        settings: &Settings,
+    ) -> Option<Promise> {
+        let is_leased = self
+            .lease_ends
+            .is_some_and(|ends| now + settings.promise * 2 / 3 < ends);
         let is_early = self.next_request.is_some_and(|due| now < due);
         if self.lease_ends.is_none() || is_leased || is_early {
             return None;
--- a/crates/hyssop-policy/src/claim/desk.rs
+++ b/crates/hyssop-policy/src/claim/desk.rs
@@ -62,6 +62,20 @@
         })
     }
 
+    /// Returns until when this entry may use its slots without hearing from anybody.
+    pub fn vouched_until(&self, now: Instant) -> Option<Instant> {
+        if !self.epoch.contains(self.id) {
+            return None;
+        }
+        self.authority
+            .vouched_until(now, &self.others(), &self.settings)
+    }
+
+    fn others(&self) -> Vec<entry::Id> {
+        let members = self.history.members().iter().copied();
+        members.filter(|id| *id != self.id).collect()
+    }
+
     /// Tells whether a question, a grant or a settlement of this entry is open.
     pub fn is_busy(&self) -> bool {
         self.asker.is_busy()
@@ -88,18 +102,29 @@
         if epoch.number <= self.epoch.number {
             return;
         }
-        let removed = self.epoch.members.iter().any(|member| !epoch.contains(member.id));
+        let removed = self
+            .epoch
+            .members
+            .iter()
+            .any(|member| !epoch.contains(member.id));
         self.history.begin(&epoch);
         self.told.clear();
         self.authority.forget();
         // Only a removed member could go on in an earlier epoch, by promises given before.
         let is_growth = !removed && epoch.retired.is_empty();
-        self.act_wait = if is_growth { Duration::ZERO } else { self.settings.promise };
+        self.act_wait = if is_growth {
+            Duration::ZERO
+        } else {
+            self.settings.promise
+        };
         self.all_told_at = None;
         self.epoch = epoch;
         let epoch = &self.epoch;
-        self.registry
-            .close_orphans(now, |owner| !epoch.contains(owner) && owner != self.id, &self.settings);
+        self.registry.close_orphans(
+            now,
+            |owner| !epoch.contains(owner) && owner != self.id,
+            &self.settings,
+        );
         self.try_to_act(now, wall_ms);
     }
 
@@ -121,7 +146,8 @@
         if self.epoch.cold_ms == 0 {
             return 0;
         }
-        let wait = self.settings.longest_outage + self.settings.promise + 2 * self.settings.clock_bound;
+        let wait =
+            self.settings.longest_outage + self.settings.promise + 2 * self.settings.clock_bound;
         self.epoch.cold_ms + wait.as_millis() as u64
     }
 
@@ -171,9 +197,15 @@
     /// Returns which entry decides on a key, or `None` when nobody does any more.
     fn home_of(&self, key: &str, parsed: &Key) -> Option<entry::Id> {
         match parsed {
-            Key::Bound { home, .. } if *home == self.id || self.epoch.contains(*home) => Some(*home),
+            Key::Bound { home, .. } if *home == self.id || self.epoch.contains(*home) => {
+                Some(*home)
+            }
             Key::Bound { home, .. } => {
-                let is_clean = self.epoch.retired.iter().any(|retired| retired.id == *home && retired.is_clean);
+                let is_clean = self
+                    .epoch
+                    .retired
+                    .iter()
+                    .any(|retired| retired.id == *home && retired.is_clean);
                 if !is_clean {
                     return None;
                 }
@@ -199,7 +231,10 @@
         if self.is_frozen || !is_known || !self.registry.has_room(&self.settings) {
             return Verdict::NotNow;
         }
-        if self.registry.grant(&ask.key, ask.fingerprint, owner, ask.id) {
+        if self
+            .registry
+            .grant(&ask.key, ask.fingerprint, owner, ask.id)
+        {
             Verdict::Granted
         } else {
             Verdict::NotNow
@@ -219,15 +254,17 @@
             Key::Bound { .. } if minted_ms > wall_ms + 2 * bound_ms => Some(Verdict::Malformed),
             Key::Bound { home, .. } if *home == self.id => None,
             Key::Bound { home, .. } => {
-                let is_heir = self.estates.get(home).is_some_and(|estate| estate.covers(self.id, key));
+                let is_heir = self
+                    .estates
+                    .get(home)
+                    .is_some_and(|estate| estate.covers(self.id, key));
                 (!is_heir).then_some(Verdict::Unknown)
             }
             Key::Unbound { .. } => {
                 if minted_ms > wall_ms + bound_ms {
                     return Some(Verdict::Ahead(wall_ms));
                 }
-                let others: Vec<entry::Id> = self.history.members().iter().copied().filter(|id| *id != self.id).collect();
-                if !self.authority.is_held(now, &others, &self.settings) {
+                if !self.authority.is_held(now, &self.others(), &self.settings) {
                     return Some(Verdict::NotNow);
                 }
                 match self.history.home_since(self.id, key) {
@@ -246,7 +283,8 @@
             return;
         };
         if home == self.id {
-            self.registry.settle(now, &key, self.id, id, end, &self.settings);
+            self.registry
+                .settle(now, &key, self.id, id, end, &self.settings);
             return;
         }
         self.asker.settle(now, id, &key, home, end, &self.settings);
@@ -277,7 +315,14 @@
         }
     }
 
-    fn hear(&mut self, now: Instant, wall_ms: u64, from: entry::Id, body: Body, out: &mut Vec<Action>) {
+    fn hear(
+        &mut self,
+        now: Instant,
+        wall_ms: u64,
+        from: entry::Id,
+        body: Body,
+        out: &mut Vec<Action>,
+    ) {
         match body {
             Body::Ask(ask) => {
                 let verdict = self.judge(now, wall_ms, from, &ask);
@@ -292,8 +337,14 @@
             // The claims went to the heirs; the sender repeats it to them once the home has left.
             Body::Settle(_) if self.is_frozen => {}
             Body::Settle(settle) => {
-                self.registry
-                    .settle(now, &settle.key, from, settle.id, settle.end, &self.settings);
+                self.registry.settle(
+                    now,
+                    &settle.key,
+                    from,
+                    settle.id,
+                    settle.end,
+                    &self.settings,
+                );
                 let body = Body::Settled(Settled { id: settle.id });
                 out.push(Action::Send { to: from, body });
             }
@@ -329,7 +380,8 @@
             return;
         };
         if reply.verdict == Verdict::Granted {
-            self.asker.grant(reply.id, question.request, &question.key, from);
+            self.asker
+                .grant(reply.id, question.request, &question.key, from);
         }
         decide(question.request, reply.verdict, out);
     }
@@ -339,9 +391,10 @@
             return;
         }
         match promise.lasts_ms {
-            Some(lasts_ms) => self
-                .authority
-                .accept(from, promise.id, Duration::from_millis(lasts_ms)),
+            Some(lasts_ms) => {
+                self.authority
+                    .accept(from, promise.id, Duration::from_millis(lasts_ms))
+            }
             None => out.push(Action::Send {
                 to: from,
                 body: Body::Promise(Promise {
@@ -352,7 +405,13 @@
         }
     }
 
-    fn inherit(&mut self, now: Instant, from: entry::Id, part: claim::Handover, out: &mut Vec<Action>) {
+    fn inherit(
+        &mut self,
+        now: Instant,
+        from: entry::Id,
+        part: claim::Handover,
+        out: &mut Vec<Action>,
+    ) {
         let estate = self.estates.entry(from).or_default();
         let is_whole = estate.receive(&part);
         for held in part.claims {
@@ -395,16 +454,25 @@
         self.try_to_act(now, wall_ms);
         for (id, question) in self.asker.take_overdue(now) {
             // The home may have granted it; it is told that nothing was sent.
-            self.asker
-                .settle(now, id, &question.key, question.home, End::NotRun, &self.settings);
+            self.asker.settle(
+                now,
+                id,
+                &question.key,
+                question.home,
+                End::NotRun,
+                &self.settings,
+            );
             decide(question.request, Verdict::NotNow, out);
         }
         self.send_settlements(now, out);
         self.send_handover(now, out);
-        if let Some(promise) = self.authority.request(now, self.epoch.number, &self.settings) {
-            for peer in self.history.members().iter().filter(|id| **id != self.id) {
+        if let Some(promise) = self
+            .authority
+            .request(now, self.epoch.number, &self.settings)
+        {
+            for peer in self.others() {
                 out.push(Action::Send {
-                    to: *peer,
+                    to: peer,
                     body: Body::Promise(promise),
                 });
             }
--- a/crates/hyssop-policy/src/claim/handover.rs
+++ b/crates/hyssop-policy/src/claim/handover.rs
@@ -15,15 +15,23 @@
 
 impl Handover {
     /// Divides `claims` between the other members.
-    pub(crate) fn new(now: Instant, own: entry::Id, members: &[entry::Id], claims: Vec<claim::Held>) -> Self {
+    pub(crate) fn new(
+        now: Instant,
+        own: entry::Id,
+        members: &[entry::Id],
+        claims: Vec<claim::Held>,
+    ) -> Self {
         let heirs: Vec<entry::Id> = members.iter().copied().filter(|id| *id != own).collect();
-        let mut by_heir: BTreeMap<entry::Id, Vec<claim::Held>> = heirs.iter().map(|heir| (*heir, Vec::new())).collect();
+        let mut by_heir: BTreeMap<entry::Id, Vec<claim::Held>> =
+            heirs.iter().map(|heir| (*heir, Vec::new())).collect();
         for claim in claims {
             if let Some(heir) = home_among(&claim.key, heirs.iter().copied()) {
                 by_heir.entry(heir).or_default().push(claim);
             }
         }
-        let parts = by_heir.into_iter().map(|(heir, claims)| (heir, split(&heirs, claims)));
+        let parts = by_heir
+            .into_iter()
+            .map(|(heir, claims)| (heir, split(&heirs, claims)));
         Self {
             parts: parts.collect(),
             send_at: now,
@@ -32,18 +40,28 @@
     }
 
     /// Returns the parts that are to be sent now.
-    pub(crate) fn due(&mut self, now: Instant, settings: &Settings) -> Vec<(entry::Id, claim::Handover)> {
+    pub(crate) fn due(
+        &mut self,
+        now: Instant,
+        settings: &Settings,
+    ) -> Vec<(entry::Id, claim::Handover)> {
         if now < self.send_at {
             return Vec::new();
         }
         self.send_at = now + settings.settle_interval;
-        let parts = self.parts.iter().flat_map(|(heir, parts)| parts.iter().map(|part| (*heir, part.clone())));
+        let parts = self
+            .parts
+            .iter()
+            .flat_map(|(heir, parts)| parts.iter().map(|part| (*heir, part.clone())));
         parts.collect()
     }
 
     /// Takes in an heir's confirmation, and returns whether it was the last one.
     pub(crate) fn confirm(&mut self, heir: entry::Id, parts: u32) -> bool {
-        let is_whole = self.parts.get(&heir).is_some_and(|own| own.len() as u32 == parts);
+        let is_whole = self
+            .parts
+            .get(&heir)
+            .is_some_and(|own| own.len() as u32 == parts);
         if is_whole {
             self.parts.remove(&heir);
         }
@@ -57,7 +75,8 @@
 }
 
 fn split(heirs: &[entry::Id], claims: Vec<claim::Held>) -> Vec<claim::Handover> {
-    let mut chunks: Vec<Vec<claim::Held>> = claims.chunks(CLAIMS_PER_PART).map(<[_]>::to_vec).collect();
+    let mut chunks: Vec<Vec<claim::Held>> =
+        claims.chunks(CLAIMS_PER_PART).map(<[_]>::to_vec).collect();
     if chunks.is_empty() {
         chunks.push(Vec::new());
     }
--- a/crates/hyssop-policy/src/claim/registry.rs
+++ b/crates/hyssop-policy/src/claim/registry.rs
@@ -25,13 +25,22 @@
     ///
     /// The question that was granted is granted again: its frame may have been doubled, and the
     /// asker takes up one answer only.
-    pub(crate) fn find(&self, key: &str, fingerprint: u64, asker: entry::Id, ask: u64) -> Option<Verdict> {
+    pub(crate) fn find(
+        &self,
+        key: &str,
+        fingerprint: u64,
+        asker: entry::Id,
+        ask: u64,
+    ) -> Option<Verdict> {
         let claim = self.claims.get(key)?;
         if claim.fingerprint != fingerprint {
             return Some(Verdict::Mismatch);
         }
         Some(match &claim.state {
-            State::Running { owner, ask: granted } if (*owner, *granted) == (asker, ask) => Verdict::Granted,
+            State::Running {
+                owner,
+                ask: granted,
+            } if (*owner, *granted) == (asker, ask) => Verdict::Granted,
             State::Running { .. } => Verdict::InProgress,
             State::Answered(answer) => Verdict::Repeated(answer.clone()),
             State::Unknown => Verdict::Unknown,
@@ -45,7 +54,13 @@
     }
 
     /// Grants a new key to `owner`, unless its question was settled before it came.
-    pub(crate) fn grant(&mut self, key: &str, fingerprint: u64, owner: entry::Id, ask: u64) -> bool {
+    pub(crate) fn grant(
+        &mut self,
+        key: &str,
+        fingerprint: u64,
+        owner: entry::Id,
+        ask: u64,
+    ) -> bool {
         if self.cancelled.remove(&(owner, ask)).is_some() {
             return false;
         }
@@ -58,11 +73,23 @@
     }
 
     /// Takes in how a granted request ended; only the grant's own question settles it, once.
-    pub(crate) fn settle(&mut self, now: Instant, key: &str, owner: entry::Id, ask: u64, end: End, settings: &Settings) {
-        let is_own = self.claims.get(key).is_some_and(|claim| claim.state == State::Running { owner, ask });
+    pub(crate) fn settle(
+        &mut self,
+        now: Instant,
+        key: &str,
+        owner: entry::Id,
+        ask: u64,
+        end: End,
+        settings: &Settings,
+    ) {
+        let is_own = self
+            .claims
+            .get(key)
+            .is_some_and(|claim| claim.state == State::Running { owner, ask });
         if !is_own {
             if end == End::NotRun && !self.claims.contains_key(key) {
-                self.cancelled.insert((owner, ask), now + settings.retention);
+                self.cancelled
+                    .insert((owner, ask), now + settings.retention);
             }
             return;
         }
@@ -71,15 +98,23 @@
                 self.claims.remove(key);
                 return;
             }
-            End::Answered(answer) if answer.body.len() <= settings.largest_answer => State::Answered(answer),
+            End::Answered(answer) if answer.body.len() <= settings.largest_answer => {
+                State::Answered(answer)
+            }
             End::Answered(_) | End::Unknown => State::Unknown,
         };
         self.close(now, key, state, settings);
     }
 
     /// Closes the claims whose owner is gone: what it was granted may have run.
-    pub(crate) fn close_orphans(&mut self, now: Instant, is_gone: impl Fn(entry::Id) -> bool, settings: &Settings) {
-        let is_orphan = |claim: &Claim| matches!(claim.state, State::Running { owner, .. } if is_gone(owner));
+    pub(crate) fn close_orphans(
+        &mut self,
+        now: Instant,
+        is_gone: impl Fn(entry::Id) -> bool,
+        settings: &Settings,
+    ) {
+        let is_orphan =
+            |claim: &Claim| matches!(claim.state, State::Running { owner, .. } if is_gone(owner));
         let orphans: Vec<String> = self
             .claims
             .iter()
--- a/crates/hyssop-policy/src/dispatch/action.rs
+++ b/crates/hyssop-policy/src/dispatch/action.rs
@@ -29,6 +29,8 @@
         attempt: u32,
         /// How long the attempt may take.
         timeout: Duration,
+        /// When it is too late to send it, because another entry may have the slot then.
+        send_by: Instant,
     },
     /// Ends a request without an answer of a backend server.
     Finish {
--- a/crates/hyssop-policy/src/dispatch/dispatcher.rs
+++ b/crates/hyssop-policy/src/dispatch/dispatcher.rs
@@ -23,6 +23,7 @@
     requests: BTreeMap<request::Key, Running>,
     members: BTreeSet<entry::Id>,
     is_closed: bool,
+    authority: Option<Instant>,
     next_health: Option<Instant>,
     draws: u64,
 }
@@ -52,6 +53,7 @@
             requests: BTreeMap::new(),
             members: BTreeSet::new(),
             is_closed: false,
+            authority: None,
             next_health: None,
             draws: settings.seed,
             settings,
@@ -72,6 +74,7 @@
             Event::Fleet(fleet) => self.configure(&fleet),
             Event::Close => self.is_closed = true,
             Event::Leave => self.allocate(now, slot::Event::Leave, out),
+            Event::Authority(until) => self.authority = until,
             Event::Tick => self.tick(now, out),
         }
     }
@@ -281,6 +284,10 @@
             self.give_up_waiting(key, Reason::WouldMissDeadline, out);
             return true;
         }
+        // Another entry may have the slots of one that was paused or cut off.
+        if self.authority.is_none_or(|until| now >= until) {
+            return false;
+        }
         let is_over_due =
             desk.in_flight() >= self.keep(desk) && self.allocator.unmet(&desk.pool.name) > 0;
         if is_over_due {
@@ -327,6 +334,7 @@
             grant,
             attempt: running.attempts,
             timeout: left.min(desk.pool.answer_timeout),
+            send_by: self.authority.unwrap_or(now),
         });
     }
 
--- a/crates/hyssop-policy/src/dispatch/event.rs
+++ b/crates/hyssop-policy/src/dispatch/event.rs
@@ -46,6 +46,8 @@
     Close,
     /// All slots are given up.
     Leave,
+    /// The entry may start requests until then, or not at all.
+    Authority(Option<Instant>),
     /// Time passed.
     Tick,
 }
--- a/crates/hyssop-policy/src/membership/change.rs
+++ b/crates/hyssop-policy/src/membership/change.rs
@@ -25,7 +25,7 @@
 
 /// Returns the epoch that `observed.own` should write now, if any.
 ///
-/// An entry writes its own joining; the first living member in the epoch's order writes the rest,
+/// An entry writes its own joining and its own leaving; the first living member in the epoch's order writes the rest,
 /// so that a change is not raced by everybody.
 pub fn next_epoch(observed: &Observed<'_>) -> Option<epoch::Record> {
     let empty = epoch::Record::default();
@@ -52,8 +52,14 @@
     let is_joining = joining
         .iter()
         .any(|record| record.member.id == observed.own);
+    let mut own_rows = observed
+        .entries
+        .iter()
+        .filter(|record| record.member.id == observed.own);
+    let is_leaving =
+        old.contains(observed.own) && own_rows.any(|record| record.phase == Phase::Leaving);
     let is_unchanged = joining.is_empty() && staying.len() == old.members.len();
-    if is_unchanged || !(is_first || is_joining) {
+    if is_unchanged || !(is_first || is_joining || is_leaving) {
         return None;
     }
     let is_cold = staying.is_empty() && old.number > 0;
@@ -62,7 +68,11 @@
     Some(epoch::Record {
         number: old.number + 1,
         retired: retired(observed, old, &members),
-        cold_ms: if is_cold { observed.wall_ms } else { old.cold_ms },
+        cold_ms: if is_cold {
+            observed.wall_ms
+        } else {
+            old.cold_ms
+        },
         members,
         written_ms: observed.wall_ms,
     })
