--- a/crates/hyssop-lab/src/command/measure.rs
+++ b/crates/hyssop-lab/src/command/measure.rs
@@ -33,8 +33,10 @@
             Some("outliers") => measure::outliers(&call),
             Some("drain") => measure::drain(&call),
             Some("rollout") => measure::rollout(&call),
+            Some("capacity") => measure::capacity(&call),
+            Some("jobs") => measure::jobs(&call),
             _ => {
-                let message = "no such measure; use overhead, flood, skew, faults, outliers, drain or rollout";
+                let message = "no such measure; use overhead, flood, skew, faults, outliers, drain, rollout, capacity or jobs";
                 UsageSnafu { message }.fail()
             }
         }
--- a/crates/hyssop-lab/src/measure/mod.rs
+++ b/crates/hyssop-lab/src/measure/mod.rs
@@ -1,17 +1,21 @@
 //! The measures, one file each.
 
+mod capacity;
 mod drain;
 mod faults;
 mod flood;
+mod jobs;
 mod load;
 mod outliers;
 mod overhead;
 mod rollout;
 mod skew;
 
+pub(crate) use capacity::capacity;
 pub(crate) use drain::drain;
 pub(crate) use faults::faults;
 pub(crate) use flood::flood;
+pub(crate) use jobs::jobs;
 pub(crate) use outliers::outliers;
 pub(crate) use overhead::overhead;
 pub(crate) use rollout::rollout;
--- a/crates/hyssop-model/src/lib.rs
+++ b/crates/hyssop-model/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod hash;
 pub mod instance;
 pub mod intent;
+pub mod job;
 pub mod lease;
 pub mod outcome;
 pub mod pool;
--- /dev/null
+++ b/crates/hyssop-policy/src/job/slate.rs
@@ -0,0 +1,176 @@
+use hyssop_model::job::{Size, Worker};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Knows what is free on each worker, and finds the fullest worker that a job fits on.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Slate {
+    workers: BTreeMap<String, Entry>,
+    /// The workers that take jobs, by pool and free accelerators and processors.
+    order: BTreeMap<String, BTreeSet<(u64, u64, String)>>,
+    whole: Size,
+    /// The memory of the largest worker of each pool.
+    largest_memory_mib: BTreeMap<String, u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    worker: Worker,
+    free: Size,
+    is_open: bool,
+}
+
+impl Slate {
+    /// Takes in the list of workers, and returns whether it changed; what was reserved stays
+    /// reserved.
+    pub(crate) fn set_workers(&mut self, workers: Vec<Worker>) -> bool {
+        let names: BTreeSet<String> = workers.iter().map(|worker| worker.name.clone()).collect();
+        let gone: Vec<String> = self
+            .workers
+            .keys()
+            .filter(|name| !names.contains(*name))
+            .cloned()
+            .collect();
+        let is_changed = !gone.is_empty() || workers.len() != self.workers.len() - gone.len();
+        for name in gone {
+            self.remove_from_order(&name);
+            self.workers.remove(&name);
+        }
+        for worker in workers {
+            if self.workers.contains_key(&worker.name) {
+                continue;
+            }
+            let name = worker.name.clone();
+            let entry = Entry {
+                free: worker.size,
+                worker,
+                is_open: true,
+            };
+            self.workers.insert(name.clone(), entry);
+            self.add_to_order(&name);
+        }
+        self.whole = Size::default();
+        self.largest_memory_mib.clear();
+        for entry in self.workers.values() {
+            let largest = self
+                .largest_memory_mib
+                .entry(entry.worker.pool.clone())
+                .or_default();
+            *largest = (*largest).max(entry.worker.size.memory_mib);
+            self.whole.add(&entry.worker.size);
+        }
+        is_changed
+    }
+
+    /// Returns what all workers have together.
+    pub(crate) fn whole(&self) -> &Size {
+        &self.whole
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.workers.is_empty()
+    }
+
+    /// Tells whether any worker of a pool could hold a job when it is empty.
+    pub(crate) fn could_hold(&self, pool: &str, size: &Size) -> bool {
+        let of_pool = self
+            .workers
+            .values()
+            .filter(|entry| entry.worker.pool == pool);
+        of_pool
+            .into_iter()
+            .any(|entry| entry.worker.size.holds(size))
+    }
+
+    /// Returns the open worker with the least free processors that a job fits on.
+    ///
+    /// A job without accelerators goes to workers without free ones first, so that it does not
+    /// block them.
+    pub(crate) fn find(
+        &self,
+        pool: &str,
+        size: &Size,
+        candidates: usize,
+        avoid: &[String],
+    ) -> Option<&str> {
+        let order = self.order.get(pool)?;
+        let mut accelerators = size.accelerators;
+        loop {
+            let from = (accelerators, size.cpu_millis, String::new());
+            let to = (accelerators + 1, 0, String::new());
+            for (_, _, name) in order.range(from..to).take(candidates) {
+                let holds = self
+                    .workers
+                    .get(name)
+                    .is_some_and(|entry| entry.free.holds(size));
+                if holds && !avoid.contains(name) {
+                    return Some(name);
+                }
+            }
+            // The next number of free accelerators that any worker has.
+            let next = (accelerators + 1, 0, String::new());
+            accelerators = order.range(next..).next()?.0;
+        }
+    }
+
+    /// Returns the memory of the largest worker of a pool.
+    pub(crate) fn largest_memory_mib(&self, pool: &str) -> u64 {
+        self.largest_memory_mib.get(pool).copied().unwrap_or(0)
+    }
+
+    /// Returns what is free on a worker.
+    pub(crate) fn free(&self, worker: &str) -> Option<&Size> {
+        self.workers.get(worker).map(|entry| &entry.free)
+    }
+
+    /// Returns the open workers of a pool.
+    pub(crate) fn of_pool(&self, pool: &str) -> impl Iterator<Item = &str> {
+        let order = self.order.get(pool).into_iter().flatten();
+        order.map(|(_, _, name)| name.as_str())
+    }
+
+    pub(crate) fn reserve(&mut self, worker: &str, size: &Size) {
+        self.change(worker, |entry| entry.free.subtract(size));
+    }
+
+    pub(crate) fn release(&mut self, worker: &str, size: &Size) {
+        self.change(worker, |entry| entry.free.add(size));
+    }
+
+    /// Opens a worker for jobs, or closes it.
+    pub(crate) fn set_open(&mut self, worker: &str, is_open: bool) {
+        self.change(worker, |entry| entry.is_open = is_open);
+    }
+
+    fn change(&mut self, worker: &str, change: impl FnOnce(&mut Entry)) {
+        self.remove_from_order(worker);
+        if let Some(entry) = self.workers.get_mut(worker) {
+            change(entry);
+        }
+        self.add_to_order(worker);
+    }
+
+    fn remove_from_order(&mut self, worker: &str) {
+        let Some(entry) = self.workers.get(worker) else {
+            return;
+        };
+        if let Some(order) = self.order.get_mut(&entry.worker.pool) {
+            order.remove(&(
+                entry.free.accelerators,
+                entry.free.cpu_millis,
+                worker.to_owned(),
+            ));
+        }
+    }
+
+    fn add_to_order(&mut self, worker: &str) {
+        let Some(entry) = self.workers.get(worker).filter(|entry| entry.is_open) else {
+            return;
+        };
+        let order = self.order.entry(entry.worker.pool.clone()).or_default();
+        order.insert((
+            entry.free.accelerators,
+            entry.free.cpu_millis,
+            worker.to_owned(),
+        ));
+    }
+}
--- a/crates/hyssop-policy/src/lib.rs
+++ b/crates/hyssop-policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod demand;
 pub mod dispatch;
 pub mod health;
+pub mod job;
 pub mod membership;
 pub mod plan;
 pub mod retry;
--- a/crates/hyssop-timeline/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Merges the events of all processes into one ordered time line
