Rest slots after attempts that may linger, re-lend ended loans; test callers' side

Cause 1: scripts/measure skew found 2 requests beyond an instance's slots under the fixed share: an entry released a slot at its own time-out while the instance still worked. Slots now rest 1 s after such attempts. A return now says whether as many could be used again.

--- a/crates/hyssop-entry/src/daemon/life.rs
+++ b/crates/hyssop-entry/src/daemon/life.rs
@@ -16,6 +16,7 @@
 use hyssop_policy::dispatch::{self, Dispatcher};
 use rand::Rng;
 use snafu::ResultExt;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -44,12 +45,36 @@
         .enable_all()
         .build()
         .context(SystemSnafu)?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate()).context(SystemSnafu)?;
+        let mut interrupt = signal(SignalKind::interrupt()).context(SystemSnafu)?;
+        let stop = async move {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        };
+        let announce = |member: &Member| {
+            println!(
+                "ready entry=http://{} pid={}",
+                member.address,
+                std::process::id()
+            );
+        };
+        serve(settings, announce, stop).await
+    })
 }
 
-async fn serve(settings: Entry) -> Result<(), Error> {
-    let mut terminate = signal(SignalKind::terminate()).context(SystemSnafu)?;
-    let mut interrupt = signal(SignalKind::interrupt()).context(SystemSnafu)?;
+/// Serves until `stop` ends, then stops gracefully; `announce` learns the addresses in use.
+///
+/// # Errors
+///
+/// Fails when an address can't be used or the operating system refuses a thread.
+pub async fn serve(
+    settings: Entry,
+    announce: impl FnOnce(&Member),
+    stop: impl Future<Output = ()>,
+) -> Result<(), Error> {
     let callers = bind(settings.callers).await?;
     let peers = bind(settings.peers).await?;
     let member = member(&settings, &callers, &peers);
@@ -113,7 +138,7 @@
         }),
         requests: AtomicU64::new(0),
     });
-    let (stop, stopped) = watch::channel(false);
+    let (stop_front, stopped) = watch::channel(false);
     let front_task = tokio::spawn(front::serve(callers, front, stopped));
     tokio::spawn(peer::listen(
         peers,
@@ -122,7 +147,11 @@
         state.clone(),
     ));
     tokio::spawn(backend::probe_forever(inbox.clone(), backends));
-    announce(&member, &recorder);
+    recorder.record(
+        Kind::ProcessStarted,
+        &[("address", &member.address), ("incarnation", &member.id)],
+    );
+    announce(&member);
     let life = Life {
         settings,
         state,
@@ -130,11 +159,8 @@
         recorder,
         nudge,
     };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    life.stop(&stop, front_task).await;
+    stop.await;
+    life.stop(&stop_front, front_task).await;
     is_over.store(true, Ordering::SeqCst);
     // The threads end by the flag and the message; a panic of theirs was logged already.
     let _ = tokio::task::spawn_blocking(move || keeper_thread.join()).await;
@@ -234,16 +260,3 @@
         ..claim::Settings::default()
     }
 }
-
-/// Tells whoever started the process that it serves.
-fn announce(member: &Member, recorder: &Recorder) {
-    recorder.record(
-        Kind::ProcessStarted,
-        &[("address", &member.address), ("incarnation", &member.id)],
-    );
-    println!(
-        "ready entry=http://{} pid={}",
-        member.address,
-        std::process::id()
-    );
-}
--- a/crates/hyssop-entry/src/daemon/mod.rs
+++ b/crates/hyssop-entry/src/daemon/mod.rs
@@ -4,4 +4,4 @@
 mod life;
 
 pub use error::Error;
-pub use life::run;
+pub use life::{run, serve};
--- a/crates/hyssop-policy/src/attempt/end.rs
+++ b/crates/hyssop-policy/src/attempt/end.rs
@@ -33,6 +33,14 @@
         matches!(self, Self::NotConnected | Self::NotSent | Self::Busy)
     }
 
+    /// Tells whether the instance may still be working on the request, so that its slot must rest.
+    pub fn may_linger(self) -> bool {
+        matches!(
+            self,
+            Self::TimedOut | Self::Broken | Self::Truncated | Self::Mismatched | Self::Busy
+        )
+    }
+
     /// Returns what the attempt shows of the instance, if anything.
     pub fn sample(self, took: Duration) -> Option<Sample> {
         match self {
--- a/crates/hyssop-policy/src/dispatch/dispatcher.rs
+++ b/crates/hyssop-policy/src/dispatch/dispatcher.rs
@@ -22,6 +22,8 @@
     desks: BTreeMap<pool::Key, Desk>,
     requests: BTreeMap<request::Key, Running>,
     members: BTreeSet<entry::Id>,
+    /// The slots that rest after attempts that may still be running, by the end of their rest.
+    cooling: BTreeSet<(Instant, slot::Grant)>,
     is_closed: bool,
     authority: Option<Instant>,
     next_health: Option<Instant>,
@@ -52,6 +54,7 @@
             desks: BTreeMap::new(),
             requests: BTreeMap::new(),
             members: BTreeSet::new(),
+            cooling: BTreeSet::new(),
             is_closed: false,
             authority: None,
             next_health: None,
@@ -394,11 +397,30 @@
                 self.judge_health(now, out);
             }
         }
+        if end.may_linger() {
+            self.cooling
+                .insert((now + self.settings.slot.cooling, grant));
+        } else {
+            self.release(now, grant, out);
+        }
+        self.conclude(now, key, end, out);
+        self.pump(now, pool, out);
+    }
+
+    fn release(&mut self, now: Instant, grant: slot::Grant, out: &mut Vec<Action>) {
         let mut actions = Vec::new();
         self.allocator.release(now, grant, &mut actions);
         push_sends(actions, out);
-        self.conclude(now, key, end, out);
-        self.pump(now, pool, out);
+    }
+
+    fn release_cooled(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while let Some((until, grant)) = self.cooling.first().copied() {
+            if until > now {
+                return;
+            }
+            self.cooling.pop_first();
+            self.release(now, grant, out);
+        }
     }
 
     /// Ends a request after an attempt, or queues it for another one.
@@ -587,6 +609,7 @@
     }
 
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.release_cooled(now, out);
         self.judge_health(now, out);
         self.tell_health(now, out);
         self.allocate(now, slot::Event::Tick, out);
--- a/crates/hyssop-policy/src/slot/home.rs
+++ b/crates/hyssop-policy/src/slot/home.rs
@@ -153,12 +153,12 @@
             return;
         }
         for (lender, id) in site.idle_loans.clone() {
-            self.give_back(lender, id, out);
+            self.give_back(lender, id, false, out);
         }
     }
 
     /// Ends a loan that stands idle here and tells the lender.
-    fn give_back(&mut self, lender: entry::Id, id: u64, out: &mut Vec<Action>) {
+    fn give_back(&mut self, lender: entry::Id, id: u64, wants_more: bool, out: &mut Vec<Action>) {
         let Some(borrowed) = self.ledger.borrowed.remove(&(lender, id)) else {
             return;
         };
@@ -167,7 +167,7 @@
             site.loans -= 1;
         });
         self.is_dirty |= borrowed.epoch != self.epoch.number;
-        push_return(lender, vec![id], out);
+        push_return(lender, vec![id], wants_more, out);
     }
 
     fn take_loans(&mut self, now: Instant, lender: entry::Id, lend: &Lend, out: &mut Vec<Action>) {
@@ -183,7 +183,7 @@
             }
         }
         if !refused.is_empty() {
-            push_return(lender, refused, out);
+            push_return(lender, refused, false, out);
         }
     }
 
@@ -220,6 +220,26 @@
         }
     }
 
+    fn hear_return(&mut self, from: entry::Id, returned: &Return, out: &mut Vec<Action>) {
+        let lent = returned
+            .loans
+            .iter()
+            .filter_map(|id| self.ledger.lent.get(id));
+        let pools: Vec<String> = lent
+            .filter(|lent| lent.to == from && self.epoch.contains(from))
+            .filter_map(|lent| Some(self.board.get(lent.instance)?.record.pool.clone()))
+            .collect();
+        self.take_back(from, &returned.loans);
+        if !returned.wants_more {
+            return;
+        }
+        for pool in pools {
+            let need = self.needs.entry(pool.clone()).or_default();
+            *need.wanted.entry(from).or_default() += 1;
+            self.lend(&pool, out);
+        }
+    }
+
     fn hear(&mut self, now: Instant, from: entry::Id, status: &Status, out: &mut Vec<Action>) {
         let dropped = self.ledger.dropped_by(from, status.seen, &status.borrowed);
         self.take_back(from, &dropped);
@@ -265,7 +285,7 @@
             .map(|(key, _)| *key)
             .collect();
         for (lender, id) in over {
-            self.give_back(lender, id, out);
+            self.give_back(lender, id, false, out);
         }
     }
 
@@ -393,7 +413,9 @@
             site.is_open()
         });
         if is_over || is_open != Some(true) {
-            self.give_back(lender, id, out);
+            // A loan that ends while it is in use is likely to be wanted again.
+            let wants_more = is_open == Some(true) && !self.is_leaving;
+            self.give_back(lender, id, wants_more, out);
         }
     }
 }
@@ -466,7 +488,7 @@
             }
             Event::Status { from, status } => self.hear(now, from, &status, out),
             Event::Lend { from, lend } => self.take_loans(now, from, &lend, out),
-            Event::Return { from, returned } => self.take_back(from, &returned.loans),
+            Event::Return { from, returned } => self.hear_return(from, &returned, out),
             Event::Need { pool, keep, wanted } => {
                 let need = self.needs.entry(pool.clone()).or_default();
                 need.keep = keep;
@@ -530,10 +552,10 @@
     })
 }
 
-fn push_return(lender: entry::Id, ids: Vec<u64>, out: &mut Vec<Action>) {
+fn push_return(lender: entry::Id, loans: Vec<u64>, wants_more: bool, out: &mut Vec<Action>) {
     out.push(Action::Send {
         to: lender,
-        body: Body::Return(Return { loans: ids }),
+        body: Body::Return(Return { loans, wants_more }),
     });
 }
 
--- a/crates/hyssop-policy/src/slot/settings.rs
+++ b/crates/hyssop-policy/src/slot/settings.rs
@@ -11,6 +11,8 @@
     pub idle: Duration,
     /// How long the slots of a removed member stay unused, so that its requests end.
     pub quarantine: Duration,
+    /// How long a slot rests after an attempt that may still be running at the instance.
+    pub cooling: Duration,
     /// The pause between two statuses to the same peer.
     pub heartbeat: Duration,
 }
@@ -22,6 +24,7 @@
             tenure: Duration::from_secs(1),
             idle: Duration::from_millis(50),
             quarantine: Duration::from_secs(10),
+            cooling: Duration::from_secs(1),
             heartbeat: Duration::from_secs(1),
         }
     }
--- a/crates/hyssop-standin/src/platform/mod.rs
+++ b/crates/hyssop-standin/src/platform/mod.rs
@@ -7,7 +7,7 @@
 mod service;
 mod stats;
 
-pub use process::{run, Options};
+pub use process::{listen, run, Options, Platform};
 pub use stats::Stats;
 
 pub(crate) use fault::{Fault, Faults};
--- a/crates/hyssop-standin/src/platform/process.rs
+++ b/crates/hyssop-standin/src/platform/process.rs
@@ -37,12 +37,34 @@
 const THREADS: usize = 16;
 const ROSTER_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Is a platform that listens and does not serve yet.
+pub struct Platform {
+    server: tiny_http::Server,
+    service: Arc<Service>,
+}
+
 /// Plays the platform until the process is ended.
 ///
 /// # Errors
 ///
 /// Fails when the address can't be used.
 pub fn run(options: Options) -> Result<(), Error> {
+    let platform = listen(options)?;
+    println!(
+        "ready platform={} pid={}",
+        platform.url(),
+        std::process::id()
+    );
+    platform.serve();
+    Ok(())
+}
+
+/// Listens for calls.
+///
+/// # Errors
+///
+/// Fails when the address can't be used.
+pub fn listen(options: Options) -> Result<Platform, Error> {
     let server = tiny_http::Server::http(&options.listen).map_err(|error| {
         ListenSnafu {
             address: &options.listen,
@@ -62,22 +84,29 @@
             stats: Stats::default(),
         }),
     });
-    println!(
-        "ready platform=http://{} pid={}",
-        server.server_addr(),
-        std::process::id()
-    );
-    std::thread::scope(|scope| {
-        for _ in 0..THREADS {
-            scope.spawn(|| {
-                while let Ok(request) = server.recv() {
-                    service.serve(request);
-                }
-            });
-        }
-        loop {
-            std::thread::sleep(ROSTER_INTERVAL);
-            service.refresh_roster();
-        }
-    })
+    Ok(Platform { server, service })
+}
+
+impl Platform {
+    /// Returns the base address.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.server.server_addr())
+    }
+
+    /// Serves until the process ends.
+    pub fn serve(&self) {
+        std::thread::scope(|scope| {
+            for _ in 0..THREADS {
+                scope.spawn(|| {
+                    while let Ok(request) = self.server.recv() {
+                        self.service.serve(request);
+                    }
+                });
+            }
+            loop {
+                std::thread::sleep(ROSTER_INTERVAL);
+                self.service.refresh_roster();
+            }
+        });
+    }
 }
--- a/crates/hyssop-standin/src/platform/service.rs
+++ b/crates/hyssop-standin/src/platform/service.rs
@@ -246,7 +246,6 @@
         match query.strip_prefix("address=") {
             Some(address) => {
                 self.control().source = Some(address.to_owned());
-                self.refresh_roster();
                 json(OK, &"registered")
             }
             None => json(BAD_REQUEST, &"call /roster/source?address=IP:PORT"),
--- a/crates/hyssop-standin/src/server/mod.rs
+++ b/crates/hyssop-standin/src/server/mod.rs
@@ -10,7 +10,7 @@
 
 pub use fault::Fault;
 pub use inspection::InstanceView;
-pub use process::{run, Options};
+pub use process::{run, start, Options, Servers};
 
 pub(crate) use executed::Executed;
 pub(crate) use instance::Instance;
--- a/crates/hyssop-standin/src/server/process.rs
+++ b/crates/hyssop-standin/src/server/process.rs
@@ -58,12 +58,31 @@
     pub threads: usize,
 }
 
+/// Is a fleet of instances that serve, with an inspection that does not yet.
+pub struct Servers {
+    server: tiny_http::Server,
+    inspection: Inspection,
+    _runtime: tokio::runtime::Runtime,
+}
+
 /// Plays the instances until the process is ended.
 ///
 /// # Errors
 ///
 /// Fails when an address can't be used or the platform can't be reached.
 pub fn run(options: Options) -> Result<(), Error> {
+    let servers = start(options)?;
+    println!("ready servers={} pid={}", servers.url(), std::process::id());
+    servers.serve();
+    Ok(())
+}
+
+/// Starts the instances and registers them with the platform.
+///
+/// # Errors
+///
+/// Fails when an address can't be used or the platform can't be reached.
+pub fn start(options: Options) -> Result<Servers, Error> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(options.threads)
         .enable_all()
@@ -93,13 +112,26 @@
             .send()
             .context(RegisterSnafu { platform })?;
     }
-    println!("ready servers=http://{address} pid={}", std::process::id());
-    Inspection {
-        instances,
-        executed,
+    Ok(Servers {
+        server,
+        inspection: Inspection {
+            instances,
+            executed,
+        },
+        _runtime: runtime,
+    })
+}
+
+impl Servers {
+    /// Returns the inspection's base address.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.server.server_addr())
+    }
+
+    /// Answers inspection requests until the process ends.
+    pub fn serve(&self) {
+        self.inspection.serve(&self.server);
     }
-    .serve(&server);
-    Ok(())
 }
 
 /// Lays out the instances: racks of equal size, in turn over the data centres.
--- a/crates/hyssop-wire/src/slot/lend.rs
+++ b/crates/hyssop-wire/src/slot/lend.rs
@@ -21,4 +21,7 @@
     /// The ids of the loans.
     #[serde(rename = "l")]
     pub loans: Vec<u64>,
+    /// Whether the sender could use as many slots again.
+    #[serde(rename = "m")]
+    pub wants_more: bool,
 }
