--- a/crates/hyssop-lab/src/measure/capacity.rs
+++ b/crates/hyssop-lab/src/measure/capacity.rs
@@ -11,7 +11,6 @@
 use serde::Serialize;
 use snafu::ResultExt;
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 /// Is what one way to staff pools costs over a day.
 #[derive(Debug, Default, Serialize)]
@@ -22,7 +21,8 @@
     buffer_instance_hours: f64,
     buffer_part: f64,
     moves: u32,
-    /// The demand of minutes that the pool's healthy instances could not hold, in slot hours.
+    /// The demand of whole rounds of bursts that the pool's healthy instances could not hold, in
+    /// slot hours.
     unmet_slot_hours: f64,
     below_budget_steps: u32,
 }
@@ -106,14 +106,14 @@
     }
 }
 
-/// Returns the mean demand of the minute around a time: what queues can't put off.
+/// Returns the mean demand of the round of bursts around a time: what queues can't put off.
 fn sustained_at(pools: &[Pool], index: usize, at_ms: u64) -> f64 {
-    let minute = 60_000 / STEP_MS;
-    let from = at_ms / 60_000 * minute;
-    let sum: f64 = (from..from + minute)
+    let round = pools.len() as u64;
+    let from = at_ms / STEP_MS / round * round;
+    let sum: f64 = (from..from + round)
         .map(|step| demand_at(pools, index, step * STEP_MS))
         .sum();
-    sum / minute as f64
+    sum / round as f64
 }
 
 /// Tells whether the rack that is lost in the morning is down.
--- a/crates/hyssop-planner/src/daemon/life.rs
+++ b/crates/hyssop-planner/src/daemon/life.rs
@@ -1,5 +1,6 @@
 use super::error::{Error, ListenSnafu, LogSnafu, SystemSnafu};
-use super::region::Region;
+use super::region::{Platform, Region};
+use crate::reports::Http;
 use crate::status::{Metrics, Server};
 use hyssop_config::settings::Planner;
 use hyssop_event::{Kind, Recorder};
@@ -45,7 +46,22 @@
     println!("ready planner=http://{address} pid={}", std::process::id());
     let timeout_s = settings.process.platform_timeout.as_secs().max(1);
     let client = Arc::new(Client::new(settings.process.platform.clone(), timeout_s));
-    let mut region = Region::new(&settings.process, clock, client, recorder.clone(), metrics);
+    let platform = Platform {
+        table: client.clone(),
+        objects: client.clone(),
+        roster: client,
+    };
+    let incarnation = rand::rng().random_range(1..u64::MAX);
+    let reports = Box::new(Http);
+    let mut region = Region::new(
+        &settings.process,
+        clock,
+        platform,
+        reports,
+        recorder.clone(),
+        metrics,
+        incarnation,
+    );
     while !is_stopping.load(Ordering::SeqCst) {
         let pause = region.run_once();
         std::thread::sleep(pause.mul_f64(rand::rng().random_range(0.8..1.2)));
--- a/crates/hyssop-planner/src/daemon/mod.rs
+++ b/crates/hyssop-planner/src/daemon/mod.rs
@@ -6,3 +6,4 @@
 
 pub use error::Error;
 pub use life::run;
+pub use region::{Platform, Region};
--- a/crates/hyssop-planner/src/daemon/region.rs
+++ b/crates/hyssop-planner/src/daemon/region.rs
@@ -1,27 +1,37 @@
 use crate::lease::Holder;
-use crate::reports::fetch_all;
+use crate::reports::Source;
 use crate::rows::{transaction, Snapshot};
 use crate::status::Metrics;
 use hyssop_config::fleet::Fleet;
 use hyssop_config::settings::Process;
 use hyssop_event::{Kind, Recorder};
 use hyssop_model::prelude::*;
-use hyssop_platform::http::Client;
 use hyssop_platform::object::Object;
 use hyssop_platform::roster::{Listing, Roster};
 use hyssop_platform::table::{Condition, Table, Transaction};
 use hyssop_platform::{keys, Error};
 use hyssop_policy::plan::{Draft, Note, Planner, View};
 use hyssop_policy::rollout::{self, Verdict};
-use rand::Rng;
 use std::sync::Arc;
 
+/// Is the platform's services that the planner uses.
+#[derive(Clone)]
+pub struct Platform {
+    /// The table service.
+    pub table: Arc<dyn Table>,
+    /// The object store.
+    pub objects: Arc<dyn Object>,
+    /// The list of instances.
+    pub roster: Arc<dyn Roster>,
+}
+
 /// Plans one region.
-pub(super) struct Region {
+pub struct Region {
     name: String,
     poll: Duration,
     clock: Arc<dyn Clock>,
-    platform: Arc<Client>,
+    platform: Platform,
+    reports: Box<dyn Source>,
     recorder: Recorder,
     metrics: Arc<Metrics>,
     holder: Holder,
@@ -39,14 +49,16 @@
 const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
 
 impl Region {
-    pub(super) fn new(
+    /// Makes the planner of one region; `incarnation` names this start of the process.
+    pub fn new(
         process: &Process,
         clock: Arc<dyn Clock>,
-        platform: Arc<Client>,
+        platform: Platform,
+        reports: Box<dyn Source>,
         recorder: Recorder,
         metrics: Arc<Metrics>,
+        incarnation: u64,
     ) -> Self {
-        let incarnation = rand::rng().random_range(1..u64::MAX);
         let holder = Holder::new(
             process.clone(),
             incarnation,
@@ -59,6 +71,7 @@
             next_roster: clock.now(),
             clock,
             platform,
+            reports,
             recorder,
             metrics,
             holder,
@@ -73,7 +86,7 @@
     }
 
     /// Takes one step and returns the pause before the next one.
-    pub(super) fn run_once(&mut self) -> Duration {
+    pub fn run_once(&mut self) -> Duration {
         match self.step() {
             Ok(()) => self.failures = 0,
             Err(Error::Conflict { key }) => {
@@ -93,14 +106,14 @@
     }
 
     /// Gives the lease up.
-    pub(super) fn stop(&mut self) {
-        if let Err(error) = self.holder.give_up(self.platform.as_ref()) {
+    pub fn stop(&mut self) {
+        if let Err(error) = self.holder.give_up(self.platform.table.as_ref()) {
             log::warn!("event=give-up-failed reason={:?}", error.to_string());
         }
     }
 
     fn step(&mut self) -> Result<(), Error> {
-        self.holder.keep(self.platform.as_ref())?;
+        self.holder.keep(self.platform.table.as_ref())?;
         let is_leader = self.holder.fence().is_some();
         self.metrics.is_leader.set(i64::from(is_leader));
         if !is_leader {
@@ -109,7 +122,7 @@
             return Ok(());
         }
         self.metrics.steps.inc();
-        let snapshot = Snapshot::read(self.platform.as_ref(), &self.name, self.last.take())?;
+        let snapshot = Snapshot::read(self.platform.table.as_ref(), &self.name, self.last.take())?;
         self.refresh_roster()?;
         self.load_fleet(&snapshot)?;
         self.roll_out(&snapshot)?;
@@ -125,12 +138,12 @@
             return Ok(());
         }
         self.next_roster = now + ROSTER_INTERVAL;
-        let list = self.platform.list()?;
+        let list = self.platform.roster.list()?;
         self.roster = list
             .into_iter()
             .map(|listing| (listing.name.clone(), listing))
             .collect();
-        self.own_live = Some(self.platform.own()?.into_iter().collect());
+        self.own_live = Some(self.platform.roster.own()?.into_iter().collect());
         Ok(())
     }
 
@@ -140,7 +153,7 @@
         if accepted.number == known {
             return Ok(());
         }
-        let Some(text) = self.platform.get(&accepted.object)? else {
+        let Some(text) = self.platform.objects.get(&accepted.object)? else {
             return Ok(());
         };
         match Fleet::parse("configuration", &text) {
@@ -186,7 +199,7 @@
         }) else {
             return Ok(());
         };
-        self.platform.commit(&transaction)?;
+        self.platform.table.commit(&transaction)?;
         self.recorder
             .record(Kind::ConfigAccepted, &[("version", &head.accepted.number)]);
         Ok(())
@@ -213,7 +226,7 @@
             }) else {
                 return Ok(());
             };
-            self.platform.commit(&transaction)?;
+            self.platform.table.commit(&transaction)?;
             self.recorder.record(
                 Kind::LeaseLost,
                 &[("entry", &record.member.name), ("cause", &"process-gone")],
@@ -232,7 +245,7 @@
             drains: snapshot.drains.clone(),
             wave: snapshot.wave.clone(),
             roster: self.roster.clone(),
-            reports: fetch_all(&snapshot.entries),
+            reports: self.reports.fetch(&snapshot.entries),
             may_serve: snapshot
                 .entries
                 .iter()
@@ -246,7 +259,7 @@
                 return Ok(());
             };
             let transaction = transaction(&self.name, snapshot, &draft, fence);
-            self.platform.commit(&transaction)?;
+            self.platform.table.commit(&transaction)?;
             self.metrics.writes.inc_by(transaction.writes.len() as u64);
         }
         self.reboot(&draft)?;
@@ -258,7 +271,7 @@
         for name in &draft.reboots {
             self.recorder
                 .record(Kind::RebootAsked, &[("instance", name)]);
-            self.platform.reboot(name)?;
+            self.platform.roster.reboot(name)?;
         }
         Ok(())
     }
--- a/crates/hyssop-planner/src/lib.rs
+++ b/crates/hyssop-planner/src/lib.rs
@@ -5,6 +5,6 @@
 
 pub mod daemon;
 mod lease;
-mod reports;
+pub mod reports;
 mod rows;
-mod status;
+pub mod status;
--- a/crates/hyssop-planner/src/reports/fetch.rs
+++ b/crates/hyssop-planner/src/reports/fetch.rs
@@ -1,22 +1,28 @@
+use super::Source;
 use hyssop_model::entry;
 use hyssop_policy::plan::Report;
 use std::collections::BTreeMap;
 
+/// Fetches reports over HTTP.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Http;
+
 const TIMEOUT_S: u64 = 1;
 
-/// Fetches the report of every entry at once; an entry that does not answer is left out.
-pub(crate) fn fetch_all(entries: &[entry::Record]) -> BTreeMap<String, Report> {
-    std::thread::scope(|scope| {
-        let calls: Vec<_> = entries
-            .iter()
-            .map(|entry| (entry, scope.spawn(|| fetch(&entry.member.address))))
-            .collect();
-        let reports = calls.into_iter().filter_map(|(entry, call)| {
-            let report = call.join().ok().flatten()?;
-            Some((entry.member.name.clone(), report))
-        });
-        reports.collect()
-    })
+impl Source for Http {
+    fn fetch(&self, entries: &[entry::Record]) -> BTreeMap<String, Report> {
+        std::thread::scope(|scope| {
+            let calls: Vec<_> = entries
+                .iter()
+                .map(|entry| (entry, scope.spawn(|| fetch(&entry.member.address))))
+                .collect();
+            let reports = calls.into_iter().filter_map(|(entry, call)| {
+                let report = call.join().ok().flatten()?;
+                Some((entry.member.name.clone(), report))
+            });
+            reports.collect()
+        })
+    }
 }
 
 fn fetch(address: &str) -> Option<Report> {
--- a/crates/hyssop-planner/src/status/mod.rs
+++ b/crates/hyssop-planner/src/status/mod.rs
@@ -2,4 +2,6 @@
 
 mod server;
 
-pub(crate) use server::{Metrics, Server};
+pub use server::Metrics;
+
+pub(crate) use server::Server;
--- a/crates/hyssop-planner/src/status/server.rs
+++ b/crates/hyssop-planner/src/status/server.rs
@@ -4,7 +4,7 @@
 use tiny_http::{Request, Response};
 
 /// Holds the planner's metrics.
-pub(crate) struct Metrics {
+pub struct Metrics {
     registry: Registry,
     /// Steps taken while holding the lease.
     pub(crate) steps: IntCounter,
@@ -20,13 +20,19 @@
     pub(crate) is_leader: IntGauge,
 }
 
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Metrics {
     /// Makes the metrics.
     ///
     /// # Panics
     ///
     /// Panics when a name is registered twice, which the names below are not.
-    pub(crate) fn new() -> Self {
+    pub fn new() -> Self {
         let counter =
             |name: &str, help: &str| IntCounter::new(name, help).expect("the name is valid");
         let gauge = |name: &str, help: &str| IntGauge::new(name, help).expect("the name is valid");
--- a/crates/hyssop-policy/src/job/scheduler.rs
+++ b/crates/hyssop-policy/src/job/scheduler.rs
@@ -1,3 +1,4 @@
+use super::ledger::Place;
 use super::{Action, Blame, Catalogue, Event, Ledger, Settings, Slate, Task};
 use hyssop_model::job::{Record, Size, State, Worker};
 use hyssop_model::prelude::*;
@@ -15,6 +16,8 @@
     /// The jobs on each worker.
     on_worker: BTreeMap<String, BTreeSet<String>>,
     sequence: u64,
+    /// The pools in which something became free or began to wait.
+    dirty: BTreeSet<String>,
 }
 
 impl Scheduler {
@@ -29,6 +32,7 @@
             tasks: BTreeMap::new(),
             on_worker: BTreeMap::new(),
             sequence: 0,
+            dirty: BTreeSet::new(),
         }
     }
 
@@ -87,13 +91,8 @@
                 return;
             }
             let whole = *self.slate.whole();
-            self.ledger.push(
-                &task.record.team,
-                task.record.class,
-                task.sequence,
-                &id,
-                &whole,
-            );
+            self.ledger.push(place_of(&task), &whole);
+            self.dirty.insert(task.record.pool.clone());
         } else {
             // It was placed by an earlier planner; it may run until its lease is over.
             task.over_at = Some(now + self.settings.lease + self.settings.lease_slack);
@@ -107,6 +106,7 @@
         if !self.slate.set_workers(workers) {
             return;
         }
+        self.dirty.extend(self.slate.pools());
         let waiting = self
             .tasks
             .values()
@@ -154,6 +154,7 @@
             return;
         };
         self.slate.release(&worker, &task.reserved);
+        self.dirty.insert(task.record.pool.clone());
         if let Some(jobs) = self.on_worker.get_mut(&worker) {
             jobs.remove(id);
         }
@@ -210,11 +211,12 @@
             return;
         };
         let whole = *self.slate.whole();
+        let record = &task.record;
         self.ledger.remove(
-            &task.record.team,
-            task.record.class,
+            &record.team,
+            &record.pool,
+            record.class,
             task.sequence,
-            id,
             &whole,
         );
     }
@@ -230,13 +232,8 @@
         task.record.reason = reason.to_owned();
         out.push(Action::Write(task.record.clone()));
         let whole = *self.slate.whole();
-        self.ledger.push(
-            &task.record.team,
-            task.record.class,
-            task.sequence,
-            id,
-            &whole,
-        );
+        self.ledger.push(place_of(task), &whole);
+        self.dirty.insert(task.record.pool.clone());
     }
 
     /// Takes back a start that certainly did not run.
@@ -384,6 +381,7 @@
     fn tick(&mut self, now: Instant, wall_ms: u64, out: &mut Vec<Action>) {
         for worker in self.blame.take_rested(now) {
             self.slate.set_open(&worker, true);
+            self.dirty.extend(self.slate.pools());
         }
         self.end_lapsed(now, out);
         self.place_urgent(now, wall_ms, out);
@@ -420,47 +418,51 @@
 
     /// Places urgent jobs, and makes room for those that do not fit.
     fn place_urgent(&mut self, now: Instant, wall_ms: u64, out: &mut Vec<Action>) {
-        for team in self.ledger.urgent_turns() {
-            let urgent = self.ledger.waiting(&team).map(str::to_owned);
-            let urgent: Vec<String> = urgent
-                .take_while(|id| {
-                    self.tasks
-                        .get(id)
-                        .is_some_and(|task| task.record.class == Class::Urgent)
-                })
-                .collect();
-            for id in urgent {
-                if !self.place(now, wall_ms, &id, out) {
-                    self.make_room(&id, out);
-                    self.place(now, wall_ms, &id, out);
-                }
+        const MOST_AT_ONCE: usize = 256;
+        let urgent: Vec<String> = self
+            .ledger
+            .urgent()
+            .take(MOST_AT_ONCE)
+            .map(str::to_owned)
+            .collect();
+        for id in urgent {
+            if !self.place(now, wall_ms, &id, out) {
+                self.make_room(&id, out);
+                self.place(now, wall_ms, &id, out);
             }
         }
     }
 
-    /// Places what fits, always a job of the team whose turn it is.
+    /// Places what fits in the pools where something changed.
     fn place_all(&mut self, now: Instant, wall_ms: u64, out: &mut Vec<Action>) {
-        const DEEPEST_LOOK: usize = 8;
-        let mut stuck: BTreeSet<String> = BTreeSet::new();
-        loop {
-            let next = self
-                .ledger
-                .turns()
-                .find(|team| !stuck.contains(*team))
-                .map(str::to_owned);
-            let Some(team) = next else {
-                return;
-            };
-            let ids: Vec<String> = self
-                .ledger
-                .waiting(&team)
-                .take(DEEPEST_LOOK)
-                .map(str::to_owned)
-                .collect();
-            let is_placed = ids.iter().any(|id| self.place(now, wall_ms, id, out));
-            if !is_placed {
-                stuck.insert(team);
+        for pool in std::mem::take(&mut self.dirty) {
+            self.place_pool(now, wall_ms, &pool, out);
+        }
+    }
+
+    /// Places what fits in a pool, always a job of the team whose turn it is.
+    fn place_pool(&mut self, now: Instant, wall_ms: u64, pool: &str, out: &mut Vec<Action>) {
+        const DEEPEST_LOOK: usize = 4;
+        // What did not fit in this pass; what is as large or larger does not fit either.
+        let mut too_large: Vec<Size> = Vec::new();
+        let mut last: Option<(u64, String)> = None;
+        while let Some(turn) = self.ledger.next_turn(pool, last.as_ref()) {
+            let jobs = self.ledger.waiting(&turn.1, pool).take(DEEPEST_LOOK);
+            let jobs: Vec<String> = jobs.map(str::to_owned).collect();
+            for id in jobs {
+                let Some(size) = self.tasks.get(&id).map(|task| task.record.size) else {
+                    continue;
+                };
+                if too_large.iter().any(|large| size.holds(large)) {
+                    continue;
+                }
+                if self.place(now, wall_ms, &id, out) {
+                    break;
+                }
+                too_large.push(size);
             }
+            // A team whose job was placed has a later turn now and comes up again.
+            last = Some(turn);
         }
     }
 
@@ -637,3 +639,15 @@
         true
     }
 }
+
+/// Returns a waiting task's place in the ledger.
+fn place_of(task: &Task) -> Place {
+    Place {
+        team: task.record.team.clone(),
+        pool: task.record.pool.clone(),
+        class: task.record.class,
+        sequence: task.sequence,
+        job: task.record.id.clone(),
+        size: task.record.size,
+    }
+}
--- a/crates/hyssop-policy/src/job/slate.rs
+++ b/crates/hyssop-policy/src/job/slate.rs
@@ -61,6 +61,11 @@
         is_changed
     }
 
+    /// Returns the names of all pools.
+    pub(crate) fn pools(&self) -> Vec<String> {
+        self.largest_memory_mib.keys().cloned().collect()
+    }
+
     /// Returns what all workers have together.
     pub(crate) fn whole(&self) -> &Size {
         &self.whole
