--- a/crates/hyssop-entry/src/core/host.rs
+++ b/crates/hyssop-entry/src/core/host.rs
@@ -25,6 +25,8 @@
     pub(super) dispatcher: Dispatcher,
     pub(super) claims: claim::Desk,
     pub(super) claiming: BTreeMap<request::Key, flume::Sender<Verdict>>,
+    /// Makes the store thread poll at once.
+    pub(super) nudge: flume::Sender<()>,
     pub(super) authority: Option<Instant>,
     pub(super) handed_over: Option<flume::Sender<()>>,
     pub(super) clock: Arc<dyn Clock>,
@@ -214,6 +216,7 @@
         self.state.put_in_force(fleet.number);
         self.recorder
             .record(Kind::ConfigInForce, &[("version", &fleet.number)]);
+        self.nudge_store();
         if is_first_hand {
             self.broadcast(&Body::Config(notice::Config {
                 held: fleet.number,
@@ -223,6 +226,29 @@
         }
     }
 
+    /// Passes a proposal on, so that every entry can say soon that it holds it.
+    pub(super) fn pass_on_proposal(&self, number: u64, text: String) {
+        self.broadcast(&Body::Config(notice::Config {
+            held: number,
+            accepted: self.state.in_force(),
+            body: Some(text),
+        }));
+    }
+
+    /// Holds a proposal that a peer passed on.
+    pub(super) fn hold(&self, number: u64, text: String) {
+        if number > self.state.held() {
+            self.state.hold(Held { number, text });
+            self.nudge_store();
+        }
+    }
+
+    /// Makes the store thread tell the entry's row what is held and in force.
+    fn nudge_store(&self) {
+        // A full channel means that it is about to poll anyway.
+        let _ = self.nudge.try_send(());
+    }
+
     fn broadcast(&self, body: &Body) {
         let own = self.state.member.id;
         for member in self.epoch.members.iter().filter(|member| member.id != own) {
--- a/crates/hyssop-entry/src/core/message.rs
+++ b/crates/hyssop-entry/src/core/message.rs
@@ -99,6 +99,8 @@
     Lease(Instant),
     /// No claim is granted from now on; the sender learns when all are handed over.
     HandOver(flume::Sender<()>),
+    /// The table service told a configuration that is proposed.
+    Proposed { number: u64, text: String },
     /// Asks for a snapshot.
     Report(flume::Sender<Snapshot>),
     /// No request is taken from now on.
--- a/crates/hyssop-entry/src/core/thread.rs
+++ b/crates/hyssop-entry/src/core/thread.rs
@@ -23,6 +23,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) dispatcher: Dispatcher,
     pub(crate) claims: claim::Desk,
+    pub(crate) nudge: flume::Sender<()>,
 }
 
 const TICK: Duration = Duration::from_millis(20);
@@ -48,6 +49,7 @@
         dispatcher: parts.dispatcher,
         claims: parts.claims,
         claiming: BTreeMap::new(),
+        nudge: parts.nudge,
         authority: None,
         handed_over: None,
         clock: parts.clock,
@@ -106,6 +108,7 @@
         Message::Epoch(epoch) => host.adopt(now, epoch, true),
         Message::Instances(records) => host.insert_instances(now, records, true),
         Message::Fleet(fleet) => host.configure(now, fleet, true),
+        Message::Proposed { number, text } => host.pass_on_proposal(number, text),
         Message::Claim {
             request,
             key,
@@ -174,6 +177,7 @@
         return;
     };
     match fleet::Fleet::parse("peer", &text) {
+        Ok(_) if config.held > config.accepted => host.hold(config.held, text),
         Ok(parsed) => {
             let fleet = Fleet {
                 number: config.accepted,
--- a/crates/hyssop-entry/src/daemon/life.rs
+++ b/crates/hyssop-entry/src/daemon/life.rs
@@ -91,6 +91,7 @@
         recorder.clone(),
         metrics.clone(),
     ));
+    let (nudge, nudges) = flume::bounded(1);
     let core = core::Parts {
         clock: clock.clone(),
         state: state.clone(),
@@ -100,11 +101,11 @@
         metrics: metrics.clone(),
         dispatcher: Dispatcher::new(member.id, dispatch_settings(&settings, member.id)),
         claims: claim::Desk::new(member.id, claim_settings(&settings)),
+        nudge: nudge.clone(),
     };
     let core_thread = core::spawn(core, inbox.clone(), messages).context(SystemSnafu)?;
     let timeout_s = settings.process.platform_timeout.as_secs().max(1);
     let client = Arc::new(Client::new(settings.process.platform.clone(), timeout_s));
-    let (nudge, nudges) = flume::bounded(1);
     let keeper = Keeper::new(store::Parts {
         process: settings.process.clone(),
         clock: clock.clone(),
--- a/crates/hyssop-entry/src/store/keeper.rs
+++ b/crates/hyssop-entry/src/store/keeper.rs
@@ -40,6 +40,8 @@
     told_held: u64,
     told_in_force: u64,
     told_handover: bool,
+    /// Whether another member polls on behalf of this one.
+    is_follower: bool,
 }
 
 const CLOCK_BOUND_MS: u64 = 500;
@@ -60,6 +62,7 @@
             told_held: 0,
             told_in_force: 0,
             told_handover: false,
+            is_follower: false,
         }
     }
 
@@ -77,8 +80,13 @@
     }
 
     /// Returns the pause before the next poll: spread, and longer the longer the platform fails.
+    ///
+    /// The first member polls most often and passes on what it sees; the others look for
+    /// themselves at a slower pace, in case it can't.
     fn pause(&self) -> Duration {
-        let base = self.parts.process.poll;
+        const OTHERS_FACTOR: u32 = 4;
+        let factor = if self.is_follower { OTHERS_FACTOR } else { 1 };
+        let base = self.parts.process.poll * factor;
         let backoff = base.saturating_mul(1 << self.failures.min(6));
         let longest = backoff.min(LONGEST_BACKOFF.max(base));
         longest.mul_f64(rand::rng().random_range(0.75..1.25))
@@ -131,8 +139,13 @@
             if let Some(text) = self.parts.objects.get(&highest.object)? {
                 state.hold(Held {
                     number: highest.number,
-                    text,
+                    text: text.clone(),
                 });
+                if poll.config.proposed.is_some() {
+                    let number = highest.number;
+                    // The core is gone only when the process stops.
+                    let _ = self.parts.inbox.send(Message::Proposed { number, text });
+                }
                 self.parts
                     .recorder
                     .record(Kind::ConfigProposed, &[("version", &highest.number)]);
@@ -272,10 +285,6 @@
     /// Writes the next membership epoch when that is this entry's to do.
     fn watch_members(&mut self, poll: &Poll) -> Result<(), Error> {
         let now = self.parts.clock.now();
-        if now < self.next_members {
-            return Ok(());
-        }
-        self.next_members = now + MEMBERS_INTERVAL;
         let region = &self.parts.process.region;
         let own = self.parts.state.member.id;
         let is_first = poll
@@ -284,6 +293,11 @@
             .and_then(|epoch| epoch.members.first())
             .map(|member| member.id);
         let is_member = poll.epoch.as_ref().is_some_and(|epoch| epoch.contains(own));
+        self.is_follower = is_member && is_first != Some(own) && poll.config.proposed.is_none();
+        if now < self.next_members {
+            return Ok(());
+        }
+        self.next_members = now + MEMBERS_INTERVAL;
         const OTHERS_PART: u32 = 4;
         if is_member && is_first != Some(own) {
             self.next_members = now + MEMBERS_INTERVAL * OTHERS_PART;
--- a/crates/hyssop-lab/src/command/measure.rs
+++ b/crates/hyssop-lab/src/command/measure.rs
@@ -35,8 +35,10 @@
             Some("rollout") => measure::rollout(&call),
             Some("capacity") => measure::capacity(&call),
             Some("jobs") => measure::jobs(&call),
+            Some("slopes") => measure::slopes(&call),
+            Some("storm") => measure::storm(&call),
             _ => {
-                let message = "no such measure; use overhead, flood, skew, faults, outliers, drain, rollout, capacity or jobs";
+                let message = "no such measure; use overhead, flood, skew, faults, outliers, drain, rollout, capacity, jobs, slopes or storm";
                 UsageSnafu { message }.fail()
             }
         }
--- a/crates/hyssop-lab/src/measure/capacity.rs
+++ b/crates/hyssop-lab/src/measure/capacity.rs
@@ -10,7 +10,7 @@
 use hyssop_wire::demand;
 use serde::Serialize;
 use snafu::ResultExt;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Is what one way to staff pools costs over a day.
 #[derive(Debug, Default, Serialize)]
@@ -21,12 +21,19 @@
     buffer_instance_hours: f64,
     buffer_part: f64,
     moves: u32,
-    /// The demand of whole rounds of bursts that the pool's healthy instances could not hold, in
-    /// slot hours.
+    /// The work of callers who waited longer than their patience, in slot hours.
     unmet_slot_hours: f64,
+    #[serde(skip)]
+    backlogs: BTreeMap<usize, Backlog>,
     below_budget_steps: u32,
 }
 
+/// Is the work that waits at one pool: when it came, and how many slot seconds it takes.
+#[derive(Debug, Default)]
+struct Backlog(VecDeque<(u64, f64)>);
+
+/// How long callers wait for their turn, in milliseconds.
+const PATIENCE_MS: u64 = 60_000;
 const STEP_MS: u64 = 10_000;
 const DAY_MS: u64 = 24 * 3_600_000;
 const HOUR_MS: u64 = 3_600_000;
@@ -247,14 +254,46 @@
     }
 }
 
+impl Backlog {
+    /// Adds the work of a step, serves what `slots` can, and returns the work whose callers gave up.
+    fn serve(&mut self, at_ms: u64, work: f64, slots: f64) -> f64 {
+        self.0.push_back((at_ms, work));
+        let mut served = slots * STEP_MS as f64 / 1000.0;
+        while let Some((_, left)) = self.0.front_mut() {
+            if *left > served {
+                *left -= served;
+                break;
+            }
+            served -= *left;
+            self.0.pop_front();
+        }
+        let mut lost = 0.0;
+        while let Some((came_ms, left)) = self.0.front().copied() {
+            if came_ms + PATIENCE_MS > at_ms {
+                break;
+            }
+            lost += left;
+            self.0.pop_front();
+        }
+        lost
+    }
+}
+
 /// Counts what a pool with `able` instances holds back, and what it can't meet.
 fn count_pool(cost: &mut Cost, pools: &[Pool], index: usize, at_ms: u64, able: u32) {
+    const SECONDS_PER_HOUR: f64 = 3600.0;
     let step_h = STEP_MS as f64 / HOUR_MS as f64;
     let capacity = f64::from(able * SLOTS);
     let sustained = sustained_at(pools, index, at_ms);
     let needed = (sustained.min(capacity) / f64::from(SLOTS)).ceil();
     cost.buffer_instance_hours += (f64::from(able) - needed).max(0.0) * step_h;
-    cost.unmet_slot_hours += (sustained - capacity).max(0.0) * step_h;
+    let work = demand_at(pools, index, at_ms) * STEP_MS as f64 / 1000.0;
+    let lost = cost
+        .backlogs
+        .entry(index)
+        .or_default()
+        .serve(at_ms, work, capacity);
+    cost.unmet_slot_hours += lost / SECONDS_PER_HOUR;
 }
 
 /// Gives each pool instances for its own peak, at all times.
--- a/crates/hyssop-lab/src/measure/mod.rs
+++ b/crates/hyssop-lab/src/measure/mod.rs
@@ -10,6 +10,8 @@
 mod overhead;
 mod rollout;
 mod skew;
+mod slopes;
+mod storm;
 
 pub(crate) use capacity::capacity;
 pub(crate) use drain::drain;
@@ -20,6 +22,8 @@
 pub(crate) use overhead::overhead;
 pub(crate) use rollout::rollout;
 pub(crate) use skew::skew;
+pub(crate) use slopes::slopes;
+pub(crate) use storm::storm;
 
 /// Is what a measure was called with.
 #[derive(Clone, Debug)]
--- a/crates/hyssop-lab/src/measure/skew.rs
+++ b/crates/hyssop-lab/src/measure/skew.rs
@@ -82,7 +82,7 @@
 }
 
 /// Reads one metric without labels.
-pub(super) fn metric(url: &str, name: &str) -> Option<f64> {
+fn metric(url: &str, name: &str) -> Option<f64> {
     let response = minreq::get(format!("{url}/metrics"))
         .with_timeout(2)
         .send()
--- a/crates/hyssop-planner/src/daemon/region.rs
+++ b/crates/hyssop-planner/src/daemon/region.rs
@@ -101,7 +101,14 @@
                 self.last = None;
             }
         }
-        let backoff = self.poll.saturating_mul(1 << self.failures.min(6));
+        // A planner without the lease only looks whether it is free.
+        const FOLLOWER_FACTOR: u32 = 6;
+        let factor = if self.holder.fence().is_some() {
+            1
+        } else {
+            FOLLOWER_FACTOR
+        };
+        let backoff = (self.poll * factor).saturating_mul(1 << self.failures.min(6));
         backoff.min(LONGEST_BACKOFF.max(self.poll))
     }
 
--- a/crates/hyssop-policy/src/assign/demand.rs
+++ b/crates/hyssop-policy/src/assign/demand.rs
@@ -1,6 +1,6 @@
 /// Follows a pool's demand over minutes, so that bursts of seconds do not count.
 ///
-/// This is a moving mean over about three minutes. It must not follow rises faster than falls: a
+/// This is a moving mean over about two minutes. It must not follow rises faster than falls: a
 /// queue that bursts for seconds would then count as if it always did.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Sustained {
@@ -8,7 +8,7 @@
     observed_ms: Option<u64>,
 }
 
-const MEAN_MS: f64 = 180_000.0;
+const MEAN_MS: f64 = 120_000.0;
 
 impl Sustained {
     /// Takes in the slots that the pool's requests use or wait for.
--- a/crates/hyssop-policy/src/assign/need.rs
+++ b/crates/hyssop-policy/src/assign/need.rs
@@ -10,7 +10,7 @@
 }
 
 /// The part of its slots that a pool's sustained demand may fill.
-const FILL: f64 = 0.8;
+const FILL: f64 = 0.7;
 
 impl Need {
     /// Works out the need of a pool from its budget, its sustained demand in slots, the slots of
--- a/crates/hyssop-policy/src/dispatch/desk.rs
+++ b/crates/hyssop-policy/src/dispatch/desk.rs
@@ -168,9 +168,9 @@
         }
     }
 
-    /// Tells whether `report` is to be sent now, and remembers it when it is.
+    /// Tells whether `report` is to be sent now.
     pub(crate) fn is_worth_telling(
-        &mut self,
+        &self,
         now: Instant,
         report: &report::Pool,
         pace: &Pace,
@@ -188,12 +188,13 @@
             (false, true) => pace.interval,
             (false, false) => pace.refresh,
         };
-        if age.is_some_and(|age| age < least_age) {
-            return false;
-        }
+        age.is_none_or(|age| age >= least_age)
+    }
+
+    /// Remembers the report that was sent.
+    pub(crate) fn note_told(&mut self, now: Instant, report: &report::Pool) {
         self.told = report.clone();
         self.told_at = Some(now);
-        true
     }
 
     /// Makes the next report go out, whatever it says.
--- a/crates/hyssop-policy/src/dispatch/dispatcher.rs
+++ b/crates/hyssop-policy/src/dispatch/dispatcher.rs
@@ -17,6 +17,7 @@
     allocator: Box<dyn Allocator>,
     health: health::Board,
     demand: demand::Board,
+    allowance: demand::Allowance,
     pools: Names<pool::Key>,
     flows: Names<flow::Key>,
     desks: BTreeMap<pool::Key, Desk>,
@@ -49,6 +50,7 @@
             allocator,
             health: health::Board::new(settings.health),
             demand: demand::Board::default(),
+            allowance: demand::Allowance::default(),
             pools: Names::default(),
             flows: Names::default(),
             desks: BTreeMap::new(),
@@ -567,6 +569,11 @@
         if !desk.is_worth_telling(now, &report, &pace) {
             return;
         }
+        let bytes = self.members.len().saturating_sub(1) * report_bytes(&report);
+        if !self.allowance.take(now, bytes) {
+            return;
+        }
+        desk.note_told(now, &report);
         let body = Body::Demand(Report {
             pools: vec![report],
         });
@@ -632,6 +639,18 @@
     }
 }
 
+/// Returns about how many bytes a pool's report takes in a frame.
+fn report_bytes(report: &hyssop_wire::demand::Pool) -> usize {
+    const ENVELOPE_BYTES: usize = 40;
+    const FLOW_BYTES: usize = 20;
+    let queues: usize = report
+        .flows
+        .iter()
+        .map(|flow| flow.queue.len() + FLOW_BYTES)
+        .sum();
+    ENVELOPE_BYTES + report.pool.len() + queues
+}
+
 fn push_sends(actions: Vec<slot::Action>, out: &mut Vec<Action>) {
     for action in actions {
         let slot::Action::Send { to, body } = action;
--- a/crates/hyssop-policy/src/job/action.rs
+++ b/crates/hyssop-policy/src/job/action.rs
@@ -6,7 +6,7 @@
 pub enum Action {
     /// Writes a job's row, before anything that follows from it.
     Write(Record),
-    /// Starts a job on the worker of its row, once the row is written.
+    /// Writes a job's row, then starts it on the row's worker.
     Start(Record),
     /// Signals a running job.
     Signal {
--- a/crates/hyssop-policy/src/job/ledger.rs
+++ b/crates/hyssop-policy/src/job/ledger.rs
@@ -2,6 +2,11 @@
 use hyssop_model::job::Size;
 use hyssop_model::prelude::*;
 
+hyssop_model::arena_key!(
+    /// Names a team within the scheduler.
+    Key
+);
+
 /// Keeps the teams' use and their waiting jobs, and tells whose turn it is in each pool.
 ///
 /// The team that would have the least dominant share for its weight with its next job is first,
@@ -9,9 +14,10 @@
 /// thereby borrowed by the others and comes back as jobs end.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Ledger {
-    teams: BTreeMap<String, Account>,
-    /// The teams with waiting jobs in each pool, by their turn.
-    turns: BTreeMap<String, BTreeSet<(u64, String)>>,
+    names: Names<Key>,
+    accounts: BTreeMap<Key, Account>,
+    /// The waiting jobs of each team in each pool.
+    lines: BTreeMap<String, BTreeMap<Key, Line>>,
     /// The urgent jobs that wait, the oldest first.
     urgent: BTreeSet<(u64, String)>,
 }
@@ -31,23 +37,16 @@
 struct Account {
     weight: f64,
     used: Size,
-    pools: BTreeMap<String, Line>,
 }
 
-/// Is one team's waiting jobs in one pool.
-#[derive(Clone, Debug, Default)]
-struct Line {
-    /// The most urgent and the oldest first.
-    jobs: BTreeMap<(Class, u64), (String, Size)>,
-    turn: Option<u64>,
-}
+/// Is one team's waiting jobs in one pool, the most urgent and the oldest first.
+type Line = BTreeMap<(Class, u64), (String, Size)>;
 
 impl Default for Account {
     fn default() -> Self {
         Self {
             weight: 1.0,
             used: Size::default(),
-            pools: BTreeMap::new(),
         }
     }
 }
@@ -56,83 +55,72 @@
 const STEPS: f64 = 1e12;
 
 impl Ledger {
-    pub(crate) fn set_teams(&mut self, teams: &[Team], whole: &Size) {
+    pub(crate) fn set_teams(&mut self, teams: &[Team]) {
         for team in teams {
-            self.teams.entry(team.name.clone()).or_default().weight = f64::from(team.weight);
-            self.update_turns(&team.name, whole);
+            self.account(&team.name).weight = f64::from(team.weight);
         }
     }
 
-    pub(crate) fn push(&mut self, place: Place, whole: &Size) {
+    pub(crate) fn push(&mut self, place: Place) {
         if place.class == Class::Urgent {
             self.urgent.insert((place.sequence, place.job.clone()));
         }
-        let account = self.teams.entry(place.team.clone()).or_default();
-        let line = account.pools.entry(place.pool.clone()).or_default();
-        line.jobs
-            .insert((place.class, place.sequence), (place.job, place.size));
-        self.update_turn(&place.team, &place.pool, whole);
+        let key = self.names.intern(&place.team);
+        let lines = self.lines.entry(place.pool).or_default();
+        let line = lines.entry(key).or_default();
+        line.insert((place.class, place.sequence), (place.job, place.size));
     }
 
-    pub(crate) fn remove(
-        &mut self,
-        team: &str,
-        pool: &str,
-        class: Class,
-        sequence: u64,
-        whole: &Size,
-    ) {
-        let line = self
-            .teams
-            .get_mut(team)
-            .and_then(|account| account.pools.get_mut(pool));
-        let removed = line.and_then(|line| line.jobs.remove(&(class, sequence)));
-        if let (Some((job, _)), Class::Urgent) = (removed, class) {
+    pub(crate) fn remove(&mut self, team: &str, pool: &str, class: Class, sequence: u64) {
+        let Some(key) = self.names.find(team) else {
+            return;
+        };
+        let Some(lines) = self.lines.get_mut(pool) else {
+            return;
+        };
+        let Some(line) = lines.get_mut(&key) else {
+            return;
+        };
+        if let (Some((job, _)), Class::Urgent) = (line.remove(&(class, sequence)), class) {
             self.urgent.remove(&(sequence, job));
         }
-        self.update_turn(team, pool, whole);
+        if line.is_empty() {
+            lines.remove(&key);
+        }
     }
 
-    pub(crate) fn charge(&mut self, team: &str, size: &Size, whole: &Size) {
-        self.teams
-            .entry(team.to_owned())
-            .or_default()
-            .used
-            .add(size);
-        self.update_turns(team, whole);
+    pub(crate) fn charge(&mut self, team: &str, size: &Size) {
+        self.account(team).used.add(size);
     }
 
-    pub(crate) fn refund(&mut self, team: &str, size: &Size, whole: &Size) {
-        if let Some(account) = self.teams.get_mut(team) {
-            account.used.subtract(size);
-        }
-        self.update_turns(team, whole);
+    pub(crate) fn refund(&mut self, team: &str, size: &Size) {
+        self.account(team).used.subtract(size);
     }
 
-    /// Returns the first team behind `last` with waiting jobs in a pool, in the order of turns.
-    pub(crate) fn next_turn(
-        &self,
-        pool: &str,
-        last: Option<&(u64, String)>,
-    ) -> Option<(u64, String)> {
-        let turns = self.turns.get(pool)?;
-        match last {
-            None => turns.first().cloned(),
-            Some(last) => {
-                let behind = (std::ops::Bound::Excluded(last), std::ops::Bound::Unbounded);
-                turns.range::<(u64, String), _>(behind).next().cloned()
-            }
-        }
+    /// Returns the teams with waiting jobs in a pool and their turns, the lowest of which is first.
+    pub(crate) fn turns(&self, pool: &str, whole: &Size) -> Vec<(u64, Key)> {
+        let teams = self.lines.get(pool).into_iter().flat_map(BTreeMap::keys);
+        teams
+            .filter_map(|team| Some((self.turn(*team, pool, whole)?, *team)))
+            .collect()
+    }
+
+    /// Returns a team's turn in a pool, if it has a waiting job there.
+    pub(crate) fn turn(&self, team: Key, pool: &str, whole: &Size) -> Option<u64> {
+        let line = self.lines.get(pool)?.get(&team)?;
+        let (_, (_, size)) = line.first_key_value()?;
+        let empty = Account::default();
+        let account = self.accounts.get(&team).unwrap_or(&empty);
+        let mut used = account.used;
+        used.add(size);
+        Some((used.dominant_part(whole) / account.weight * STEPS) as u64)
     }
 
     /// Returns a team's waiting jobs in a pool, in their order.
-    pub(crate) fn waiting<'a>(&'a self, team: &str, pool: &str) -> impl Iterator<Item = &'a str> {
-        let line = self
-            .teams
-            .get(team)
-            .and_then(|account| account.pools.get(pool));
+    pub(crate) fn waiting<'a>(&'a self, team: Key, pool: &str) -> impl Iterator<Item = &'a str> {
+        let line = self.lines.get(pool).and_then(|lines| lines.get(&team));
         line.into_iter()
-            .flat_map(|line| line.jobs.values().map(|(job, _)| job.as_str()))
+            .flat_map(|line| line.values().map(|(job, _)| job.as_str()))
     }
 
     /// Returns the urgent jobs that wait, the oldest first.
@@ -142,46 +130,15 @@
 
     /// Returns the part of the whole that a team uses.
     pub(crate) fn share(&self, team: &str, whole: &Size) -> f64 {
-        self.teams
-            .get(team)
-            .map_or(0.0, |account| account.used.dominant_part(whole))
+        let account = self
+            .names
+            .find(team)
+            .and_then(|key| self.accounts.get(&key));
+        account.map_or(0.0, |account| account.used.dominant_part(whole))
     }
 
-    fn update_turns(&mut self, team: &str, whole: &Size) {
-        let pools: Vec<String> = match self.teams.get(team) {
-            Some(account) => account.pools.keys().cloned().collect(),
-            None => return,
-        };
-        for pool in pools {
-            self.update_turn(team, &pool, whole);
-        }
-    }
-
-    fn update_turn(&mut self, team: &str, pool: &str, whole: &Size) {
-        let Some(account) = self.teams.get_mut(team) else {
-            return;
-        };
-        let (mut used, weight) = (account.used, account.weight);
-        let Some(line) = account.pools.get_mut(pool) else {
-            return;
-        };
-        let first = line.jobs.first_key_value().map(|(_, (_, size))| *size);
-        let turn = first.map(|size| {
-            used.add(&size);
-            (used.dominant_part(whole) / weight * STEPS) as u64
-        });
-        if turn == line.turn {
-            return;
-        }
-        let turns = self.turns.entry(pool.to_owned()).or_default();
-        if let Some(old) = std::mem::replace(&mut line.turn, turn) {
-            turns.remove(&(old, team.to_owned()));
-        }
-        if let Some(turn) = turn {
-            turns.insert((turn, team.to_owned()));
-        }
-        if line.jobs.is_empty() {
-            account.pools.remove(pool);
-        }
+    fn account(&mut self, team: &str) -> &mut Account {
+        let key = self.names.intern(team);
+        self.accounts.entry(key).or_default()
     }
 }
--- a/crates/hyssop-policy/src/job/scheduler.rs
+++ b/crates/hyssop-policy/src/job/scheduler.rs
@@ -1,8 +1,10 @@
-use super::ledger::Place;
+use super::ledger::{self, Place};
 use super::{Action, Blame, Catalogue, Event, Ledger, Settings, Slate, Task};
 use hyssop_model::job::{Record, Size, State, Worker};
 use hyssop_model::prelude::*;
 use hyssop_platform::worker::{Phase, Signal, Usage};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 
 /// Places the jobs of one region on its workers.
 #[derive(Clone, Debug)]
@@ -18,6 +20,8 @@
     sequence: u64,
     /// The pools in which something became free or began to wait.
     dirty: BTreeSet<String>,
+    /// When to look whether a job's lease is over; one entry a job.
+    lapses: BTreeSet<(Instant, String)>,
 }
 
 impl Scheduler {
@@ -33,6 +37,7 @@
             on_worker: BTreeMap::new(),
             sequence: 0,
             dirty: BTreeSet::new(),
+            lapses: BTreeSet::new(),
         }
     }
 
@@ -40,7 +45,7 @@
     pub fn step(&mut self, now: Instant, wall_ms: u64, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Workers(workers) => self.set_workers(workers, out),
-            Event::Teams(teams) => self.ledger.set_teams(&teams, self.slate.whole()),
+            Event::Teams(teams) => self.ledger.set_teams(&teams),
             Event::Job(record) => self.insert(now, record, out),
             Event::Cancel(job) => self.cancel(&job, out),
             Event::Usage(usages) => self.hear_usage(now, wall_ms, &usages, out),
@@ -90,13 +95,16 @@
                 out.push(Action::Write(task.record));
                 return;
             }
-            let whole = *self.slate.whole();
-            self.ledger.push(place_of(&task), &whole);
+            self.ledger.push(place_of(&task));
             self.dirty.insert(task.record.pool.clone());
         } else {
             // It was placed by an earlier planner; it may run until its lease is over.
-            task.over_at = Some(now + self.settings.lease + self.settings.lease_slack);
-            self.hold(&mut task);
+            let over_at = now + self.settings.lease + self.settings.lease_slack;
+            task.over_at = Some(over_at);
+            self.lapses.insert((over_at, id.clone()));
+            self.tasks.insert(id.clone(), task);
+            self.hold(&id);
+            return;
         }
         self.tasks.insert(id, task);
     }
@@ -131,18 +139,24 @@
     }
 
     /// Reserves a task's size on its worker and charges its team.
-    fn hold(&mut self, task: &mut Task) {
+    fn hold(&mut self, id: &str) {
+        let Some(task) = self.tasks.get(id) else {
+            return;
+        };
         let Some(worker) = &task.record.worker else {
             return;
         };
         self.slate.reserve(worker, &task.reserved);
-        self.on_worker
-            .entry(worker.clone())
-            .or_default()
-            .insert(task.record.id.clone());
-        let whole = *self.slate.whole();
-        self.ledger
-            .charge(&task.record.team, &task.reserved, &whole);
+        self.ledger.charge(&task.record.team, &task.reserved);
+        match self.on_worker.get_mut(worker) {
+            Some(jobs) => {
+                jobs.insert(id.to_owned());
+            }
+            None => {
+                let jobs = BTreeSet::from([id.to_owned()]);
+                self.on_worker.insert(worker.clone(), jobs);
+            }
+        }
     }
 
     /// Gives back what a task holds.
@@ -158,9 +172,7 @@
         if let Some(jobs) = self.on_worker.get_mut(&worker) {
             jobs.remove(id);
         }
-        let whole = *self.slate.whole();
-        self.ledger
-            .refund(&task.record.team, &task.reserved, &whole);
+        self.ledger.refund(&task.record.team, &task.reserved);
         task.over_at = None;
         task.is_throttled = false;
         task.is_ending = false;
@@ -210,15 +222,9 @@
         let Some(task) = self.tasks.get(id) else {
             return;
         };
-        let whole = *self.slate.whole();
         let record = &task.record;
-        self.ledger.remove(
-            &record.team,
-            &record.pool,
-            record.class,
-            task.sequence,
-            &whole,
-        );
+        self.ledger
+            .remove(&record.team, &record.pool, record.class, task.sequence);
     }
 
     /// Puts a job whose last start is certainly over back into the queue.
@@ -231,8 +237,7 @@
         task.record.worker = None;
         task.record.reason = reason.to_owned();
         out.push(Action::Write(task.record.clone()));
-        let whole = *self.slate.whole();
-        self.ledger.push(place_of(task), &whole);
+        self.ledger.push(place_of(task));
         self.dirty.insert(task.record.pool.clone());
     }
 
@@ -313,9 +318,8 @@
         };
         task.reserved.add(&surplus);
         let team = task.record.team.clone();
-        let whole = *self.slate.whole();
         self.slate.reserve(&usage.worker, &surplus);
-        self.ledger.charge(&team, &surplus, &whole);
+        self.ledger.charge(&team, &surplus);
     }
 
     fn after_end(&mut self, id: &str, state: State, reason: &str, out: &mut Vec<Action>) {
@@ -390,13 +394,24 @@
 
     /// Decides on jobs whose lease is certainly over without a word of them.
     fn end_lapsed(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let is_lapsed = |task: &&Task| task.over_at.is_some_and(|at| now >= at);
-        let lapsed: Vec<(String, State)> = self
-            .tasks
-            .values()
-            .filter(is_lapsed)
-            .map(|task| (task.record.id.clone(), task.record.state))
-            .collect();
+        let mut lapsed: Vec<(String, State)> = Vec::new();
+        while let Some((at, id)) = self.lapses.first().cloned() {
+            if at > now {
+                break;
+            }
+            self.lapses.pop_first();
+            let Some(task) = self.tasks.get(&id) else {
+                continue;
+            };
+            match task.over_at {
+                // The lease was renewed meanwhile.
+                Some(over_at) if over_at > now => {
+                    self.lapses.insert((over_at, id));
+                }
+                Some(_) => lapsed.push((id, task.record.state)),
+                None => {}
+            }
+        }
         for (id, state) in lapsed {
             let is_repeatable = self
                 .tasks
@@ -445,9 +460,12 @@
         const DEEPEST_LOOK: usize = 4;
         // What did not fit in this pass; what is as large or larger does not fit either.
         let mut too_large: Vec<Size> = Vec::new();
-        let mut last: Option<(u64, String)> = None;
-        while let Some(turn) = self.ledger.next_turn(pool, last.as_ref()) {
-            let jobs = self.ledger.waiting(&turn.1, pool).take(DEEPEST_LOOK);
+        let whole = *self.slate.whole();
+        let turns = self.ledger.turns(pool, &whole);
+        let mut turns: BinaryHeap<Reverse<(u64, ledger::Key)>> =
+            turns.into_iter().map(Reverse).collect();
+        while let Some(Reverse((_, team))) = turns.pop() {
+            let jobs = self.ledger.waiting(team, pool).take(DEEPEST_LOOK);
             let jobs: Vec<String> = jobs.map(str::to_owned).collect();
             for id in jobs {
                 let Some(size) = self.tasks.get(&id).map(|task| task.record.size) else {
@@ -457,12 +475,13 @@
                     continue;
                 }
                 if self.place(now, wall_ms, &id, out) {
+                    // The team's turn is a later one now; the other teams' turns are as they were.
+                    let next = self.ledger.turn(team, pool, &whole);
+                    turns.extend(next.map(|turn| Reverse((turn, team))));
                     break;
                 }
                 too_large.push(size);
             }
-            // A team whose job was placed has a later turn now and comes up again.
-            last = Some(turn);
         }
     }
 
@@ -493,21 +512,21 @@
             return false;
         };
         self.leave_queue(id);
-        let Some(mut task) = self.tasks.remove(id) else {
+        let lease = self.settings.lease;
+        let over_at = now + lease + self.settings.lease_slack + self.settings.usage_lag;
+        let Some(task) = self.tasks.get_mut(id) else {
             return false;
         };
-        let lease = self.settings.lease;
         task.record.state = State::Placed;
         task.record.worker = Some(worker);
         task.record.fence += 1;
         task.record.lease_ends_ms = wall_ms + lease.as_millis() as u64;
-        task.record.reason = String::new();
+        task.record.reason.clear();
         task.reserved = size;
-        task.over_at = Some(now + lease + self.settings.lease_slack + self.settings.usage_lag);
-        self.hold(&mut task);
-        out.push(Action::Write(task.record.clone()));
+        task.over_at = Some(over_at);
         out.push(Action::Start(task.record.clone()));
-        self.tasks.insert(id.to_owned(), task);
+        self.lapses.insert((over_at, id.to_owned()));
+        self.hold(id);
         true
     }
 
@@ -578,9 +597,8 @@
             task.is_throttled = true;
             task.reserved.subtract(&half);
             let team = task.record.team.clone();
-            let whole = *self.slate.whole();
             self.slate.release(worker, &half);
-            self.ledger.refund(&team, &half, &whole);
+            self.ledger.refund(&team, &half);
             out.push(Action::Signal {
                 worker: worker.to_owned(),
                 job: id,
--- a/crates/hyssop-policy/src/job/slate.rs
+++ b/crates/hyssop-policy/src/job/slate.rs
@@ -1,12 +1,19 @@
+use hyssop_model::arena::Names;
 use hyssop_model::job::{Size, Worker};
 use std::collections::{BTreeMap, BTreeSet};
 
+hyssop_model::arena_key!(
+    /// Names a worker within the scheduler.
+    Key
+);
+
 /// Knows what is free on each worker, and finds the fullest worker that a job fits on.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Slate {
-    workers: BTreeMap<String, Entry>,
+    names: Names<Key>,
+    workers: BTreeMap<Key, Entry>,
     /// The workers that take jobs, by pool and free accelerators and processors.
-    order: BTreeMap<String, BTreeSet<(u64, u64, String)>>,
+    order: BTreeMap<String, BTreeSet<(u64, u64, Key)>>,
     whole: Size,
     /// The memory of the largest worker of each pool.
     largest_memory_mib: BTreeMap<String, u64>,
@@ -23,30 +30,33 @@
     /// Takes in the list of workers, and returns whether it changed; what was reserved stays
     /// reserved.
     pub(crate) fn set_workers(&mut self, workers: Vec<Worker>) -> bool {
-        let names: BTreeSet<String> = workers.iter().map(|worker| worker.name.clone()).collect();
-        let gone: Vec<String> = self
+        let listed: BTreeSet<Key> = workers
+            .iter()
+            .map(|worker| self.names.intern(&worker.name))
+            .collect();
+        let gone: Vec<Key> = self
             .workers
             .keys()
-            .filter(|name| !names.contains(*name))
-            .cloned()
+            .filter(|key| !listed.contains(key))
+            .copied()
             .collect();
         let is_changed = !gone.is_empty() || workers.len() != self.workers.len() - gone.len();
-        for name in gone {
-            self.remove_from_order(&name);
-            self.workers.remove(&name);
+        for key in gone {
+            self.remove_from_order(key);
+            self.workers.remove(&key);
         }
         for worker in workers {
-            if self.workers.contains_key(&worker.name) {
+            let key = self.names.intern(&worker.name);
+            if self.workers.contains_key(&key) {
                 continue;
             }
-            let name = worker.name.clone();
             let entry = Entry {
                 free: worker.size,
                 worker,
                 is_open: true,
             };
-            self.workers.insert(name.clone(), entry);
-            self.add_to_order(&name);
+            self.workers.insert(key, entry);
+            self.add_to_order(key);
         }
         self.whole = Size::default();
         self.largest_memory_mib.clear();
@@ -100,20 +110,18 @@
         let order = self.order.get(pool)?;
         let mut accelerators = size.accelerators;
         loop {
-            let from = (accelerators, size.cpu_millis, String::new());
-            let to = (accelerators + 1, 0, String::new());
-            for (_, _, name) in order.range(from..to).take(candidates) {
-                let holds = self
-                    .workers
-                    .get(name)
-                    .is_some_and(|entry| entry.free.holds(size));
-                if holds && !avoid.contains(name) {
-                    return Some(name);
+            let from = (accelerators, size.cpu_millis, Key(0));
+            let to = (accelerators + 1, 0, Key(0));
+            for (_, _, key) in order.range(from..to).take(candidates) {
+                let entry = self.workers.get(key);
+                let fitting = entry
+                    .filter(|entry| entry.free.holds(size) && !avoid.contains(&entry.worker.name));
+                if let Some(entry) = fitting {
+                    return Some(&entry.worker.name);
                 }
             }
             // The next number of free accelerators that any worker has.
-            let next = (accelerators + 1, 0, String::new());
-            accelerators = order.range(next..).next()?.0;
+            accelerators = order.range(to..).next()?.0;
         }
     }
 
@@ -124,13 +132,14 @@
 
     /// Returns what is free on a worker.
     pub(crate) fn free(&self, worker: &str) -> Option<&Size> {
-        self.workers.get(worker).map(|entry| &entry.free)
+        let entry = self.workers.get(&self.names.find(worker)?);
+        entry.map(|entry| &entry.free)
     }
 
     /// Returns the open workers of a pool.
-    pub(crate) fn of_pool(&self, pool: &str) -> impl Iterator<Item = &str> {
+    pub(crate) fn of_pool<'a>(&'a self, pool: &str) -> impl Iterator<Item = &'a str> {
         let order = self.order.get(pool).into_iter().flatten();
-        order.map(|(_, _, name)| name.as_str())
+        order.filter_map(|(_, _, key)| Some(self.workers.get(key)?.worker.name.as_str()))
     }
 
     pub(crate) fn reserve(&mut self, worker: &str, size: &Size) {
@@ -147,35 +156,38 @@
     }
 
     fn change(&mut self, worker: &str, change: impl FnOnce(&mut Entry)) {
-        self.remove_from_order(worker);
-        if let Some(entry) = self.workers.get_mut(worker) {
+        let Some(key) = self.names.find(worker) else {
+            return;
+        };
+        self.remove_from_order(key);
+        if let Some(entry) = self.workers.get_mut(&key) {
             change(entry);
         }
-        self.add_to_order(worker);
+        self.add_to_order(key);
     }
 
-    fn remove_from_order(&mut self, worker: &str) {
-        let Some(entry) = self.workers.get(worker) else {
+    fn remove_from_order(&mut self, key: Key) {
+        let Some(entry) = self.workers.get(&key) else {
             return;
         };
         if let Some(order) = self.order.get_mut(&entry.worker.pool) {
-            order.remove(&(
-                entry.free.accelerators,
-                entry.free.cpu_millis,
-                worker.to_owned(),
-            ));
+            order.remove(&(entry.free.accelerators, entry.free.cpu_millis, key));
         }
     }
 
-    fn add_to_order(&mut self, worker: &str) {
-        let Some(entry) = self.workers.get(worker).filter(|entry| entry.is_open) else {
+    fn add_to_order(&mut self, key: Key) {
+        let Some(entry) = self.workers.get(&key).filter(|entry| entry.is_open) else {
             return;
         };
-        let order = self.order.entry(entry.worker.pool.clone()).or_default();
-        order.insert((
-            entry.free.accelerators,
-            entry.free.cpu_millis,
-            worker.to_owned(),
-        ));
+        let place = (entry.free.accelerators, entry.free.cpu_millis, key);
+        match self.order.get_mut(&entry.worker.pool) {
+            Some(order) => {
+                order.insert(place);
+            }
+            None => {
+                let order = BTreeSet::from([place]);
+                self.order.insert(entry.worker.pool.clone(), order);
+            }
+        }
     }
 }
