Count the whole time in service against deadlines; lift the cap on short deferrable work

Earliest deadline first serves a deep queue at the brink of its deadlines, and only half of the expected time in service was counted: requests started with 0.5 to 1 s left for 1 s of work, timed out at the instance, and their slots rested. The bound is now the mean plus four deviations (RFC 6298). Ruled out: the loans (no slot stood idle while its entry had a queue), the cap on deferrable work (the urgent flood had 72% too). That cap also held 25% of the slots from deferrable floods of short work; it now holds only when slots become free too seldom for urgent work.

--- a/crates/hyssop-lab/src/measure/capacity.rs
+++ b/crates/hyssop-lab/src/measure/capacity.rs
@@ -96,18 +96,21 @@
     let pool = &pools[index];
     let turn = (at_ms / STEP_MS) as usize % pools.len();
     let factor = if turn == index { PEAK } else { REST };
-    f64::from(pool.size * SLOTS) * MEAN_PART * factor * shift(index, at_ms)
+    f64::from(pool.size * SLOTS) * MEAN_PART * factor * shift(pools, index, at_ms)
 }
 
 /// Returns how a pool's mean is shifted: each pool in turn has three busy hours a day, in which it
-/// needs more than its quiet size.
-fn shift(index: usize, at_ms: u64) -> f64 {
-    const BUSY: f64 = 4.0;
+/// needs more than its quiet size; the spare pool, which nobody lends to, fills its own.
+fn shift(pools: &[Pool], index: usize, at_ms: u64) -> f64 {
+    const SPARE_BUSY: f64 = 3.0;
+    const POOL_BUSY: f64 = 4.0;
+    let is_spare = index + 1 == pools.len();
+    let busy = if is_spare { SPARE_BUSY } else { POOL_BUSY };
     const BUSY_HOURS: u64 = 3;
     let hour = at_ms / HOUR_MS;
     let from = 2 + 4 * index as u64;
     if (from..from + BUSY_HOURS).contains(&hour) {
-        BUSY
+        busy
     } else {
         1.0
     }
--- a/crates/hyssop-policy/src/dispatch/desk.rs
+++ b/crates/hyssop-policy/src/dispatch/desk.rs
@@ -1,3 +1,4 @@
+use super::Service;
 use crate::admission::{Fair, Fifo, Order, Priority, Queue, View};
 use crate::demand::{self, Plan};
 use crate::retry;
@@ -14,15 +15,11 @@
     pub(crate) view: View,
     pub(crate) plan: Plan,
     flows: BTreeMap<String, flow::Key>,
-    /// The moving time in service by flow, in seconds.
-    service: BTreeMap<flow::Key, f64>,
+    service: BTreeMap<flow::Key, Service>,
     told: report::Pool,
     told_at: Option<Instant>,
 }
 
-/// The weight of the newest sample in a moving time in service.
-const SERVICE_WEIGHT: f64 = 0.1;
-
 impl Desk {
     pub(crate) fn new(pool: Pool, admission: Admission) -> Self {
         let order: Box<dyn Order> = match admission {
@@ -89,14 +86,12 @@
     }
 
     pub(crate) fn learn_service(&mut self, flow: flow::Key, took: Duration) {
-        let sample = took.as_secs_f64();
-        let service = self.service.entry(flow).or_insert(sample);
-        *service += SERVICE_WEIGHT * (sample - *service);
+        self.service.entry(flow).or_default().learn(took);
     }
 
-    /// Returns the expected time in service of a flow's requests, zero before the first answer.
-    pub(crate) fn service(&self, flow: flow::Key) -> Duration {
-        Duration::from_secs_f64(self.service.get(&flow).copied().unwrap_or(0.0))
+    /// Returns the estimated time in service of a flow's requests.
+    pub(crate) fn service(&self, flow: flow::Key) -> Service {
+        self.service.get(&flow).copied().unwrap_or_default()
     }
 
     /// Returns how long a new request of `flow` would wait for its slot.
@@ -106,7 +101,7 @@
             return Duration::ZERO;
         }
         let slots = self.slots_of(flow, usable).max(1.0);
-        self.service(flow).mul_f64(f64::from(ahead) / slots)
+        self.service(flow).mean().mul_f64(f64::from(ahead) / slots)
     }
 
     /// Returns the slots that `flow` can count on at this entry.
@@ -126,6 +121,22 @@
             .max(f64::from(in_use))
     }
 
+    /// Returns how many slots deferrable requests may hold.
+    ///
+    /// As long as slots become free often enough for urgent work, there is no need to keep any.
+    fn deferrable_cap(&self, usable: u32, deferrable_part: f64) -> u32 {
+        const LONGEST_GAP_S: f64 = 0.5;
+        let longest = self
+            .service
+            .values()
+            .map(|service| service.bound().as_secs_f64());
+        let gap_s = longest.fold(0.0, f64::max) / f64::from(usable.max(1));
+        if gap_s <= LONGEST_GAP_S && !self.service.is_empty() {
+            return u32::MAX;
+        }
+        ((f64::from(usable) * deferrable_part) as u32).max(1)
+    }
+
     /// Takes in the newest division of the pool's slots.
     pub(crate) fn set_plan(&mut self, plan: Plan, usable: u32, deferrable_part: f64) {
         self.view.due.clear();
@@ -138,7 +149,7 @@
                 .due
                 .insert(*flow, due.unwrap_or(f64::from(queue.weight)));
         }
-        self.view.deferrable_cap = ((f64::from(usable) * deferrable_part) as u32).max(1);
+        self.view.deferrable_cap = self.deferrable_cap(usable, deferrable_part);
         self.plan = plan;
     }
 
--- a/crates/hyssop-policy/src/dispatch/dispatcher.rs
+++ b/crates/hyssop-policy/src/dispatch/dispatcher.rs
@@ -244,7 +244,7 @@
             Reason::NoInstance
         } else if desk.queue.bytes() + arrival.bytes > desk.pool.queue_bytes {
             Reason::QueueFull
-        } else if now + wait + desk.service(flow) / 2 > arrival.deadline {
+        } else if now + wait + desk.service(flow).bound() > arrival.deadline {
             Reason::WouldMissDeadline
         } else {
             return None;
@@ -285,7 +285,7 @@
             return false;
         };
         let (key, avoid) = (first.key, first.avoid.clone());
-        if now + desk.service(first.flow) / 2 > first.deadline {
+        if now + desk.service(first.flow).bound() > first.deadline {
             self.give_up_waiting(key, Reason::WouldMissDeadline, out);
             return true;
         }
--- a/crates/hyssop-policy/src/dispatch/mod.rs
+++ b/crates/hyssop-policy/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod dispatcher;
 mod event;
 mod running;
+mod service;
 mod settings;
 
 pub use action::{Action, Fate};
@@ -16,3 +17,4 @@
 
 pub(crate) use desk::{Desk, Pace};
 pub(crate) use running::Running;
+pub(crate) use service::Service;
