Let maintenance leave what callers need; place jobs with one look-up each

Every loss was at noon, when a maintenance wave took a busy pool down to its budget: budgets say what must be left, not what callers need now. A planned disruption now also leaves the instances that sustained demand keeps busy at 90% fill.

--- a/crates/hyssop-policy/src/assign/assigner.rs
+++ b/crates/hyssop-policy/src/assign/assigner.rs
@@ -29,9 +29,18 @@
 }
 
 impl Assigner {
+    /// Returns the instances that each pool's sustained demand keeps busy.
+    pub fn busy(&self, view: &View, draft: &Draft) -> BTreeMap<String, u32> {
+        let busy = view.fleet.pools.iter().map(|pool| {
+            let slots = draft.of_pool(&pool.name).next().map_or(1, |record| record.slots);
+            let sustained = self.sustained.get(&pool.name).map_or(0.0, Sustained::slots);
+            (pool.name.clone(), Need::busy(sustained, slots))
+        });
+        busy.collect()
+    }
+
     /// Returns the moves to begin now.
     pub fn step(&mut self, view: &View, draft: &Draft) -> Vec<Relocation> {
-        self.observe(view);
         let staff = self.count(view, draft);
         self.note_since(view, &staff);
         if let Some(backfill) = self.backfill(view, draft, &staff) {
@@ -52,7 +61,8 @@
         relocation.into_iter().collect()
     }
 
-    fn observe(&mut self, view: &View) {
+    /// Takes in the demand that the entries report; once a step, before anything is decided.
+    pub fn observe(&mut self, view: &View) {
         let mut slots: BTreeMap<&str, f64> = BTreeMap::new();
         let reports = view
             .reports
--- a/crates/hyssop-policy/src/job/ledger.rs
+++ b/crates/hyssop-policy/src/job/ledger.rs
@@ -116,11 +116,11 @@
         Some((used.dominant_part(whole) / account.weight * STEPS) as u64)
     }
 
-    /// Returns a team's waiting jobs in a pool, in their order.
-    pub(crate) fn waiting<'a>(&'a self, team: Key, pool: &str) -> impl Iterator<Item = &'a str> {
-        let line = self.lines.get(pool).and_then(|lines| lines.get(&team));
-        line.into_iter()
-            .flat_map(|line| line.values().map(|(job, _)| job.as_str()))
+    /// Returns a team's waiting job number `depth` in a pool, from 0, with its size.
+    pub(crate) fn nth_waiting(&self, team: Key, pool: &str, depth: usize) -> Option<(&str, Size)> {
+        let line = self.lines.get(pool)?.get(&team)?;
+        let (job, size) = line.values().nth(depth)?;
+        Some((job, *size))
     }
 
     /// Returns the urgent jobs that wait, the oldest first.
--- a/crates/hyssop-policy/src/job/scheduler.rs
+++ b/crates/hyssop-policy/src/job/scheduler.rs
@@ -465,15 +465,14 @@
         let mut turns: BinaryHeap<Reverse<(u64, ledger::Key)>> =
             turns.into_iter().map(Reverse).collect();
         while let Some(Reverse((_, team))) = turns.pop() {
-            let jobs = self.ledger.waiting(team, pool).take(DEEPEST_LOOK);
-            let jobs: Vec<String> = jobs.map(str::to_owned).collect();
-            for id in jobs {
-                let Some(size) = self.tasks.get(&id).map(|task| task.record.size) else {
-                    continue;
+            for depth in 0..DEEPEST_LOOK {
+                let Some((id, size)) = self.ledger.nth_waiting(team, pool, depth) else {
+                    break;
                 };
                 if too_large.iter().any(|large| size.holds(large)) {
                     continue;
                 }
+                let id = id.to_owned();
                 if self.place(now, wall_ms, &id, out) {
                     // The team's turn is a later one now; the other teams' turns are as they were.
                     let next = self.ledger.turn(team, pool, &whole);
@@ -485,48 +484,38 @@
         }
     }
 
-    /// Returns what to reserve for a job: never more than its pool's largest worker has.
-    fn size_to_reserve(&self, record: &Record) -> Size {
-        let mut size =
-            self.catalogue
-                .size(&record.command, &record.size, self.settings.memory_reserve);
-        let largest = self.slate.largest_memory_mib(&record.pool);
-        size.memory_mib = size.memory_mib.min(largest.max(record.size.memory_mib));
-        size
-    }
-
     /// Places one job, if a worker has room.
     fn place(&mut self, now: Instant, wall_ms: u64, id: &str, out: &mut Vec<Action>) -> bool {
-        let Some(task) = self.tasks.get(id) else {
+        let settings = &self.settings;
+        let Some(task) = self.tasks.get_mut(id) else {
             return false;
         };
-        let record = &task.record;
-        let size = self.size_to_reserve(record);
-        let found = self.slate.find(
-            &record.pool,
-            &size,
-            self.settings.candidates,
-            &record.failed_on,
-        );
+        let record = &mut task.record;
+        let size = size_to_reserve(&self.catalogue, &self.slate, settings, record);
+        let found = self
+            .slate
+            .find(&record.pool, &size, settings.candidates, &record.failed_on);
         let Some(worker) = found.map(str::to_owned) else {
             return false;
         };
-        self.leave_queue(id);
-        let lease = self.settings.lease;
-        let over_at = now + lease + self.settings.lease_slack + self.settings.usage_lag;
-        let Some(task) = self.tasks.get_mut(id) else {
-            return false;
-        };
-        task.record.state = State::Placed;
-        task.record.worker = Some(worker);
-        task.record.fence += 1;
-        task.record.lease_ends_ms = wall_ms + lease.as_millis() as u64;
-        task.record.reason.clear();
+        self.ledger
+            .remove(&record.team, &record.pool, record.class, task.sequence);
+        let over_at = now + settings.lease + settings.lease_slack + settings.usage_lag;
+        record.state = State::Placed;
+        record.fence += 1;
+        record.lease_ends_ms = wall_ms + settings.lease.as_millis() as u64;
+        record.reason.clear();
+        record.worker = Some(worker.clone());
         task.reserved = size;
         task.over_at = Some(over_at);
-        out.push(Action::Start(task.record.clone()));
+        self.slate.reserve(&worker, &size);
+        self.ledger.charge(&record.team, &size);
+        self.on_worker
+            .entry(worker)
+            .or_default()
+            .insert(id.to_owned());
         self.lapses.insert((over_at, id.to_owned()));
-        self.hold(id);
+        out.push(Action::Start(record.clone()));
         true
     }
 
@@ -537,7 +526,7 @@
             return;
         };
         let pool = task.record.pool.clone();
-        let need = self.size_to_reserve(&task.record);
+        let need = size_to_reserve(&self.catalogue, &self.slate, &self.settings, &task.record);
         let workers: Vec<String> = self
             .slate
             .of_pool(&pool)
@@ -669,3 +658,16 @@
         size: task.record.size,
     }
 }
+
+/// Returns what to reserve for a job: never more than its pool's largest worker has.
+fn size_to_reserve(
+    catalogue: &Catalogue,
+    slate: &Slate,
+    settings: &Settings,
+    record: &Record,
+) -> Size {
+    let mut size = catalogue.size(&record.command, &record.size, settings.memory_reserve);
+    let largest = slate.largest_memory_mib(&record.pool);
+    size.memory_mib = size.memory_mib.min(largest.max(record.size.memory_mib));
+    size
+}
--- a/crates/hyssop-policy/src/plan/budget.rs
+++ b/crates/hyssop-policy/src/plan/budget.rs
@@ -34,6 +34,19 @@
         /// The budget.
         budget: u32,
     },
+    /// The pool's callers need the instance now.
+    #[snafu(display(
+        "pool {pool} would have {left} healthy instances serving, and its demand keeps {busy} busy; it waits for the \
+         demand to fall or for others to return"
+    ))]
+    Demand {
+        /// The pool.
+        pool: String,
+        /// The healthy serving instances left.
+        left: u32,
+        /// The instances that the sustained demand keeps busy.
+        busy: u32,
+    },
     /// The pool is not in the configuration.
     #[snafu(display("pool {pool} is not in the configuration; add it with `hyssopctl apply`"))]
     UnknownPool {
@@ -110,6 +123,16 @@
             }
             .fail();
         }
+        let left = budget.serving();
+        let busy = draft.busy.get(&pool.name).copied().unwrap_or(0);
+        if left < busy {
+            return DemandSnafu {
+                pool: &pool.name,
+                left,
+                busy,
+            }
+            .fail();
+        }
         Ok(())
     }
 }
--- a/crates/hyssop-policy/src/plan/draft.rs
+++ b/crates/hyssop-policy/src/plan/draft.rs
@@ -50,6 +50,9 @@
     pub instances: BTreeMap<String, instance::Record>,
     /// The pool rows by name.
     pub pools: BTreeMap<String, pool::Record>,
+    /// The instances that each pool's sustained demand keeps busy, for which no disruption is
+    /// permitted.
+    pub busy: BTreeMap<String, u32>,
     /// The names of the changed instance rows.
     pub changed_instances: BTreeSet<String>,
     /// The names of the changed pool rows.
--- a/crates/hyssop-policy/src/plan/planner.rs
+++ b/crates/hyssop-policy/src/plan/planner.rs
@@ -11,6 +11,8 @@
 impl Planner {
     /// Decides the next changes of the rows.
     pub fn step(&mut self, view: &View, draft: &mut Draft) {
+        self.assigner.observe(view);
+        draft.busy = self.assigner.busy(view, draft);
         lifecycle::register(draft, view);
         lifecycle::complete_drains(draft, view);
         lifecycle::follow_operators(draft, view);
