--- a/crates/hyssop-entry/src/daemon/life.rs
+++ b/crates/hyssop-entry/src/daemon/life.rs
@@ -1,5 +1,6 @@
 use super::error::{Error, ListenSnafu, LogSnafu, SystemSnafu};
 use crate::core::{self, Inbox, Message};
+use crate::jobs::{Calls, Submitter};
 use crate::metric::Metrics;
 use crate::operator::Operator;
 use crate::peer::{self, Links};
@@ -123,6 +124,12 @@
         .name("store".to_owned())
         .spawn(move || keeper.run(&|| keeper_over.load(Ordering::SeqCst)))
         .context(SystemSnafu)?;
+    let jobs = Arc::new(Calls {
+        region: settings.process.region.clone(),
+        table: client.clone(),
+        submitter: Submitter::start(&settings.process.region, client.clone(), metrics.clone())
+            .context(SystemSnafu)?,
+    });
     let front = Arc::new(front::Front {
         state: state.clone(),
         limits: settings.limits.clone(),
@@ -137,6 +144,7 @@
             objects: client,
             recorder: recorder.clone(),
         }),
+        jobs,
         requests: AtomicU64::new(0),
     });
     let (stop_front, stopped) = watch::channel(false);
--- a/crates/hyssop-entry/src/front/control.rs
+++ b/crates/hyssop-entry/src/front/control.rs
@@ -1,3 +1,4 @@
+use super::jobs;
 use super::response::{self, Reply};
 use super::server::Front;
 use crate::core::{Message, Snapshot};
@@ -18,6 +19,7 @@
         ("GET", "/events") => events(front, uri),
         ("GET", "/v1/control/report") => report(front).await,
         ("POST", "/v1/keys") => mint(front).await,
+        (_, path) if path.starts_with("/v1/jobs") => jobs::answer(front, method, uri).await,
         (_, path) if path.starts_with("/v1/operator/") => operate(front, method, uri, body).await,
         _ => response::text(
             StatusCode::NOT_FOUND,
--- a/crates/hyssop-entry/src/front/mod.rs
+++ b/crates/hyssop-entry/src/front/mod.rs
@@ -3,11 +3,13 @@
 mod call;
 mod claim;
 mod control;
+mod jobs;
 mod reject;
 mod response;
 mod server;
 mod service;
 mod task;
 
+pub(crate) use reject::Reject;
 pub(crate) use response::{json, text, Reply};
 pub(crate) use server::{serve, Front};
--- a/crates/hyssop-entry/src/front/server.rs
+++ b/crates/hyssop-entry/src/front/server.rs
@@ -1,6 +1,7 @@
 use super::service;
 use crate::backend;
 use crate::core::Inbox;
+use crate::jobs::Calls;
 use crate::metric::Metrics;
 use crate::operator::Operator;
 use crate::state::State;
@@ -25,6 +26,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) recorder: Recorder,
     pub(crate) operator: Arc<Operator>,
+    pub(crate) jobs: Arc<Calls>,
     pub(crate) requests: AtomicU64,
 }
 
--- a/crates/hyssop-entry/src/front/service.rs
+++ b/crates/hyssop-entry/src/front/service.rs
@@ -2,7 +2,7 @@
 use super::reject::Reject;
 use super::response::{self, Reply};
 use super::server::Front;
-use super::{control, task};
+use super::{control, jobs, task};
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -12,6 +12,14 @@
 
 /// Answers one request of a connection.
 pub(crate) async fn answer(front: Arc<Front>, request: Request<Incoming>) -> Reply {
+    if let Some(pool) = jobs::pool_of_submission(request.method(), request.uri().path()) {
+        let pool = pool.to_owned();
+        let (parts, body) = request.into_parts();
+        return match read_body(&front, body).await {
+            Ok(body) => jobs::submit(&front, &pool, &parts.headers, &body).await,
+            Err(reject) => response::rejected("none", &reject),
+        };
+    }
     if request.uri().path().starts_with(POOLS_PREFIX) {
         return answer_call(front, request).await;
     }
--- a/crates/hyssop-entry/src/lib.rs
+++ b/crates/hyssop-entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod core;
 pub mod daemon;
 mod front;
+mod jobs;
 mod metric;
 mod operator;
 mod peer;
--- a/crates/hyssop-entry/src/metric/registry.rs
+++ b/crates/hyssop-entry/src/metric/registry.rs
@@ -20,6 +20,8 @@
     pub(crate) control_frames: IntCounter,
     /// Frames that a full or closed link dropped.
     pub(crate) dropped_frames: IntCounter,
+    /// Transactions that made jobs durable.
+    pub(crate) job_batches: IntCounter,
     /// Calls to the platform by result.
     pub(crate) platform_calls: IntCounterVec,
 }
@@ -57,6 +59,10 @@
             ),
             control_frames: counter("hyssop_control_frames_total", "Frames sent to peers."),
             dropped_frames: counter("hyssop_dropped_frames_total", "Frames that a link dropped."),
+            job_batches: counter(
+                "hyssop_job_batches_total",
+                "Transactions that made jobs durable.",
+            ),
             platform_calls: counters(
                 "hyssop_platform_calls_total",
                 "Calls to the platform.",
@@ -69,7 +75,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.latency.clone()),
@@ -77,6 +83,7 @@
             Box::new(self.control_bytes.clone()),
             Box::new(self.control_frames.clone()),
             Box::new(self.dropped_frames.clone()),
+            Box::new(self.job_batches.clone()),
             Box::new(self.platform_calls.clone()),
         ];
         for collector in collectors {
--- a/crates/hyssop-entry/tests/callers.rs
+++ b/crates/hyssop-entry/tests/callers.rs
@@ -280,3 +280,52 @@
     assert_eq!(entry.call("GET", "/events?after=x", "", b"").status, 400);
     assert_eq!(entry.call("GET", "/nothing", "", b"").status, 404);
 }
+
+#[test]
+fn jobs_are_submitted_once_listed_and_withdrawn() {
+    let entry = Running::start();
+    let body = br#"{"command":"sleep:5","cpu_millis":100,"memory_mib":64,"idempotent":true}"#;
+    let headers =
+        "idempotency-key: reprint-7\r\nhyssop-team: archive\r\nhyssop-class: deferrable\r\n";
+    let first = entry.post("/jobs", headers, body);
+    assert_eq!(first.status, 202, "{}", first.text());
+    assert_eq!(entry.post("/jobs", headers, body).body, first.body);
+    let listed = entry.call("GET", "/v1/jobs?team=archive", "", b"");
+    assert_eq!(
+        listed.text().matches("reprint-7").count(),
+        1,
+        "{}",
+        listed.text()
+    );
+    assert_eq!(
+        entry.call("GET", "/v1/jobs?team=other", "", b"").text(),
+        "[]"
+    );
+    let withdrawn = entry.call("DELETE", "/v1/jobs/reprint-7", "", b"");
+    assert!(
+        withdrawn.text().contains("\"is_cancelled\":true"),
+        "{}",
+        withdrawn.text()
+    );
+    assert_eq!(entry.call("GET", "/v1/jobs/none-such", "", b"").status, 404);
+    let bad = entry.post("/jobs", "", b"rubbish");
+    assert_eq!((bad.status, bad.outcome()), (400, "refused"));
+}
+
+#[test]
+fn jobs_submitted_together_share_transactions() {
+    let entry = Running::start();
+    let body = br#"{"command":"sleep:5","cpu_millis":100,"memory_mib":64}"#;
+    std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..60)
+            .map(|_| scope.spawn(|| entry.post("/jobs", "", body).status))
+            .collect();
+        assert!(calls.into_iter().all(|call| call.join().unwrap() == 202));
+    });
+    let metrics = entry.call("GET", "/metrics", "", b"").text();
+    let line = metrics
+        .lines()
+        .find(|line| line.starts_with("hyssop_job_batches_total "));
+    let batches: u32 = line.unwrap().split(' ').nth(1).unwrap().parse().unwrap();
+    assert!(batches < 60, "each job took a transaction of its own");
+}
--- a/crates/hyssop-entry/tests/support/mod.rs
+++ b/crates/hyssop-entry/tests/support/mod.rs
@@ -63,7 +63,8 @@
             writes_per_second: 400,
             reads_per_second: 2000,
             lag_ms: 0,
-            workers: 0,
+            workers: 2,
+            worker_pools: vec!["clerks".to_owned()],
         })
         .unwrap();
         let platform_url = platform.url();
--- a/crates/hyssop-lab/src/cluster/running.rs
+++ b/crates/hyssop-lab/src/cluster/running.rs
@@ -1,6 +1,7 @@
 use super::{settings, Options};
 use crate::error::{CallSnafu, ConfigSnafu, Error, FileSnafu, TimedOutSnafu};
 use crate::process::{Child, Spec};
+use hyssop_config::fleet::Fleet;
 use hyssop_config::settings::Machines;
 use hyssop_event::Record;
 use hyssop_load::Balancer;
@@ -52,7 +53,12 @@
         let platform = Child::start(&Spec {
             name: "platform".to_owned(),
             program: "standin-platform",
-            arguments: vec!["--workers".to_owned(), machines.workers.to_string()],
+            arguments: vec![
+                "--workers".to_owned(),
+                machines.workers.to_string(),
+                "--worker-pools".to_owned(),
+                pool_names(&options.config)?.join(","),
+            ],
             directory: directory.clone(),
         })?;
         let servers = Child::start(&Spec {
@@ -355,6 +361,13 @@
     }
 }
 
+/// Returns the names of the pools of a configuration.
+fn pool_names(config: &str) -> Result<Vec<String>, Error> {
+    let text = std::fs::read_to_string(config).context(FileSnafu { path: config })?;
+    let fleet = Fleet::parse(config, &text).context(ConfigSnafu)?;
+    Ok(fleet.pools.into_iter().map(|pool| pool.name).collect())
+}
+
 fn send(request: minreq::Request, url: &str) -> Result<(i32, String), Error> {
     let response = request.with_timeout(CALL_TIMEOUT_S).send();
     let response = response.map_err(|error| {
--- a/crates/hyssop-lab/src/command/measure.rs
+++ b/crates/hyssop-lab/src/command/measure.rs
@@ -35,10 +35,11 @@
             Some("rollout") => measure::rollout(&call),
             Some("capacity") => measure::capacity(&call),
             Some("jobs") => measure::jobs(&call),
+            Some("jobs-live") => measure::jobs_live(&call),
             Some("slopes") => measure::slopes(&call),
             Some("storm") => measure::storm(&call),
             _ => {
-                let message = "no such measure; use overhead, flood, skew, faults, outliers, drain, rollout, capacity, jobs, slopes or storm";
+                let message = "no such measure; use overhead, flood, skew, faults, outliers, drain, rollout, capacity, jobs, jobs-live, slopes or storm";
                 UsageSnafu { message }.fail()
             }
         }
--- a/crates/hyssop-planner/src/daemon/life.rs
+++ b/crates/hyssop-planner/src/daemon/life.rs
@@ -49,7 +49,8 @@
     let platform = Platform {
         table: client.clone(),
         objects: client.clone(),
-        roster: client,
+        roster: client.clone(),
+        workers: client,
     };
     let incarnation = rand::rng().random_range(1..u64::MAX);
     let reports = Box::new(Http);
--- a/crates/hyssop-planner/src/daemon/region.rs
+++ b/crates/hyssop-planner/src/daemon/region.rs
@@ -1,3 +1,4 @@
+use crate::jobs::Desk;
 use crate::lease::Holder;
 use crate::reports::Source;
 use crate::rows::{transaction, Snapshot};
@@ -9,6 +10,7 @@
 use hyssop_platform::object::Object;
 use hyssop_platform::roster::{Listing, Roster};
 use hyssop_platform::table::{Condition, Table, Transaction};
+use hyssop_platform::worker::Worker;
 use hyssop_platform::{keys, Error};
 use hyssop_policy::plan::{Draft, Note, Planner, View};
 use hyssop_policy::rollout::{self, Verdict};
@@ -23,6 +25,8 @@
     pub objects: Arc<dyn Object>,
     /// The list of instances.
     pub roster: Arc<dyn Roster>,
+    /// The workers.
+    pub workers: Arc<dyn Worker>,
 }
 
 /// Plans one region.
@@ -43,6 +47,8 @@
     next_roster: Instant,
     waiting: BTreeMap<String, String>,
     failures: u32,
+    /// The jobs, while the lease is held and no row surprised it.
+    jobs: Option<Desk>,
 }
 
 const ROSTER_INTERVAL: Duration = Duration::from_secs(1);
@@ -82,6 +88,7 @@
             own_live: None,
             waiting: BTreeMap::new(),
             failures: 0,
+            jobs: None,
         }
     }
 
@@ -126,6 +133,7 @@
         if !is_leader {
             self.last = None;
             self.planner = Planner::default();
+            self.jobs = None;
             return Ok(());
         }
         self.metrics.steps.inc();
@@ -136,6 +144,27 @@
         self.bury_entries(&snapshot)?;
         self.plan(&snapshot)?;
         self.last = Some(snapshot);
+        self.schedule_jobs()
+    }
+
+    /// Takes one step of the jobs; after a failure the next one starts over from the rows.
+    fn schedule_jobs(&mut self) -> Result<(), Error> {
+        let (Some((_, fleet)), Some(fence)) = (&self.fleet, self.holder.fence()) else {
+            return Ok(());
+        };
+        let recorder = self.recorder.clone();
+        let mut desk = self
+            .jobs
+            .take()
+            .unwrap_or_else(|| Desk::new(&self.name, recorder));
+        desk.step(
+            self.clock.now(),
+            self.clock.wall_ms(),
+            &self.platform,
+            &fence,
+            &fleet.teams,
+        )?;
+        self.jobs = Some(desk);
         Ok(())
     }
 
--- /dev/null
+++ b/crates/hyssop-planner/src/jobs/mod.rs
@@ -0,0 +1,5 @@
+//! Jobs: the scheduler bound to rows and workers.
+
+mod desk;
+
+pub(crate) use desk::Desk;
--- a/crates/hyssop-planner/src/lib.rs
+++ b/crates/hyssop-planner/src/lib.rs
@@ -4,6 +4,7 @@
 //! of its writes is conditional on the lease's row, so a planner that was paused writes nothing.
 
 pub mod daemon;
+mod jobs;
 mod lease;
 pub mod reports;
 mod rows;
--- a/crates/hyssop-planner/tests/planning.rs
+++ b/crates/hyssop-planner/tests/planning.rs
@@ -15,6 +15,7 @@
 use hyssop_platform::object::Object;
 use hyssop_platform::roster::{Listing, Presence, Roster};
 use hyssop_platform::table::{read_one, Condition, Row, Table, Transaction};
+use hyssop_platform::worker::{Signal, Start, Usage, Worker};
 use hyssop_platform::{keys, Error};
 use hyssop_policy::plan::Report;
 use proptest::prelude::*;
@@ -83,6 +84,27 @@
     }
 }
 
+/// Is a platform without workers.
+struct NoWorkers;
+
+impl Worker for NoWorkers {
+    fn list(&self) -> Result<Vec<hyssop_model::job::Worker>, Error> {
+        Ok(Vec::new())
+    }
+
+    fn start(&self, _start: &Start) -> Result<(), Error> {
+        Err(Error::Throttled)
+    }
+
+    fn signal(&self, _worker: &str, _task: &str, _signal: Signal) -> Result<(), Error> {
+        Ok(())
+    }
+
+    fn usage(&self) -> Result<Vec<Usage>, Error> {
+        Ok(Vec::new())
+    }
+}
+
 /// Is an entry that always knows the newest rows and has nothing in progress.
 #[derive(Default)]
 struct IdleEntry;
@@ -158,6 +180,7 @@
                 }),
                 objects: store.clone(),
                 roster: machines.clone(),
+                workers: Arc::new(NoWorkers),
             };
             let recorder = Recorder::new(&name, clock.clone());
             let metrics = Arc::new(Metrics::new());
--- a/crates/hyssop-platform/src/http/client.rs
+++ b/crates/hyssop-platform/src/http/client.rs
@@ -4,6 +4,7 @@
 use crate::table::{Row, Table, Transaction};
 use crate::worker::{Signal, Start, Usage, Worker};
 use crate::Error;
+use hyssop_model::job;
 use minreq::{Request, Response};
 use serde::de::DeserializeOwned;
 
@@ -144,6 +145,9 @@
 }
 
 impl Worker for Client {
+    fn list(&self) -> Result<Vec<job::Worker>, Error> {
+        parse(&self.send(minreq::get(self.url("/workers")))?)
+    }
     fn start(&self, start: &Start) -> Result<(), Error> {
         conflict_or_ok(&self.post("/workers/start", start)?)
     }
--- a/crates/hyssop-platform/src/keys.rs
+++ b/crates/hyssop-platform/src/keys.rs
@@ -60,6 +60,21 @@
     format!("intent/{region}/wave")
 }
 
+/// The prefix of the rows of all open jobs in a region.
+pub fn jobs(region: &str) -> String {
+    format!("job/{region}/")
+}
+
+/// The row of an open job.
+pub fn job(region: &str, id: &str) -> String {
+    format!("job/{region}/{id}")
+}
+
+/// The row of a job that has ended.
+pub fn ended_job(region: &str, id: &str) -> String {
+    format!("ended-job/{region}/{id}")
+}
+
 /// The head of the fleet's configuration.
 pub const CONFIG: &str = "config/head";
 
--- a/crates/hyssop-platform/src/worker/mod.rs
+++ b/crates/hyssop-platform/src/worker/mod.rs
@@ -9,9 +9,17 @@
 pub use usage::{Phase, Usage};
 
 use crate::Error;
+use hyssop_model::job;
 
 /// Starts, signals and watches tasks on workers.
 pub trait Worker: Send + Sync {
+    /// Lists the workers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform is down.
+    fn list(&self) -> Result<Vec<job::Worker>, Error>;
+
     /// Starts a task; a repeat with the same task name and fence has no further effect.
     ///
     /// # Errors
--- a/crates/hyssop-policy/src/assign/assigner.rs
+++ b/crates/hyssop-policy/src/assign/assigner.rs
@@ -32,7 +32,10 @@
     /// Returns the instances that each pool's sustained demand keeps busy.
     pub fn busy(&self, view: &View, draft: &Draft) -> BTreeMap<String, u32> {
         let busy = view.fleet.pools.iter().map(|pool| {
-            let slots = draft.of_pool(&pool.name).next().map_or(1, |record| record.slots);
+            let slots = draft
+                .of_pool(&pool.name)
+                .next()
+                .map_or(1, |record| record.slots);
             let sustained = self.sustained.get(&pool.name).map_or(0.0, Sustained::slots);
             (pool.name.clone(), Need::busy(sustained, slots))
         });
--- a/crates/hyssop-policy/tests/planning.rs
+++ b/crates/hyssop-policy/tests/planning.rs
@@ -84,7 +84,9 @@
             fleet: Fleet::parse("fleet.ini", FLEET).unwrap(),
             drains: BTreeMap::new(),
             wave: self.wave.clone(),
-            roster: roster.map(|listing| (listing.name.clone(), listing)).collect(),
+            roster: roster
+                .map(|listing| (listing.name.clone(), listing))
+                .collect(),
             reports: BTreeMap::from([("entry-1".to_owned(), report)]),
             may_serve: BTreeSet::from(["entry-1".to_owned()]),
         }
@@ -94,7 +96,13 @@
         let view = self.view();
         let mut draft = Draft::new(self.draft.instances.clone(), self.draft.pools.clone());
         self.planner.step(&view, &mut draft);
-        let moving = |draft: &Draft| draft.instances.values().filter(|record| record.moving_to.is_some()).count();
+        let moving = |draft: &Draft| {
+            draft
+                .instances
+                .values()
+                .filter(|record| record.moving_to.is_some())
+                .count()
+        };
         self.moves += moving(&draft).saturating_sub(moving(&self.draft));
         self.draft = draft;
         self.wall_ms += STEP_MS;
@@ -117,7 +125,10 @@
     }
 
     fn serving(&self, pool: &str) -> usize {
-        let serving = self.draft.of_pool(pool).filter(|record| record.state == State::Serving);
+        let serving = self
+            .draft
+            .of_pool(pool)
+            .filter(|record| record.state == State::Serving);
         serving.count()
     }
 }
@@ -134,8 +145,14 @@
         .draft
         .of_pool("permits")
         .filter(|record| record.cause == Some(Cause::Maintenance));
-    assert!(day.serving("permits") * SLOTS as usize > 47, "{before} before");
-    assert!(disturbed.count() <= before - 6, "maintenance took what callers need");
+    assert!(
+        day.serving("permits") * SLOTS as usize > 47,
+        "{before} before"
+    );
+    assert!(
+        disturbed.count() <= before - 6,
+        "maintenance took what callers need"
+    );
 }
 
 #[test]
@@ -158,7 +175,11 @@
     assert!(day.serving("permits") > 6, "nothing moved to the busy pool");
     day.demand_slots = 2;
     day.steps(300);
-    assert_eq!(day.serving("permits"), 6, "the pool kept what it does not need");
+    assert_eq!(
+        day.serving("permits"),
+        6,
+        "the pool kept what it does not need"
+    );
 }
 
 #[test]
--- a/crates/hyssop-standin/src/bin/standin_platform.rs
+++ b/crates/hyssop-standin/src/bin/standin_platform.rs
@@ -25,6 +25,13 @@
     lag_ms: u64,
     #[options(help = "the number of workers", meta = "N", default = "8")]
     workers: u32,
+    #[options(
+        no_short,
+        help = "the pools of the workers, separated by commas",
+        meta = "LIST",
+        default = ""
+    )]
+    worker_pools: String,
 }
 
 fn main() -> ExitCode {
@@ -39,6 +46,12 @@
         reads_per_second: arguments.reads,
         lag_ms: arguments.lag_ms,
         workers: arguments.workers,
+        worker_pools: arguments
+            .worker_pools
+            .split(',')
+            .filter(|name| !name.is_empty())
+            .map(str::to_owned)
+            .collect(),
     };
     match platform::run(options) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/hyssop-standin/src/platform/mod.rs
+++ b/crates/hyssop-standin/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod roster;
 mod service;
 mod stats;
+mod workers;
 
 pub use process::{listen, run, Options, Platform};
 pub use stats::Stats;
@@ -14,3 +15,4 @@
 pub(crate) use limit::Limit;
 pub(crate) use roster::History;
 pub(crate) use service::Service;
+pub(crate) use workers::Workers;
--- a/crates/hyssop-standin/src/platform/process.rs
+++ b/crates/hyssop-standin/src/platform/process.rs
@@ -1,5 +1,5 @@
 use super::service::Control;
-use super::{Faults, History, Limit, Service, Stats};
+use super::{Faults, History, Limit, Service, Stats, Workers};
 use hyssop_platform::fake::Store;
 use snafu::Snafu;
 use std::collections::BTreeMap;
@@ -32,6 +32,8 @@
     pub lag_ms: u64,
     /// The number of workers.
     pub workers: u32,
+    /// The pools that the workers belong to, in turn.
+    pub worker_pools: Vec<String>,
 }
 
 const THREADS: usize = 16;
@@ -82,6 +84,7 @@
             source: None,
             own: BTreeMap::new(),
             stats: Stats::default(),
+            workers: Workers::new(options.workers, &options.worker_pools),
         }),
     });
     Ok(Platform { server, service })
--- a/crates/hyssop-standin/src/platform/service.rs
+++ b/crates/hyssop-standin/src/platform/service.rs
@@ -1,4 +1,4 @@
-use super::{Fault, Faults, History, Limit, Stats};
+use super::{Fault, Faults, History, Limit, Stats, Workers};
 use hyssop_platform::fake::Store;
 use hyssop_platform::http::{Commit, Keys, Prefix, Rows};
 use hyssop_platform::object::Object;
@@ -29,6 +29,7 @@
     /// The process numbers of the system's own instances by name.
     pub(crate) own: BTreeMap<String, u32>,
     pub(crate) stats: Stats,
+    pub(crate) workers: Workers,
 }
 
 /// Is an answer before it is written, or `None` for a lost one.
@@ -86,6 +87,18 @@
             (Method::Get, ["object", name]) => Some(self.get_object(name)),
             (Method::Get, ["roster"]) => Some(json(OK, &self.control().history.lagging())),
             (Method::Get, ["own"]) => Some(self.own()),
+            (Method::Get, ["workers"]) => Some(json(OK, &self.control().workers.list())),
+            (Method::Get, ["workers", "usage"]) => Some(json(OK, &self.control().workers.usage())),
+            (Method::Get, ["workers", "starts"]) => Some(json(OK, self.control().workers.starts())),
+            (Method::Post, ["workers", "start"]) => self.start_task(body),
+            (Method::Post, ["workers", name, "fault"]) => {
+                let is_failing = query == "kind=fail";
+                self.control().workers.set_failing(name, is_failing);
+                Some(json(OK, &"set"))
+            }
+            (Method::Post, ["workers", _, "tasks", task, signal]) => {
+                Some(self.signal_task(task, signal))
+            }
             (Method::Post, ["roster", name, "reboot"]) => Some(self.reboot(name)),
             _ => Some(json(NOT_FOUND, &"there is nothing here")),
         }
@@ -170,6 +183,35 @@
         }
     }
 
+    fn start_task(&self, body: &[u8]) -> Option<Answer> {
+        let start = match parse(body) {
+            Ok(start) => start,
+            Err(refusal) => return Some(refusal),
+        };
+        let mut control = self.control();
+        let is_started = control.workers.start(start);
+        if control.faults.is_set(Fault::Lose) && rand::rng().random_bool(0.5) {
+            control.stats.lost += 1;
+            return None;
+        }
+        Some(if is_started {
+            json(OK, &Commit::Done)
+        } else {
+            let key = "a higher fence was started".to_owned();
+            json(CONFLICT, &Commit::Conflict { key })
+        })
+    }
+
+    fn signal_task(&self, task: &str, signal: &str) -> Answer {
+        match signal.parse() {
+            Ok(signal) => {
+                self.control().workers.signal(task, signal);
+                json(OK, &Commit::Done)
+            }
+            Err(_) => json(BAD_REQUEST, &"the signal is not known"),
+        }
+    }
+
     fn put_object(&self, name: &str, body: &[u8]) -> Answer {
         match self.store.put(name, &String::from_utf8_lossy(body)) {
             Ok(()) => json(OK, &"stored"),
@@ -275,6 +317,7 @@
 
     /// Asks the servers which instances are up.
     pub(crate) fn refresh_roster(&self) {
+        self.control().workers.observe();
         let Some(source) = self.control().source.clone() else {
             return;
         };
--- a/crates/hyssopctl/src/client/mod.rs
+++ b/crates/hyssopctl/src/client/mod.rs
@@ -30,6 +30,12 @@
         parse(&send(minreq::get(&url), &url)?)
     }
 
+    /// Reads JSON of a path outside the operators' ones.
+    pub(crate) fn get_absolute<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let url = format!("{}{path}", self.base);
+        parse(&send(minreq::get(&url), &url)?)
+    }
+
     /// Sends a body and returns the entry's answer.
     pub(crate) fn post(&self, path: &str, body: &str) -> Result<String, Error> {
         let url = self.url(path);
--- a/crates/hyssopctl/src/command/explain.rs
+++ b/crates/hyssopctl/src/command/explain.rs
@@ -5,6 +5,7 @@
 use gumdrop::Options;
 use hyssop_config::fleet::Pool;
 use hyssop_model::instance::{self, Cause, State};
+use hyssop_model::job::Record;
 use hyssop_model::pool;
 
 /// Says why an instance or a pool is as it is.
@@ -29,12 +30,7 @@
         let lines = match (instances.iter().find(|record| record.name == *name), pool) {
             (Some(record), _) => explain_instance(client, record)?,
             (None, Some(pool)) => explain_pool(client, pool, &instances)?,
-            (None, None) => {
-                let message = format!(
-                    "there is no instance and no pool {name}; `hyssopctl instances` lists them"
-                );
-                return UsageSnafu { message }.fail();
-            }
+            (None, None) => explain_job(client, name)?,
         };
         if format == Format::Json {
             return print_json(&lines);
@@ -84,6 +80,27 @@
     Ok(lines)
 }
 
+fn explain_job(client: &Client, name: &str) -> Result<Vec<String>, Error> {
+    let Ok(job) = client.get_absolute::<Record>(&format!("/v1/jobs/{name}")) else {
+        let message = format!("there is no instance, no pool and no job {name}; `hyssopctl instances` lists instances");
+        return UsageSnafu { message }.fail();
+    };
+    let mut lines = vec![format!(
+        "{} is {}; pool {}, team {}, {}, started {} times",
+        job.id, job.state, job.pool, job.team, job.class, job.fence
+    )];
+    if let Some(worker) = &job.worker {
+        lines.push(format!("its last worker is {worker}"));
+    }
+    if !job.failed_on.is_empty() {
+        lines.push(format!("it failed on {}", job.failed_on.join(", ")));
+    }
+    if !job.reason.is_empty() {
+        lines.push(job.reason);
+    }
+    Ok(lines)
+}
+
 fn explain_pool(
     client: &Client,
     pool: &Pool,
--- a/crates/hyssopctl/src/command/mod.rs
+++ b/crates/hyssopctl/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod exceptions;
 mod explain;
 mod instances;
+mod jobs;
 mod maintenance;
 mod pools;
 mod rollout;
@@ -51,7 +52,9 @@
     Rollout(rollout::Rollout),
     #[options(help = "lists the exceptions with their reasons")]
     Exceptions(exceptions::Exceptions),
-    #[options(help = "says why an instance or a pool is as it is")]
+    #[options(help = "lists open jobs")]
+    Jobs(jobs::Jobs),
+    #[options(help = "says why an instance, a pool or a job is as it is")]
     Explain(explain::Explain),
 }
 
@@ -69,6 +72,7 @@
             Self::Diff(command) => command,
             Self::Rollout(command) => command,
             Self::Exceptions(command) => command,
+            Self::Jobs(command) => command,
             Self::Explain(command) => command,
         }
     }
