--- a/crates/hyssop-model/src/job/size.rs
+++ b/crates/hyssop-model/src/job/size.rs
@@ -27,6 +27,13 @@
         self.accelerators += other.accelerators;
     }
 
+    /// Raises each resource to that of `other`.
+    pub fn raise_to(&mut self, other: &Self) {
+        self.cpu_millis = self.cpu_millis.max(other.cpu_millis);
+        self.memory_mib = self.memory_mib.max(other.memory_mib);
+        self.accelerators = self.accelerators.max(other.accelerators);
+    }
+
     /// Takes `other` away, down to zero.
     pub fn subtract(&mut self, other: &Self) {
         self.cpu_millis = self.cpu_millis.saturating_sub(other.cpu_millis);
--- a/crates/hyssop-policy/src/job/ledger.rs
+++ b/crates/hyssop-policy/src/job/ledger.rs
@@ -25,7 +25,7 @@
 /// Is a waiting job's place.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Place {
-    pub(crate) team: String,
+    pub(crate) team: Key,
     pub(crate) pool: String,
     pub(crate) class: Class,
     pub(crate) sequence: u64,
@@ -57,7 +57,8 @@
 impl Ledger {
     pub(crate) fn set_teams(&mut self, teams: &[Team]) {
         for team in teams {
-            self.account(&team.name).weight = f64::from(team.weight);
+            let key = self.key(&team.name);
+            self.accounts.entry(key).or_default().weight = f64::from(team.weight);
         }
     }
 
@@ -65,36 +66,37 @@
         if place.class == Class::Urgent {
             self.urgent.insert((place.sequence, place.job.clone()));
         }
-        let key = self.names.intern(&place.team);
         let lines = self.lines.entry(place.pool).or_default();
-        let line = lines.entry(key).or_default();
+        let line = lines.entry(place.team).or_default();
         line.insert((place.class, place.sequence), (place.job, place.size));
     }
 
-    pub(crate) fn remove(&mut self, team: &str, pool: &str, class: Class, sequence: u64) {
-        let Some(key) = self.names.find(team) else {
-            return;
-        };
+    pub(crate) fn remove(&mut self, team: Key, pool: &str, class: Class, sequence: u64) {
         let Some(lines) = self.lines.get_mut(pool) else {
             return;
         };
-        let Some(line) = lines.get_mut(&key) else {
+        let Some(line) = lines.get_mut(&team) else {
             return;
         };
         if let (Some((job, _)), Class::Urgent) = (line.remove(&(class, sequence)), class) {
             self.urgent.remove(&(sequence, job));
         }
         if line.is_empty() {
-            lines.remove(&key);
+            lines.remove(&team);
         }
     }
 
-    pub(crate) fn charge(&mut self, team: &str, size: &Size) {
-        self.account(team).used.add(size);
+    pub(crate) fn charge(&mut self, team: Key, size: &Size) {
+        self.accounts.entry(team).or_default().used.add(size);
+    }
+
+    pub(crate) fn refund(&mut self, team: Key, size: &Size) {
+        self.accounts.entry(team).or_default().used.subtract(size);
     }
 
-    pub(crate) fn refund(&mut self, team: &str, size: &Size) {
-        self.account(team).used.subtract(size);
+    /// Returns the key of a team by its name.
+    pub(crate) fn key(&mut self, team: &str) -> Key {
+        self.names.intern(team)
     }
 
     /// Returns the teams with waiting jobs in a pool and their turns, the lowest of which is first.
@@ -136,9 +138,4 @@
             .and_then(|key| self.accounts.get(&key));
         account.map_or(0.0, |account| account.used.dominant_part(whole))
     }
-
-    fn account(&mut self, team: &str) -> &mut Account {
-        let key = self.names.intern(team);
-        self.accounts.entry(key).or_default()
-    }
 }
--- a/crates/hyssop-policy/src/job/scheduler.rs
+++ b/crates/hyssop-policy/src/job/scheduler.rs
@@ -1,4 +1,5 @@
 use super::ledger::{self, Place};
+use super::slate;
 use super::{Action, Blame, Catalogue, Event, Ledger, Settings, Slate, Task};
 use hyssop_model::job::{Record, Size, State, Worker};
 use hyssop_model::prelude::*;
@@ -16,8 +17,10 @@
     blame: Blame,
     tasks: BTreeMap<String, Task>,
     /// The jobs on each worker.
-    on_worker: BTreeMap<String, BTreeSet<String>>,
+    on_worker: BTreeMap<slate::Key, BTreeSet<String>>,
     sequence: u64,
+    /// The largest urgent job that each pool had lately, and when it had one last.
+    urgent_needs: BTreeMap<String, (Size, Instant)>,
     /// The pools in which something became free or began to wait.
     dirty: BTreeSet<String>,
     /// When to look whether a job's lease is over; one entry a job.
@@ -36,6 +39,7 @@
             tasks: BTreeMap::new(),
             on_worker: BTreeMap::new(),
             sequence: 0,
+            urgent_needs: BTreeMap::new(),
             dirty: BTreeSet::new(),
             lapses: BTreeSet::new(),
         }
@@ -81,6 +85,11 @@
         }
         self.sequence += 1;
         let mut task = Task {
+            team: self.ledger.key(&record.team),
+            worker: record
+                .worker
+                .as_deref()
+                .map(|worker| self.slate.key(worker)),
             reserved: record.size,
             over_at: None,
             is_throttled: false,
@@ -143,20 +152,15 @@
         let Some(task) = self.tasks.get(id) else {
             return;
         };
-        let Some(worker) = &task.record.worker else {
+        let Some(worker) = task.worker else {
             return;
         };
         self.slate.reserve(worker, &task.reserved);
-        self.ledger.charge(&task.record.team, &task.reserved);
-        match self.on_worker.get_mut(worker) {
-            Some(jobs) => {
-                jobs.insert(id.to_owned());
-            }
-            None => {
-                let jobs = BTreeSet::from([id.to_owned()]);
-                self.on_worker.insert(worker.clone(), jobs);
-            }
-        }
+        self.ledger.charge(task.team, &task.reserved);
+        self.on_worker
+            .entry(worker)
+            .or_default()
+            .insert(id.to_owned());
     }
 
     /// Gives back what a task holds.
@@ -164,15 +168,15 @@
         let Some(task) = self.tasks.get_mut(id) else {
             return;
         };
-        let Some(worker) = task.record.worker.clone() else {
+        let Some(worker) = task.worker.take() else {
             return;
         };
-        self.slate.release(&worker, &task.reserved);
+        self.slate.release(worker, &task.reserved);
         self.dirty.insert(task.record.pool.clone());
         if let Some(jobs) = self.on_worker.get_mut(&worker) {
             jobs.remove(id);
         }
-        self.ledger.refund(&task.record.team, &task.reserved);
+        self.ledger.refund(task.team, &task.reserved);
         task.over_at = None;
         task.is_throttled = false;
         task.is_ending = false;
@@ -222,9 +226,12 @@
         let Some(task) = self.tasks.get(id) else {
             return;
         };
-        let record = &task.record;
-        self.ledger
-            .remove(&record.team, &record.pool, record.class, task.sequence);
+        self.ledger.remove(
+            task.team,
+            &task.record.pool,
+            task.record.class,
+            task.sequence,
+        );
     }
 
     /// Puts a job whose last start is certainly over back into the queue.
@@ -317,9 +324,10 @@
             ..Size::default()
         };
         task.reserved.add(&surplus);
-        let team = task.record.team.clone();
-        self.slate.reserve(&usage.worker, &surplus);
-        self.ledger.charge(&team, &surplus);
+        if let Some(worker) = task.worker {
+            self.slate.reserve(worker, &surplus);
+            self.ledger.charge(task.team, &surplus);
+        }
     }
 
     fn after_end(&mut self, id: &str, state: State, reason: &str, out: &mut Vec<Action>) {
@@ -355,7 +363,8 @@
     fn after_failure(&mut self, now: Instant, usage: &Usage, out: &mut Vec<Action>) {
         let id = usage.task.as_str();
         if self.blame.fail(now, &usage.worker, id, &self.settings) {
-            self.slate.set_open(&usage.worker, false);
+            let worker = self.slate.key(&usage.worker);
+            self.slate.set_open(worker, false);
             out.push(Action::Suspect {
                 worker: usage.worker.clone(),
             });
@@ -384,7 +393,8 @@
 
     fn tick(&mut self, now: Instant, wall_ms: u64, out: &mut Vec<Action>) {
         for worker in self.blame.take_rested(now) {
-            self.slate.set_open(&worker, true);
+            let worker = self.slate.key(&worker);
+            self.slate.set_open(worker, true);
             self.dirty.extend(self.slate.pools());
         }
         self.end_lapsed(now, out);
@@ -492,24 +502,41 @@
         };
         let record = &mut task.record;
         let size = size_to_reserve(&self.catalogue, &self.slate, settings, record);
-        let found = self
-            .slate
-            .find(&record.pool, &size, settings.candidates, &record.failed_on);
-        let Some(worker) = found.map(str::to_owned) else {
+        if record.class == Class::Urgent {
+            note_urgent(&mut self.urgent_needs, now, &record.pool, &size, settings);
+        }
+        let urgent = self.urgent_needs.get(&record.pool);
+        let urgent = urgent.filter(|(_, at)| *at + settings.urgent_memory > now);
+        let mut wanted = size;
+        if let (Class::Deferrable, Some((need, _))) = (record.class, urgent) {
+            // One worker at least keeps room for the next urgent job: making room takes longer than
+            // urgent work may wait.
+            if !self.slate.has_two(&record.pool, need) {
+                wanted.add(need);
+            }
+        }
+        let found = self.slate.find(
+            &record.pool,
+            &wanted,
+            settings.candidates,
+            &record.failed_on,
+        );
+        let Some(worker) = found else {
             return false;
         };
         self.ledger
-            .remove(&record.team, &record.pool, record.class, task.sequence);
+            .remove(task.team, &record.pool, record.class, task.sequence);
         let over_at = now + settings.lease + settings.lease_slack + settings.usage_lag;
         record.state = State::Placed;
         record.fence += 1;
         record.lease_ends_ms = wall_ms + settings.lease.as_millis() as u64;
         record.reason.clear();
-        record.worker = Some(worker.clone());
+        record.worker = Some(self.slate.name(worker).to_owned());
+        task.worker = Some(worker);
         task.reserved = size;
         task.over_at = Some(over_at);
-        self.slate.reserve(&worker, &size);
-        self.ledger.charge(&record.team, &size);
+        self.slate.reserve(worker, &size);
+        self.ledger.charge(task.team, &size);
         self.on_worker
             .entry(worker)
             .or_default()
@@ -527,32 +554,31 @@
         };
         let pool = task.record.pool.clone();
         let need = size_to_reserve(&self.catalogue, &self.slate, &self.settings, &task.record);
-        let workers: Vec<String> = self
+        let workers: Vec<slate::Key> = self
             .slate
             .of_pool(&pool)
             .take(self.settings.candidates)
-            .map(str::to_owned)
             .collect();
         for worker in &workers {
-            if self.throttle(worker, &need, out) {
+            if self.throttle(*worker, &need, out) {
                 return;
             }
         }
         let is_coming = workers
             .iter()
-            .any(|worker| self.is_making_room(worker, &need));
+            .any(|worker| self.is_making_room(*worker, &need));
         if is_coming {
             return;
         }
         for worker in &workers {
-            if self.checkpoint(worker, &need, out) {
+            if self.checkpoint(*worker, &need, out) {
                 return;
             }
         }
     }
 
-    fn deferrable_on(&self, worker: &str) -> Vec<String> {
-        let jobs = self.on_worker.get(worker).into_iter().flatten();
+    fn deferrable_on(&self, worker: slate::Key) -> Vec<String> {
+        let jobs = self.on_worker.get(&worker).into_iter().flatten();
         let is_deferrable = |id: &&String| {
             let task = self.tasks.get(*id);
             task.is_some_and(|task| task.record.class == Class::Deferrable && !task.is_ending)
@@ -561,7 +587,7 @@
     }
 
     /// Halves the processors of a worker's deferrable jobs, if that makes room.
-    fn throttle(&mut self, worker: &str, need: &Size, out: &mut Vec<Action>) -> bool {
+    fn throttle(&mut self, worker: slate::Key, need: &Size, out: &mut Vec<Action>) -> bool {
         let Some(mut free) = self.slate.free(worker).copied() else {
             return false;
         };
@@ -585,11 +611,10 @@
             };
             task.is_throttled = true;
             task.reserved.subtract(&half);
-            let team = task.record.team.clone();
             self.slate.release(worker, &half);
-            self.ledger.refund(&team, &half);
+            self.ledger.refund(task.team, &half);
             out.push(Action::Signal {
-                worker: worker.to_owned(),
+                worker: self.slate.name(worker).to_owned(),
                 job: id,
                 signal: Signal::Throttle,
             });
@@ -598,11 +623,11 @@
     }
 
     /// Tells whether jobs that were asked to end will leave enough room.
-    fn is_making_room(&self, worker: &str, need: &Size) -> bool {
+    fn is_making_room(&self, worker: slate::Key, need: &Size) -> bool {
         let Some(mut free) = self.slate.free(worker).copied() else {
             return false;
         };
-        let jobs = self.on_worker.get(worker).into_iter().flatten();
+        let jobs = self.on_worker.get(&worker).into_iter().flatten();
         let mut is_any = false;
         for task in jobs
             .filter_map(|id| self.tasks.get(id))
@@ -615,7 +640,7 @@
     }
 
     /// Checkpoints deferrable jobs of a worker until there is room, if that is enough.
-    fn checkpoint(&mut self, worker: &str, need: &Size, out: &mut Vec<Action>) -> bool {
+    fn checkpoint(&mut self, worker: slate::Key, need: &Size, out: &mut Vec<Action>) -> bool {
         let Some(mut free) = self.slate.free(worker).copied() else {
             return false;
         };
@@ -638,7 +663,7 @@
             };
             task.is_ending = true;
             out.push(Action::Signal {
-                worker: worker.to_owned(),
+                worker: self.slate.name(worker).to_owned(),
                 job: id,
                 signal: Signal::Checkpoint,
             });
@@ -650,7 +675,7 @@
 /// Returns a waiting task's place in the ledger.
 fn place_of(task: &Task) -> Place {
     Place {
-        team: task.record.team.clone(),
+        team: task.team,
         pool: task.record.pool.clone(),
         class: task.record.class,
         sequence: task.sequence,
@@ -671,3 +696,19 @@
     size.memory_mib = size.memory_mib.min(largest.max(record.size.memory_mib));
     size
 }
+
+/// Remembers the largest urgent job of a pool for a while.
+fn note_urgent(
+    needs: &mut BTreeMap<String, (Size, Instant)>,
+    now: Instant,
+    pool: &str,
+    size: &Size,
+    settings: &Settings,
+) {
+    let (need, at) = needs.entry(pool.to_owned()).or_insert((*size, now));
+    if *at + settings.urgent_memory < now {
+        *need = Size::default();
+    }
+    need.raise_to(size);
+    *at = now;
+}
--- a/crates/hyssop-policy/src/job/settings.rs
+++ b/crates/hyssop-policy/src/job/settings.rs
@@ -19,6 +19,8 @@
     pub longest_rest: Duration,
     /// The reserve above the memory that was observed.
     pub memory_reserve: f64,
+    /// How long a pool keeps room for the largest urgent job it had.
+    pub urgent_memory: Duration,
     /// How many candidates are looked at for one placement.
     pub candidates: usize,
 }
@@ -34,6 +36,7 @@
             shortest_rest: Duration::from_secs(60),
             longest_rest: Duration::from_secs(3600),
             memory_reserve: 1.25,
+            urgent_memory: Duration::from_secs(600),
             candidates: 32,
         }
     }
--- a/crates/hyssop-policy/src/job/slate.rs
+++ b/crates/hyssop-policy/src/job/slate.rs
@@ -106,18 +106,17 @@
         size: &Size,
         candidates: usize,
         avoid: &[String],
-    ) -> Option<&str> {
+    ) -> Option<Key> {
         let order = self.order.get(pool)?;
         let mut accelerators = size.accelerators;
         loop {
             let from = (accelerators, size.cpu_millis, Key(0));
             let to = (accelerators + 1, 0, Key(0));
             for (_, _, key) in order.range(from..to).take(candidates) {
-                let entry = self.workers.get(key);
-                let fitting = entry
-                    .filter(|entry| entry.free.holds(size) && !avoid.contains(&entry.worker.name));
-                if let Some(entry) = fitting {
-                    return Some(&entry.worker.name);
+                let fits =
+                    |entry: &Entry| entry.free.holds(size) && !avoid.contains(&entry.worker.name);
+                if self.workers.get(key).is_some_and(fits) {
+                    return Some(*key);
                 }
             }
             // The next number of free accelerators that any worker has.
@@ -130,35 +129,51 @@
         self.largest_memory_mib.get(pool).copied().unwrap_or(0)
     }
 
+    /// Tells whether at least two open workers of a pool have room for `size`.
+    pub(crate) fn has_two(&self, pool: &str, size: &Size) -> bool {
+        let order = self.order.get(pool).into_iter().flatten();
+        let entries = order.filter_map(|(_, _, key)| self.workers.get(key));
+        entries
+            .filter(|entry| entry.free.holds(size))
+            .nth(1)
+            .is_some()
+    }
+
+    /// Returns the key of a worker by its name.
+    pub(crate) fn key(&mut self, worker: &str) -> Key {
+        self.names.intern(worker)
+    }
+
+    /// Returns the name of a worker.
+    pub(crate) fn name(&self, key: Key) -> &str {
+        self.names.name(key)
+    }
+
     /// Returns what is free on a worker.
-    pub(crate) fn free(&self, worker: &str) -> Option<&Size> {
-        let entry = self.workers.get(&self.names.find(worker)?);
-        entry.map(|entry| &entry.free)
+    pub(crate) fn free(&self, key: Key) -> Option<&Size> {
+        self.workers.get(&key).map(|entry| &entry.free)
     }
 
     /// Returns the open workers of a pool.
-    pub(crate) fn of_pool<'a>(&'a self, pool: &str) -> impl Iterator<Item = &'a str> {
+    pub(crate) fn of_pool<'a>(&'a self, pool: &str) -> impl Iterator<Item = Key> + 'a {
         let order = self.order.get(pool).into_iter().flatten();
-        order.filter_map(|(_, _, key)| Some(self.workers.get(key)?.worker.name.as_str()))
+        order.map(|(_, _, key)| *key)
     }
 
-    pub(crate) fn reserve(&mut self, worker: &str, size: &Size) {
-        self.change(worker, |entry| entry.free.subtract(size));
+    pub(crate) fn reserve(&mut self, key: Key, size: &Size) {
+        self.change(key, |entry| entry.free.subtract(size));
     }
 
-    pub(crate) fn release(&mut self, worker: &str, size: &Size) {
-        self.change(worker, |entry| entry.free.add(size));
+    pub(crate) fn release(&mut self, key: Key, size: &Size) {
+        self.change(key, |entry| entry.free.add(size));
     }
 
     /// Opens a worker for jobs, or closes it.
-    pub(crate) fn set_open(&mut self, worker: &str, is_open: bool) {
-        self.change(worker, |entry| entry.is_open = is_open);
+    pub(crate) fn set_open(&mut self, key: Key, is_open: bool) {
+        self.change(key, |entry| entry.is_open = is_open);
     }
 
-    fn change(&mut self, worker: &str, change: impl FnOnce(&mut Entry)) {
-        let Some(key) = self.names.find(worker) else {
-            return;
-        };
+    fn change(&mut self, key: Key, change: impl FnOnce(&mut Entry)) {
         self.remove_from_order(key);
         if let Some(entry) = self.workers.get_mut(&key) {
             change(entry);
--- a/crates/hyssop-policy/src/job/task.rs
+++ b/crates/hyssop-policy/src/job/task.rs
@@ -1,3 +1,4 @@
+use super::{ledger, slate};
 use hyssop_model::job::{Record, Size};
 use std::time::Instant;
 
@@ -5,6 +6,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Task {
     pub(crate) record: Record,
+    pub(crate) team: ledger::Key,
+    /// The worker that it holds room on.
+    pub(crate) worker: Option<slate::Key>,
     /// What is reserved for it on its worker.
     pub(crate) reserved: Size,
     /// When its lease is certainly over.
--- a/crates/hyssop-policy/tests/jobs.rs
+++ b/crates/hyssop-policy/tests/jobs.rs
@@ -295,6 +295,38 @@
     );
 }
 
+#[test]
+fn room_made_for_urgent_work_is_not_given_to_deferrable_work() {
+    let mut world = World::new();
+    for _ in 0..60 {
+        world.submit(1000, Class::Deferrable, true);
+    }
+    world.pass(100);
+    // The sizes of the commands are learned before the first urgent job comes.
+    for _ in 0..12 {
+        world.report();
+    }
+    // Memory is short, so room for the first one comes with a checkpoint and its report.
+    let first = world.submit(1000, Class::Urgent, true);
+    world.pass(100);
+    world.report();
+    world.pass(100);
+    world.end(&first, Phase::Done);
+    world.report();
+    world.pass(100);
+    for _ in 0..20 {
+        let urgent = world.submit(1000, Class::Urgent, true);
+        world.pass(100);
+        assert!(
+            world.running.contains_key(&urgent),
+            "urgent work waits for a report"
+        );
+        world.end(&urgent, Phase::Done);
+        world.report();
+        world.pass(100);
+    }
+}
+
 #[test]
 fn a_job_that_fits_nowhere_is_told_so() {
     let mut world = World::new();
