--- a/crates/hyssop-config/tests/refusals.rs
+++ b/crates/hyssop-config/tests/refusals.rs
@@ -1,5 +1,7 @@
 //! Every refusal names the file, the line and the remedy.
 
+#![allow(clippy::unwrap_used)]
+
 use hyssop_config::fleet::{Fleet, Share};
 use hyssop_config::settings::{Entry, Machines};
 use hyssop_config::Document;
--- a/crates/hyssop-entry/tests/callers.rs
+++ b/crates/hyssop-entry/tests/callers.rs
@@ -1,5 +1,7 @@
 //! What callers are told, good ones and bad ones.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use std::io::{Read, Write};
--- a/crates/hyssop-lab/src/measure/slopes.rs
+++ b/crates/hyssop-lab/src/measure/slopes.rs
@@ -174,7 +174,7 @@
 }
 
 fn fit_all(varied: &str, runs: &[(f64, Cost)]) -> Vec<Slope> {
-    let quantities: [(&str, fn(&Cost) -> f64); 7] = [
+    let quantities: [(&str, Pick); 7] = [
         ("entry, % of a core", |cost| cost.entry_core_percent),
         ("entry, MiB", |cost| cost.entry_mib),
         ("planner with the lease, % of a core", |cost| {
@@ -199,6 +199,9 @@
     slopes.collect()
 }
 
+/// Picks one quantity of a run.
+type Pick = fn(&Cost) -> f64;
+
 /// Fits a line by least squares.
 fn fit(varied: &str, measured: &str, sizes: Vec<f64>, values: Vec<f64>) -> Slope {
     let count = sizes.len() as f64;
--- a/crates/hyssop-planner/tests/planning.rs
+++ b/crates/hyssop-planner/tests/planning.rs
@@ -1,5 +1,7 @@
 //! Planners, operators and a faulty store: budgets hold, no lapsed planner writes, all settles.
 
+#![allow(clippy::unwrap_used)]
+
 use hyssop_config::settings::Process;
 use hyssop_event::Recorder;
 use hyssop_model::clock::{Clock, Manual};
--- a/crates/hyssop-platform/tests/resolution.rs
+++ b/crates/hyssop-platform/tests/resolution.rs
@@ -1,5 +1,7 @@
 //! A transaction takes effect once, whatever becomes of its answers.
 
+#![allow(clippy::unwrap_used)]
+
 use hyssop_platform::fake::{Fault, Store};
 use hyssop_platform::resolve::{commit, Commit};
 use hyssop_platform::table::{read_one, Condition, Table, Transaction};
--- /dev/null
+++ b/crates/hyssop-policy/src/dispatch/dispatcher/mod.rs
@@ -0,0 +1,219 @@
+mod arrival;
+mod attempt;
+mod share;
+
+use super::{Action, Desk, Event, Running, Settings};
+use crate::admission::Waiting;
+use crate::slot::{self, Allocator, Choices, Home};
+use crate::{demand, health};
+use hyssop_config::fleet::Fleet;
+use hyssop_config::settings::Allocation;
+use hyssop_model::prelude::*;
+use hyssop_wire::demand::Report;
+
+/// Decides for one entry which request starts when and where, and how each one ends.
+pub struct Dispatcher {
+    id: entry::Id,
+    settings: Settings,
+    allocator: Box<dyn Allocator>,
+    health: health::Board,
+    demand: demand::Board,
+    allowance: demand::Allowance,
+    pools: Names<pool::Key>,
+    flows: Names<flow::Key>,
+    desks: BTreeMap<pool::Key, Desk>,
+    requests: BTreeMap<request::Key, Running>,
+    members: BTreeSet<entry::Id>,
+    /// The slots that rest after attempts that may still be running, by the end of their rest.
+    cooling: BTreeSet<(Instant, slot::Grant)>,
+    is_closed: bool,
+    authority: Option<Instant>,
+    next_health: Option<Instant>,
+    draws: u64,
+}
+
+impl Dispatcher {
+    /// Makes the dispatcher of entry `id`, which knows no pool yet.
+    pub fn new(id: entry::Id, settings: Settings) -> Self {
+        let allocator: Box<dyn Allocator> = match settings.allocation {
+            Allocation::Loans => Box::new(Home::new(id, settings.slot)),
+            Allocation::Fixed => {
+                let fixed = slot::Settings {
+                    is_lending: false,
+                    ..settings.slot
+                };
+                Box::new(Home::new(id, fixed))
+            }
+            Allocation::TwoChoices => Box::new(Choices::new(settings.seed)),
+        };
+        Self {
+            id,
+            allocator,
+            health: health::Board::new(settings.health),
+            demand: demand::Board::default(),
+            allowance: demand::Allowance::default(),
+            pools: Names::default(),
+            flows: Names::default(),
+            desks: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            members: BTreeSet::new(),
+            cooling: BTreeSet::new(),
+            is_closed: false,
+            authority: None,
+            next_health: None,
+            draws: settings.seed,
+            settings,
+        }
+    }
+
+    /// Takes in one event and appends what follows from it to `out`.
+    pub fn step(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Arrive(arrival) => self.arrive(now, arrival, out),
+            Event::End { key, end } => self.end(now, key, end, out),
+            Event::Cancel(key) => self.cancel(key),
+            Event::Probe { instance, sample } => self.health.probe(instance, sample),
+            Event::Frame { from, body } => self.hear(now, from, body, out),
+            Event::PeerUp(peer) => self.greet(now, peer, out),
+            Event::Epoch(epoch) => self.adopt(now, epoch, out),
+            Event::Instances(records) => self.insert_instances(now, records, out),
+            Event::Fleet(fleet) => self.configure(&fleet),
+            Event::Close => self.is_closed = true,
+            Event::Leave => self.allocate(now, slot::Event::Leave, out),
+            Event::Authority(until) => self.authority = until,
+            Event::Tick => self.tick(now, out),
+        }
+    }
+
+    /// Returns the row of an instance.
+    pub fn instance(&self, key: instance::Key) -> Option<&instance::Record> {
+        self.allocator.instance(key)
+    }
+
+    /// Returns how many of this entry's requests are in progress on an instance.
+    pub fn in_flight(&self, key: instance::Key) -> u32 {
+        self.allocator.in_flight(key)
+    }
+
+    /// Tells whether a request waits or is in progress.
+    pub fn contains(&self, key: request::Key) -> bool {
+        self.requests.contains_key(&key)
+    }
+
+    /// Returns the number of requests that wait or are in progress.
+    pub fn load(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns the present demand of all pools, for the planner.
+    pub fn report(&self, now: Instant) -> Report {
+        let pools = self.desks.values().map(|desk| {
+            let usable = self.allocator.usable(&desk.pool.name);
+            desk.report(now, usable)
+        });
+        Report {
+            pools: pools.collect(),
+        }
+    }
+
+    /// Returns the instances that requests are kept away from.
+    pub fn ejected(&self) -> Vec<instance::Key> {
+        self.health.ejected()
+    }
+
+    fn allocate(&mut self, now: Instant, event: slot::Event, out: &mut Vec<Action>) {
+        let mut actions = Vec::new();
+        self.allocator.step(now, event, &mut actions);
+        push_sends(actions, out);
+    }
+
+    fn configure(&mut self, fleet: &Fleet) {
+        for pool in &fleet.pools {
+            let key = self.pools.intern(&pool.name);
+            let mut flows = BTreeMap::new();
+            for queue in &pool.queues {
+                let flow = self.flows.intern(&format!("{}/{}", pool.name, queue.name));
+                flows.insert(queue.name.clone(), flow);
+            }
+            let admission = self.settings.admission;
+            let desk = self
+                .desks
+                .entry(key)
+                .or_insert_with(|| Desk::new(pool.clone(), admission));
+            desk.configure(pool.clone(), flows);
+            let spare = pool.size.saturating_sub(pool.budget).max(1);
+            self.health.set_bound(&pool.name, spare as usize);
+        }
+        let names: BTreeSet<&str> = fleet.pools.iter().map(|pool| pool.name.as_str()).collect();
+        self.desks.retain(|_, desk| {
+            names.contains(desk.pool.name.as_str())
+                || !desk.queue.is_empty()
+                || desk.in_flight() > 0
+        });
+    }
+
+    fn insert_instances(
+        &mut self,
+        now: Instant,
+        records: Vec<instance::Record>,
+        out: &mut Vec<Action>,
+    ) {
+        for record in &records {
+            self.health.insert(record.key, &record.pool);
+        }
+        self.allocate(now, slot::Event::Instances(records), out);
+        self.pump_all(now, out);
+    }
+
+    fn adopt(&mut self, now: Instant, epoch: epoch::Record, out: &mut Vec<Action>) {
+        self.members = epoch.members.iter().map(|member| member.id).collect();
+        self.demand.retain(&self.members);
+        self.allocate(now, slot::Event::Epoch(epoch), out);
+        self.pump_all(now, out);
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.release_cooled(now, out);
+        self.judge_health(now, out);
+        self.tell_health(now, out);
+        self.allocate(now, slot::Event::Tick, out);
+        let pools: Vec<pool::Key> = self.desks.keys().copied().collect();
+        for pool in pools {
+            self.expire(now, pool, out);
+            self.replan(now, pool);
+            self.pump(now, pool, out);
+            self.tell_demand(now, pool, true, out);
+        }
+    }
+}
+
+/// Returns about how many bytes a pool's report takes in a frame.
+fn report_bytes(report: &hyssop_wire::demand::Pool) -> usize {
+    const ENVELOPE_BYTES: usize = 40;
+    const FLOW_BYTES: usize = 20;
+    let queues: usize = report
+        .flows
+        .iter()
+        .map(|flow| flow.queue.len() + FLOW_BYTES)
+        .sum();
+    ENVELOPE_BYTES + report.pool.len() + queues
+}
+
+fn push_sends(actions: Vec<slot::Action>, out: &mut Vec<Action>) {
+    for action in actions {
+        let slot::Action::Send { to, body } = action;
+        out.push(Action::Send { to, body });
+    }
+}
+
+fn waiting(key: request::Key, running: &Running) -> Waiting {
+    Waiting {
+        key,
+        flow: running.flow,
+        class: running.arrival.class,
+        arrived: running.arrived,
+        deadline: running.arrival.deadline,
+        bytes: running.arrival.bytes,
+        avoid: running.avoid.clone(),
+    }
+}
--- /dev/null
+++ b/crates/hyssop-policy/src/job/scheduler/room.rs
@@ -0,0 +1,145 @@
+//! Room for urgent jobs on full workers.
+
+use super::{size_to_reserve, Scheduler};
+use crate::job::slate;
+use crate::job::Action;
+use hyssop_model::job::Size;
+use hyssop_model::prelude::*;
+use hyssop_platform::worker::Signal;
+
+impl Scheduler {
+    /// Makes room for an urgent job on the worker where the least deferrable work must yield:
+    /// processors by throttling, else memory and accelerators by checkpoints.
+    pub(super) fn make_room(&mut self, id: &str, out: &mut Vec<Action>) {
+        let Some(task) = self.tasks.get(id) else {
+            return;
+        };
+        let pool = task.record.pool.clone();
+        let need = size_to_reserve(&self.catalogue, &self.slate, &self.settings, &task.record);
+        let workers: Vec<slate::Key> = self
+            .slate
+            .of_pool(&pool)
+            .take(self.settings.candidates)
+            .collect();
+        for worker in &workers {
+            if self.throttle(*worker, &need, out) {
+                return;
+            }
+        }
+        let is_coming = workers
+            .iter()
+            .any(|worker| self.is_making_room(*worker, &need));
+        if is_coming {
+            return;
+        }
+        for worker in &workers {
+            if self.checkpoint(*worker, &need, out) {
+                return;
+            }
+        }
+    }
+
+    pub(super) fn deferrable_on(&self, worker: slate::Key) -> Vec<String> {
+        let jobs = self.on_worker.get(&worker).into_iter().flatten();
+        let is_deferrable = |id: &&String| {
+            let task = self.tasks.get(*id);
+            task.is_some_and(|task| task.record.class == Class::Deferrable && !task.is_ending)
+        };
+        jobs.filter(is_deferrable).cloned().collect()
+    }
+
+    /// Halves the processors of a worker's deferrable jobs, if that makes room.
+    pub(super) fn throttle(
+        &mut self,
+        worker: slate::Key,
+        need: &Size,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(mut free) = self.slate.free(worker).copied() else {
+            return false;
+        };
+        let jobs = self.deferrable_on(worker);
+        let halves = jobs.iter().filter_map(|id| self.tasks.get(id));
+        let halves: Vec<(String, u64)> = halves
+            .filter(|task| !task.is_throttled)
+            .map(|task| (task.record.id.clone(), task.reserved.cpu_millis / 2))
+            .collect();
+        free.cpu_millis += halves.iter().map(|(_, half)| half).sum::<u64>();
+        if !free.holds(need) {
+            return false;
+        }
+        for (id, half) in halves {
+            let half = Size {
+                cpu_millis: half,
+                ..Size::default()
+            };
+            let Some(task) = self.tasks.get_mut(&id) else {
+                continue;
+            };
+            task.is_throttled = true;
+            task.reserved.subtract(&half);
+            self.slate.release(worker, &half);
+            self.ledger.refund(task.team, &half);
+            out.push(Action::Signal {
+                worker: self.slate.name(worker).to_owned(),
+                job: id,
+                signal: Signal::Throttle,
+            });
+        }
+        true
+    }
+
+    /// Tells whether jobs that were asked to end will leave enough room.
+    pub(super) fn is_making_room(&self, worker: slate::Key, need: &Size) -> bool {
+        let Some(mut free) = self.slate.free(worker).copied() else {
+            return false;
+        };
+        let jobs = self.on_worker.get(&worker).into_iter().flatten();
+        let mut is_any = false;
+        for task in jobs
+            .filter_map(|id| self.tasks.get(id))
+            .filter(|task| task.is_ending)
+        {
+            is_any = true;
+            free.add(&task.reserved);
+        }
+        is_any && free.holds(need)
+    }
+
+    /// Checkpoints deferrable jobs of a worker until there is room, if that is enough.
+    pub(super) fn checkpoint(
+        &mut self,
+        worker: slate::Key,
+        need: &Size,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(mut free) = self.slate.free(worker).copied() else {
+            return false;
+        };
+        let mut chosen = Vec::new();
+        for id in self.deferrable_on(worker) {
+            if free.holds(need) {
+                break;
+            }
+            if let Some(task) = self.tasks.get(&id) {
+                free.add(&task.reserved);
+                chosen.push(id);
+            }
+        }
+        if !free.holds(need) {
+            return false;
+        }
+        for id in chosen {
+            let Some(task) = self.tasks.get_mut(&id) else {
+                continue;
+            };
+            task.is_ending = true;
+            out.push(Action::Signal {
+                worker: self.slate.name(worker).to_owned(),
+                job: id,
+                signal: Signal::Checkpoint,
+            });
+        }
+        true
+    }
+}
--- a/crates/hyssop-policy/tests/claims.rs
+++ b/crates/hyssop-policy/tests/claims.rs
@@ -1,5 +1,7 @@
 //! No key ever runs twice, whatever the network, the clocks, the membership and the store do.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use hyssop_model::entry::Id;
--- a/crates/hyssop-policy/tests/dispatching.rs
+++ b/crates/hyssop-policy/tests/dispatching.rs
@@ -1,5 +1,7 @@
 //! The request path as a whole: admission, slots, retries and outcomes.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use hyssop_config::fleet::Fleet;
--- a/crates/hyssop-policy/tests/jobs.rs
+++ b/crates/hyssop-policy/tests/jobs.rs
@@ -1,5 +1,7 @@
 //! Jobs: no worker is overfull, nothing runs twice that must not, and blame falls on the guilty.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use hyssop_config::fleet::Team;
--- a/crates/hyssop-policy/tests/planning.rs
+++ b/crates/hyssop-policy/tests/planning.rs
@@ -1,5 +1,7 @@
 //! Budgets, demand and moves.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use hyssop_config::fleet::Fleet;
--- a/crates/hyssop-policy/tests/slots.rs
+++ b/crates/hyssop-policy/tests/slots.rs
@@ -1,5 +1,7 @@
 //! Slots are never held twice, whatever the network and the membership do.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use hyssop_model::entry::Id;
--- a/crates/hyssop-wire/tests/frames.rs
+++ b/crates/hyssop-wire/tests/frames.rs
@@ -1,5 +1,7 @@
 //! Frames come back as they were sent, small, and damaged ones are refused.
 
+#![allow(clippy::unwrap_used)]
+
 use hyssop_model::instance;
 use hyssop_wire::demand::{Flow, Pool, Report};
 use hyssop_wire::slot::{Lend, Loan};
