--- a/crates/hyssop-lab/src/command/measure.rs
+++ b/crates/hyssop-lab/src/command/measure.rs
@@ -15,7 +15,7 @@
         default = "settings/kilwa.ini"
     )]
     config: String,
-    #[options(free, help = "overhead, flood, ...")]
+    #[options(free, help = "the measure; a wrong name lists them")]
     name: Option<String>,
 }
 
@@ -38,8 +38,10 @@
             Some("jobs-live") => measure::jobs_live(&call),
             Some("slopes") => measure::slopes(&call),
             Some("storm") => measure::storm(&call),
+            Some("all") => measure::all(&call),
+            Some("plots") => measure::plots(&call),
             _ => {
-                let message = "no such measure; use overhead, flood, skew, faults, outliers, drain, rollout, capacity, jobs, jobs-live, slopes or storm";
+                let message = "no such measure; use overhead, flood, skew, faults, outliers, drain, rollout, capacity, jobs, jobs-live, slopes, storm, all or plots";
                 UsageSnafu { message }.fail()
             }
         }
--- a/crates/hyssop-lab/src/measure/mod.rs
+++ b/crates/hyssop-lab/src/measure/mod.rs
@@ -1,5 +1,6 @@
 //! The measures, one file each.
 
+mod all;
 mod capacity;
 mod drain;
 mod faults;
@@ -14,6 +15,7 @@
 mod slopes;
 mod storm;
 
+pub(crate) use all::{all, plots};
 pub(crate) use capacity::capacity;
 pub(crate) use drain::drain;
 pub(crate) use faults::faults;
--- a/crates/hyssop-lab/src/report/mod.rs
+++ b/crates/hyssop-lab/src/report/mod.rs
@@ -1,5 +1,8 @@
 //! Results on the terminal and in files.
 
+mod plot;
 mod table;
 
+pub(crate) use plot::{draw_bars, Bar};
+
 pub(crate) use table::{print_promises, print_rows, print_summaries, write_json};
