--- /dev/null
+++ b/crates/hyssop-policy/tests/membership.rs
@@ -0,0 +1,147 @@
+//! Leases, epochs and the acceptance of configurations.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use hyssop_model::config::{Head, Version};
+use hyssop_model::entry::{Id, Phase, Record};
+use hyssop_policy::membership::{next_epoch, Lease, Observed};
+use hyssop_policy::rollout::{accept, Verdict};
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+use support::{cases, epoch, member};
+
+const NOW_MS: u64 = 1_000_000;
+const BOUND_MS: u64 = 500;
+
+fn entry(id: u64, expires_ms: u64) -> Record {
+    Record {
+        member: member(id),
+        phase: Phase::Serving,
+        expires_ms,
+        held_version: 0,
+        config_version: 0,
+        is_handed_over: false,
+    }
+}
+
+fn observe<'a>(
+    own: u64,
+    entries: &'a [Record],
+    epoch: &'a hyssop_model::epoch::Record,
+) -> Observed<'a> {
+    Observed {
+        own: Id(own),
+        entries,
+        epoch: Some(epoch),
+        wall_ms: NOW_MS,
+        clock_bound_ms: BOUND_MS,
+    }
+}
+
+fn ids(epoch: &hyssop_model::epoch::Record) -> Vec<u64> {
+    epoch.members.iter().map(|member| member.id.0).collect()
+}
+
+#[test]
+fn a_lease_ends_a_margin_before_its_row_counted_from_before_the_renewal() {
+    let sent = Instant::now();
+    let mut lease = Lease::default();
+    lease.renew(sent, Duration::from_secs(6), Duration::from_secs(1));
+    assert!(lease.is_held(sent + Duration::from_millis(4999)));
+    assert!(!lease.is_held(sent + Duration::from_secs(5)));
+}
+
+#[test]
+fn the_first_living_member_removes_one_whose_lease_ran_out() {
+    let old = epoch(7, &[1, 2, 3], &[]);
+    let entries = [
+        entry(1, NOW_MS - BOUND_MS - 1),
+        entry(2, NOW_MS),
+        entry(3, NOW_MS),
+    ];
+    assert_eq!(
+        next_epoch(&observe(3, &entries, &old)),
+        None,
+        "the second one raced it"
+    );
+    let next = next_epoch(&observe(2, &entries, &old)).unwrap();
+    assert_eq!((next.number, ids(&next)), (8, vec![2, 3]));
+    assert_eq!(next.retired[0].id, Id(1));
+    assert!(!next.retired[0].is_clean);
+    assert_eq!(next.cold_ms, 0);
+}
+
+#[test]
+fn a_lease_within_the_clock_bound_of_its_end_still_counts() {
+    let old = epoch(7, &[1, 2], &[]);
+    let entries = [entry(1, NOW_MS - BOUND_MS), entry(2, NOW_MS)];
+    assert_eq!(next_epoch(&observe(2, &entries, &old)), None);
+}
+
+#[test]
+fn an_entry_writes_its_own_joining_and_its_own_leaving() {
+    let old = epoch(7, &[1, 2], &[]);
+    let joining = [entry(1, NOW_MS), entry(2, NOW_MS), entry(9, NOW_MS)];
+    assert_eq!(
+        ids(&next_epoch(&observe(9, &joining, &old)).unwrap()),
+        [1, 2, 9]
+    );
+    let mut leaving = [entry(1, NOW_MS), entry(2, NOW_MS)];
+    leaving[1].phase = Phase::Leaving;
+    leaving[1].is_handed_over = true;
+    let next = next_epoch(&observe(2, &leaving, &old)).unwrap();
+    assert_eq!(ids(&next), [1]);
+    assert!(next.retired[0].is_clean);
+}
+
+#[test]
+fn an_epoch_without_a_member_of_the_one_before_is_cold() {
+    let old = epoch(7, &[1, 2], &[]);
+    let entries = [entry(9, NOW_MS)];
+    let next = next_epoch(&observe(9, &entries, &old)).unwrap();
+    assert_eq!(next.cold_ms, NOW_MS);
+    let later = [entry(9, NOW_MS), entry(10, NOW_MS)];
+    let after = next_epoch(&observe(10, &later, &next)).unwrap();
+    assert_eq!(after.cold_ms, NOW_MS, "the cold start was forgotten");
+}
+
+proptest! {
+    #![proptest_config(cases(300))]
+
+    #[test]
+    fn a_version_is_accepted_only_when_every_entry_that_may_serve_holds_it(
+        held in proptest::collection::vec(0..6u64, 0..8),
+        proposed in proptest::option::of(1..6u64),
+        accepted in 0..3u64,
+    ) {
+        let records: Vec<Record> = held
+            .iter()
+            .enumerate()
+            .map(|(index, held)| Record { held_version: *held, ..entry(index as u64, NOW_MS) })
+            .collect();
+        let version = |number| Version { number, ..Version::default() };
+        let head = Head {
+            accepted: version(accepted),
+            proposed: proposed.map(version),
+            last_number: 9,
+        };
+        let may_serve: Vec<&Record> = records.iter().collect();
+        match accept(&head, &may_serve) {
+            Verdict::Idle => prop_assert!(proposed.is_none()),
+            Verdict::Accept(next) => {
+                let number = proposed.unwrap();
+                prop_assert!(held.iter().all(|held| *held >= number));
+                prop_assert_eq!(next.accepted.number, number);
+                prop_assert!(next.proposed.is_none());
+                prop_assert_eq!(next.last_number, 9, "a number could be used twice");
+            }
+            Verdict::Wait(laggards) => {
+                let number = proposed.unwrap();
+                let behind = held.iter().filter(|held| **held < number).count();
+                prop_assert_eq!(laggards.len(), behind);
+            }
+        }
+    }
+}
--- a/crates/hyssopctl/src/command/drain.rs
+++ b/crates/hyssopctl/src/command/drain.rs
@@ -50,7 +50,9 @@
                 .map(|record| record.state);
             if state != shown && format == Format::Table {
                 match state {
-                    Some(State::Serving) => println!("{instance}: asked for; it begins when its pool's budget permits"),
+                    Some(State::Serving) => {
+                        println!("{instance}: asked for; it begins when its pool's budget permits")
+                    }
                     Some(State::Draining) => {
                         println!("{instance}: takes no new work; requests in progress go on")
                     }
