--- a/crates/hyssop-lab/src/command/measure.rs
+++ b/crates/hyssop-lab/src/command/measure.rs
@@ -15,6 +15,8 @@
         default = "settings/kilwa.ini"
     )]
     config: String,
+    #[options(no_short, help = "leaves out the baselines of the flood")]
+    ours: bool,
     #[options(free, help = "the measure; a wrong name lists them")]
     name: Option<String>,
 }
@@ -24,6 +26,7 @@
         let call = measure::Call {
             seed: self.seed,
             config: self.config.clone(),
+            is_ours_only: self.ours,
         };
         match self.name.as_deref() {
             Some("overhead") => measure::overhead(self.seed),
--- a/crates/hyssop-lab/src/measure/mod.rs
+++ b/crates/hyssop-lab/src/measure/mod.rs
@@ -36,4 +36,6 @@
     pub(crate) seed: u64,
     /// The operators' configuration.
     pub(crate) config: String,
+    /// Whether baselines are left out.
+    pub(crate) is_ours_only: bool,
 }
