--- a/crates/hyssop-entry/src/core/host.rs
+++ b/crates/hyssop-entry/src/core/host.rs
@@ -23,7 +23,7 @@
     pub(super) metrics: Arc<Metrics>,
     pub(super) inbox: Inbox,
     pub(super) dispatcher: Dispatcher,
-    pub(super) claims: claim::Desk,
+    pub(super) claims: claim::Coordinator,
     pub(super) claiming: BTreeMap<request::Key, flume::Sender<Verdict>>,
     /// Makes the store thread poll at once.
     pub(super) nudge: flume::Sender<()>,
@@ -51,7 +51,7 @@
         self.metrics.load.set(self.dispatcher.load() as i64);
     }
 
-    /// Feeds the claim desk and carries out what follows.
+    /// Feeds the claim coordinator and carries out what follows.
     pub(super) fn step_claims(&mut self, now: Instant, event: claim::Event) {
         let mut actions = Vec::new();
         self.claims
--- a/crates/hyssop-entry/src/core/thread.rs
+++ b/crates/hyssop-entry/src/core/thread.rs
@@ -22,7 +22,7 @@
     pub(crate) recorder: Recorder,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) dispatcher: Dispatcher,
-    pub(crate) claims: claim::Desk,
+    pub(crate) claims: claim::Coordinator,
     pub(crate) nudge: flume::Sender<()>,
 }
 
--- a/crates/hyssop-entry/src/daemon/life.rs
+++ b/crates/hyssop-entry/src/daemon/life.rs
@@ -101,7 +101,7 @@
         recorder: recorder.clone(),
         metrics: metrics.clone(),
         dispatcher: Dispatcher::new(member.id, dispatch_settings(&settings, member.id)),
-        claims: claim::Desk::new(member.id, claim_settings(&settings)),
+        claims: claim::Coordinator::new(member.id, claim_settings(&settings)),
         nudge: nudge.clone(),
     };
     let core_thread = core::spawn(core, inbox.clone(), messages).context(SystemSnafu)?;
@@ -195,17 +195,17 @@
         self.hand_over().await;
     }
 
-    /// Hands the claims over and leaves the membership, as far as the platform and the heirs
+    /// Hands the claims over and leaves the membership, as far as the platform and the successors
     /// answer in time; else the lease runs out by itself.
     async fn hand_over(&self) {
-        const HEIRS_TIMEOUT: Duration = Duration::from_secs(5);
+        const SUCCESSORS_TIMEOUT: Duration = Duration::from_secs(5);
         const EPOCH_TIMEOUT: Duration = Duration::from_secs(5);
         const PAUSE: Duration = Duration::from_millis(50);
         let (reply, handed_over) = flume::bounded(1);
         if self.inbox.send(Message::HandOver(reply)).is_err() {
             return;
         }
-        let wait = tokio::time::timeout(HEIRS_TIMEOUT, handed_over.recv_async());
+        let wait = tokio::time::timeout(SUCCESSORS_TIMEOUT, handed_over.recv_async());
         if !matches!(wait.await, Ok(Ok(()))) {
             log::warn!("event=hand-over-unconfirmed");
             return;
--- a/crates/hyssop-entry/src/store/keeper.rs
+++ b/crates/hyssop-entry/src/store/keeper.rs
@@ -259,7 +259,7 @@
         self.told_held = held;
         self.told_in_force = in_force;
         if is_handed_over && !self.told_handover {
-            // The membership is changed at once, so that the keys find their heirs.
+            // The membership is changed at once, so that the keys find their successors.
             self.next_members = now;
         }
         self.told_handover = is_handed_over;
--- a/crates/hyssop-lab/src/measure/storm.rs
+++ b/crates/hyssop-lab/src/measure/storm.rs
@@ -28,7 +28,7 @@
 
 /// Is what the storm does, at a time drawn from the seed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Act {
+enum Disturbance {
     LoseRack,
     RebootInstance,
     FailInstance,
@@ -87,7 +87,7 @@
         is_graceful: true,
         races: Vec::new(),
     };
-    storm.rage(&text)?;
+    storm.run_schedule(&text)?;
     let records = load.finish();
     let samples = sampler.finish();
     print_summaries(&Summary::by_stream(&streams, &records));
@@ -168,7 +168,7 @@
 
 impl Storm {
     /// Carries out every act at its time, then lets the system settle.
-    fn rage(&mut self, text: &str) -> Result<(), Error> {
+    fn run_schedule(&mut self, text: &str) -> Result<(), Error> {
         let started = Instant::now();
         for (at, act) in self.schedule() {
             std::thread::sleep(at.saturating_sub(started.elapsed()));
@@ -178,52 +178,52 @@
         Ok(())
     }
 
-    fn schedule(&mut self) -> Vec<(Duration, Act)> {
+    fn schedule(&mut self) -> Vec<(Duration, Disturbance)> {
         let acts = [
-            Act::LoseRack,
-            Act::RebootInstance,
-            Act::RebootInstance,
-            Act::FailInstance,
-            Act::HangInstance,
-            Act::SlowInstance,
-            Act::StartWave,
-            Act::KillEntry,
-            Act::PauseEntry,
-            Act::ReplaceEntry,
-            Act::StoreDown,
-            Act::StoreSlow,
-            Act::StoreLoses,
-            Act::RaceOperators,
-            Act::RaceOperators,
+            Disturbance::LoseRack,
+            Disturbance::RebootInstance,
+            Disturbance::RebootInstance,
+            Disturbance::FailInstance,
+            Disturbance::HangInstance,
+            Disturbance::SlowInstance,
+            Disturbance::StartWave,
+            Disturbance::KillEntry,
+            Disturbance::PauseEntry,
+            Disturbance::ReplaceEntry,
+            Disturbance::StoreDown,
+            Disturbance::StoreSlow,
+            Disturbance::StoreLoses,
+            Disturbance::RaceOperators,
+            Disturbance::RaceOperators,
         ];
         let last_ms = (LENGTH - CALM_AT_END).as_millis() as u64;
         let mut schedule = Vec::new();
         for act in acts {
             let at = Duration::from_millis(self.random.random_range(2000..last_ms));
             schedule.push((at, act));
-            if act == Act::PauseEntry {
-                schedule.push((at + Duration::from_secs(12), Act::ResumeEntry));
+            if act == Disturbance::PauseEntry {
+                schedule.push((at + Duration::from_secs(12), Disturbance::ResumeEntry));
             }
         }
-        schedule.push((LENGTH - CALM_AT_END, Act::HealInstances));
-        schedule.push((LENGTH - CALM_AT_END, Act::ResumeEntry));
+        schedule.push((LENGTH - CALM_AT_END, Disturbance::HealInstances));
+        schedule.push((LENGTH - CALM_AT_END, Disturbance::ResumeEntry));
         schedule.sort();
         schedule
     }
 
-    fn carry_out(&mut self, act: Act, text: &str) -> Result<(), Error> {
+    fn carry_out(&mut self, act: Disturbance, text: &str) -> Result<(), Error> {
         match act {
-            Act::LoseRack => self.lose_rack(),
-            Act::RebootInstance => {
+            Disturbance::LoseRack => self.lose_rack(),
+            Disturbance::RebootInstance => {
                 let name = self.any_instance()?;
                 let url = format!("{}/instances/{name}/reboot", self.cluster.servers.url);
                 self.cluster.post(&url, "").map(|_| ())
             }
-            Act::FailInstance => self.fault("fail"),
-            Act::HangInstance => self.fault("hang"),
-            Act::SlowInstance => self.fault("slow"),
-            Act::HealInstances => self.heal(),
-            Act::StartWave => {
+            Disturbance::FailInstance => self.fault("fail"),
+            Disturbance::HangInstance => self.fault("hang"),
+            Disturbance::SlowInstance => self.fault("slow"),
+            Disturbance::HealInstances => self.heal(),
+            Disturbance::StartWave => {
                 let data_centre = &self.cluster.machines.data_centres[0];
                 let body = format!(
                     "{{\"scope\":{{\"kind\":\"data-centre\",\"name\":{data_centre:?}}},\"author\":\"storm\",\"within_ms\":3600000}}"
@@ -234,24 +234,24 @@
                     .post(&format!("{}/v1/operator/wave", self.operator_url()), &body);
                 Ok(())
             }
-            Act::KillEntry => self.kill_entry(),
-            Act::PauseEntry => {
+            Disturbance::KillEntry => self.kill_entry(),
+            Disturbance::PauseEntry => {
                 let index = self.random.random_range(0..self.cluster.entries.len());
                 self.cluster.entries[index].signal(Signal::SIGSTOP);
                 self.paused = Some(index);
                 Ok(())
             }
-            Act::ResumeEntry => {
+            Disturbance::ResumeEntry => {
                 if let Some(index) = self.paused.take() {
                     self.cluster.entries[index].signal(Signal::SIGCONT);
                 }
                 Ok(())
             }
-            Act::ReplaceEntry => self.replace_entry(),
-            Act::StoreDown => self.cluster.platform_fault("kind=down&ms=30000"),
-            Act::StoreSlow => self.cluster.platform_fault("kind=slow&ms=8000"),
-            Act::StoreLoses => self.cluster.platform_fault("kind=lose&ms=8000"),
-            Act::RaceOperators => self.race(text),
+            Disturbance::ReplaceEntry => self.replace_entry(),
+            Disturbance::StoreDown => self.cluster.platform_fault("kind=down&ms=30000"),
+            Disturbance::StoreSlow => self.cluster.platform_fault("kind=slow&ms=8000"),
+            Disturbance::StoreLoses => self.cluster.platform_fault("kind=lose&ms=8000"),
+            Disturbance::RaceOperators => self.race(text),
         }
     }
 
--- a/crates/hyssop-planner/src/daemon/region.rs
+++ b/crates/hyssop-planner/src/daemon/region.rs
@@ -1,4 +1,4 @@
-use crate::jobs::Desk;
+use crate::jobs::Controller;
 use crate::lease::Holder;
 use crate::reports::Source;
 use crate::rows::{transaction, Snapshot};
@@ -48,7 +48,7 @@
     waiting: BTreeMap<String, String>,
     failures: u32,
     /// The jobs, while the lease is held and no row surprised it.
-    jobs: Option<Desk>,
+    jobs: Option<Controller>,
 }
 
 const ROSTER_INTERVAL: Duration = Duration::from_secs(1);
@@ -141,7 +141,7 @@
         self.refresh_roster()?;
         self.load_fleet(&snapshot)?;
         self.roll_out(&snapshot)?;
-        self.bury_entries(&snapshot)?;
+        self.remove_dead_entries(&snapshot)?;
         self.plan(&snapshot)?;
         self.last = Some(snapshot);
         self.schedule_jobs()
@@ -153,18 +153,18 @@
             return Ok(());
         };
         let recorder = self.recorder.clone();
-        let mut desk = self
+        let mut controller = self
             .jobs
             .take()
-            .unwrap_or_else(|| Desk::new(&self.name, recorder));
-        desk.step(
+            .unwrap_or_else(|| Controller::new(&self.name, recorder));
+        controller.step(
             self.clock.now(),
             self.clock.wall_ms(),
             &self.platform,
             &fence,
             &fleet.teams,
         )?;
-        self.jobs = Some(desk);
+        self.jobs = Some(controller);
         Ok(())
     }
 
@@ -242,7 +242,7 @@
     }
 
     /// Deletes the rows of entries whose lease ran out and whose process the platform sees gone.
-    fn bury_entries(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+    fn remove_dead_entries(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
         let Some(live) = &self.own_live else {
             return Ok(());
         };
--- a/crates/hyssop-planner/src/jobs/desk.rs
+++ b/crates/hyssop-planner/src/jobs/controller.rs
@@ -9,7 +9,7 @@
 use hyssop_policy::job::{Action, Event, Scheduler, Settings};
 
 /// Schedules the jobs of one region while the lease is held.
-pub(crate) struct Desk {
+pub(crate) struct Controller {
     region: String,
     settings: Settings,
     scheduler: Scheduler,
@@ -30,7 +30,7 @@
 /// How many rows one transaction writes.
 const ROWS_PER_TRANSACTION: usize = 100;
 
-impl Desk {
+impl Controller {
     pub(crate) fn new(region: &str, recorder: Recorder) -> Self {
         let settings = Settings::default();
         Self {
@@ -47,7 +47,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the platform can't be used or a row changed; the caller then makes a new desk,
+    /// Fails when the platform can't be used or a row changed; the caller then makes a new controller,
     /// which starts from the rows.
     pub(crate) fn step(
         &mut self,
--- a/crates/hyssop-planner/src/jobs/mod.rs
+++ b/crates/hyssop-planner/src/jobs/mod.rs
@@ -1,5 +1,5 @@
 //! Jobs: the scheduler bound to rows and workers.
 
-mod desk;
+mod controller;
 
-pub(crate) use desk::Desk;
+pub(crate) use controller::Controller;
--- a/crates/hyssop-policy/src/claim/action.rs
+++ b/crates/hyssop-policy/src/claim/action.rs
@@ -2,7 +2,7 @@
 use hyssop_wire::claim::Verdict;
 use hyssop_wire::Body;
 
-/// Is what a claim desk asks its host to do.
+/// Is what a claim coordinator asks its host to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Tells a request what was decided.
@@ -19,6 +19,6 @@
         /// The message.
         body: Body,
     },
-    /// Every heir has taken its part of the claims in.
+    /// Every successor has taken its part of the claims in.
     HandedOver,
 }
--- a/crates/hyssop-policy/src/claim/asker.rs
+++ b/crates/hyssop-policy/src/claim/asker.rs
@@ -131,7 +131,7 @@
         &mut self,
         now: Instant,
         settings: &Settings,
-        heir: impl Fn(entry::Id, &str) -> entry::Id,
+        successor: impl Fn(entry::Id, &str) -> entry::Id,
     ) -> Vec<(entry::Id, Settle)> {
         self.unsettled
             .retain(|_, unsettled| unsettled.forget_at > now);
@@ -140,7 +140,7 @@
             if unsettled.send_at <= now {
                 unsettled.send_at = now + settings.settle_interval;
                 due.push((
-                    heir(unsettled.home, &unsettled.settle.key),
+                    successor(unsettled.home, &unsettled.settle.key),
                     unsettled.settle.clone(),
                 ));
             }
--- a/crates/hyssop-policy/src/claim/desk/ask.rs
+++ b/crates/hyssop-policy/src/claim/coordinator/ask.rs
@@ -1,13 +1,13 @@
 //! Questions to other homes, and how granted requests ended.
 
-use super::{decide, Desk};
+use super::{decide, Coordinator};
 use crate::claim::key::{home_among, Key};
 use crate::claim::Action;
 use hyssop_model::prelude::*;
 use hyssop_wire::claim::{Ask, End, Reply, Verdict};
 use hyssop_wire::Body;
 
-impl Desk {
+impl Coordinator {
     pub(super) fn claim(
         &mut self,
         now: Instant,
@@ -94,13 +94,13 @@
     pub(super) fn send_settlements(&mut self, now: Instant, out: &mut Vec<Action>) {
         let epoch = &self.epoch;
         let members = self.history.members();
-        let heir = |home: entry::Id, key: &str| {
+        let successor = |home: entry::Id, key: &str| {
             if epoch.contains(home) {
                 return home;
             }
             home_among(key, members.iter().copied()).unwrap_or(home)
         };
-        for (to, settle) in self.asker.due(now, &self.settings, heir) {
+        for (to, settle) in self.asker.due(now, &self.settings, successor) {
             if to == self.id {
                 let id = settle.id;
                 self.registry
--- a/crates/hyssop-policy/src/claim/desk/home.rs
+++ b/crates/hyssop-policy/src/claim/coordinator/home.rs
@@ -1,6 +1,6 @@
 //! Decisions as the home of keys.
 
-use super::Desk;
+use super::Coordinator;
 use crate::claim::key::Key;
 use crate::claim::{Action, Handover};
 use hyssop_model::prelude::*;
@@ -8,7 +8,7 @@
 use hyssop_wire::notice::Promise;
 use hyssop_wire::{claim, Body};
 
-impl Desk {
+impl Coordinator {
     /// Decides on a question as the home of its key.
     pub(super) fn judge(
         &mut self,
@@ -60,11 +60,11 @@
             Key::Bound { .. } if minted_ms > wall_ms + 2 * bound_ms => Some(Verdict::Malformed),
             Key::Bound { home, .. } if *home == self.id => None,
             Key::Bound { home, .. } => {
-                let is_heir = self
-                    .estates
+                let is_successor = self
+                    .transfers
                     .get(home)
-                    .is_some_and(|estate| estate.covers(self.id, key));
-                (!is_heir).then_some(Verdict::Unknown)
+                    .is_some_and(|transfer| transfer.covers(self.id, key));
+                (!is_successor).then_some(Verdict::Unknown)
             }
             Key::Unbound { .. } => {
                 if minted_ms > wall_ms + bound_ms {
@@ -108,17 +108,17 @@
         }
     }
 
-    pub(super) fn inherit(
+    pub(super) fn receive_transfer(
         &mut self,
         now: Instant,
         from: entry::Id,
         part: claim::Handover,
         out: &mut Vec<Action>,
     ) {
-        let estate = self.estates.entry(from).or_default();
-        let is_whole = estate.receive(&part);
+        let transfer = self.transfers.entry(from).or_default();
+        let is_whole = transfer.receive(&part);
         for held in part.claims {
-            self.registry.inherit(now, held, &self.settings);
+            self.registry.import(now, held, &self.settings);
         }
         if is_whole {
             let body = Body::Accepted(Accepted { parts: part.parts });
--- a/crates/hyssop-policy/src/claim/desk/mod.rs
+++ b/crates/hyssop-policy/src/claim/coordinator/mod.rs
@@ -1,7 +1,7 @@
 mod ask;
 mod home;
 
-use super::handover::Estate;
+use super::handover::Transfer;
 use super::key::Key;
 use super::{Action, Asker, Authority, Event, Handover, History, Registry, Settings};
 use hyssop_model::prelude::*;
@@ -10,7 +10,7 @@
 
 /// Decides for one entry which keyed request may be sent: as the home of keys, and as asker.
 #[derive(Clone, Debug)]
-pub struct Desk {
+pub struct Coordinator {
     id: entry::Id,
     settings: Settings,
     registry: Registry,
@@ -24,14 +24,14 @@
     act_wait: Duration,
     /// When the last of them told so.
     all_told_at: Option<Instant>,
-    estates: BTreeMap<entry::Id, Estate>,
+    transfers: BTreeMap<entry::Id, Transfer>,
     handover: Option<Handover>,
     is_frozen: bool,
     last_random: u64,
 }
 
-impl Desk {
-    /// Makes the desk of entry `id`.
+impl Coordinator {
+    /// Makes the coordinator of entry `id`.
     pub fn new(id: entry::Id, settings: Settings) -> Self {
         Self {
             id,
@@ -44,7 +44,7 @@
             told: BTreeSet::new(),
             act_wait: Duration::ZERO,
             all_told_at: None,
-            estates: BTreeMap::new(),
+            transfers: BTreeMap::new(),
             handover: None,
             is_frozen: false,
             last_random: id.0,
@@ -172,7 +172,7 @@
                 out.push(Action::Send { to: from, body });
             }
             Body::Reply(reply) => self.hear_reply(now, from, reply, out),
-            // The claims went to the heirs; the sender repeats it to them once the home has left.
+            // The claims went to the successors; the sender repeats it to them once the home has left.
             Body::Settle(_) if self.is_frozen => {}
             Body::Settle(settle) => {
                 self.registry.settle(
@@ -192,7 +192,7 @@
                 self.try_to_act(now, wall_ms);
             }
             Body::Promise(promise) => self.hear_promise(from, promise, out),
-            Body::Handover(part) => self.inherit(now, from, part, out),
+            Body::Handover(part) => self.receive_transfer(now, from, part, out),
             Body::Accepted(accepted) => {
                 let is_last = self
                     .handover
--- a/crates/hyssop-policy/src/claim/event.rs
+++ b/crates/hyssop-policy/src/claim/event.rs
@@ -2,7 +2,7 @@
 use hyssop_wire::claim::End;
 use hyssop_wire::Body;
 
-/// Is what happens to a claim desk.
+/// Is what happens to a claim coordinator.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// A keyed request wants to run.
@@ -32,7 +32,7 @@
     Epoch(epoch::Record),
     /// The own lease was renewed and may be used until then.
     Lease(Instant),
-    /// No claim is granted from now on, and what is known goes to the heirs.
+    /// No claim is granted from now on, and what is known goes to the successors.
     HandOver,
     /// Time passed.
     Tick,
--- a/crates/hyssop-policy/src/claim/handover.rs
+++ b/crates/hyssop-policy/src/claim/handover.rs
@@ -3,7 +3,7 @@
 use hyssop_model::prelude::*;
 use hyssop_wire::claim;
 
-/// Sends the claims of a leaving home to their heirs until each has confirmed its parts.
+/// Sends the claims of a leaving home to their successors until each has confirmed its parts.
 #[derive(Clone, Debug)]
 pub(crate) struct Handover {
     parts: BTreeMap<entry::Id, Vec<claim::Handover>>,
@@ -21,17 +21,19 @@
         members: &[entry::Id],
         claims: Vec<claim::Held>,
     ) -> Self {
-        let heirs: Vec<entry::Id> = members.iter().copied().filter(|id| *id != own).collect();
-        let mut by_heir: BTreeMap<entry::Id, Vec<claim::Held>> =
-            heirs.iter().map(|heir| (*heir, Vec::new())).collect();
+        let successors: Vec<entry::Id> = members.iter().copied().filter(|id| *id != own).collect();
+        let mut by_successor: BTreeMap<entry::Id, Vec<claim::Held>> = successors
+            .iter()
+            .map(|successor| (*successor, Vec::new()))
+            .collect();
         for claim in claims {
-            if let Some(heir) = home_among(&claim.key, heirs.iter().copied()) {
-                by_heir.entry(heir).or_default().push(claim);
+            if let Some(successor) = home_among(&claim.key, successors.iter().copied()) {
+                by_successor.entry(successor).or_default().push(claim);
             }
         }
-        let parts = by_heir
+        let parts = by_successor
             .into_iter()
-            .map(|(heir, claims)| (heir, split(&heirs, claims)));
+            .map(|(successor, claims)| (successor, split(&successors, claims)));
         Self {
             parts: parts.collect(),
             send_at: now,
@@ -52,29 +54,29 @@
         let parts = self
             .parts
             .iter()
-            .flat_map(|(heir, parts)| parts.iter().map(|part| (*heir, part.clone())));
+            .flat_map(|(successor, parts)| parts.iter().map(|part| (*successor, part.clone())));
         parts.collect()
     }
 
-    /// Takes in an heir's confirmation, and returns whether it was the last one.
-    pub(crate) fn confirm(&mut self, heir: entry::Id, parts: u32) -> bool {
+    /// Takes in an successor's confirmation, and returns whether it was the last one.
+    pub(crate) fn confirm(&mut self, successor: entry::Id, parts: u32) -> bool {
         let is_whole = self
             .parts
-            .get(&heir)
+            .get(&successor)
             .is_some_and(|own| own.len() as u32 == parts);
         if is_whole {
-            self.parts.remove(&heir);
+            self.parts.remove(&successor);
         }
         self.finish()
     }
 
-    /// Returns once whether every heir has confirmed.
+    /// Returns once whether every successor has confirmed.
     pub(crate) fn finish(&mut self) -> bool {
         self.parts.is_empty() && !std::mem::replace(&mut self.is_done, self.parts.is_empty())
     }
 }
 
-fn split(heirs: &[entry::Id], claims: Vec<claim::Held>) -> Vec<claim::Handover> {
+fn split(successors: &[entry::Id], claims: Vec<claim::Held>) -> Vec<claim::Handover> {
     let mut chunks: Vec<Vec<claim::Held>> =
         claims.chunks(CLAIMS_PER_PART).map(<[_]>::to_vec).collect();
     if chunks.is_empty() {
@@ -84,31 +86,31 @@
     let part = |(index, claims): (usize, Vec<claim::Held>)| claim::Handover {
         part: index as u32,
         parts,
-        heirs: heirs.to_vec(),
+        successors: successors.to_vec(),
         claims,
     };
     chunks.into_iter().enumerate().map(part).collect()
 }
 
-/// Is what an heir received of one home's claims.
+/// Is what an successor received of one home's claims.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Estate {
+pub(crate) struct Transfer {
     received: BTreeSet<u32>,
-    heirs: Vec<entry::Id>,
+    successors: Vec<entry::Id>,
     is_whole: bool,
 }
 
-impl Estate {
+impl Transfer {
     /// Notes a part, and returns whether all parts are there.
     pub(crate) fn receive(&mut self, part: &claim::Handover) -> bool {
         self.received.insert(part.part);
-        self.heirs.clone_from(&part.heirs);
+        self.successors.clone_from(&part.successors);
         self.is_whole |= self.received.len() as u32 == part.parts;
         self.is_whole
     }
 
-    /// Tells whether `own` is the heir of a key and knows every claim of it.
+    /// Tells whether `own` is the successor of a key and knows every claim of it.
     pub(crate) fn covers(&self, own: entry::Id, key: &str) -> bool {
-        self.is_whole && home_among(key, self.heirs.iter().copied()) == Some(own)
+        self.is_whole && home_among(key, self.successors.iter().copied()) == Some(own)
     }
 }
--- a/crates/hyssop-policy/src/claim/mod.rs
+++ b/crates/hyssop-policy/src/claim/mod.rs
@@ -7,7 +7,7 @@
 mod action;
 mod asker;
 mod authority;
-mod desk;
+mod coordinator;
 mod event;
 mod handover;
 mod history;
@@ -16,7 +16,7 @@
 mod settings;
 
 pub use action::Action;
-pub use desk::Desk;
+pub use coordinator::Coordinator;
 pub use event::Event;
 pub use key::Key;
 pub use settings::Settings;
--- a/crates/hyssop-policy/src/claim/registry.rs
+++ b/crates/hyssop-policy/src/claim/registry.rs
@@ -127,7 +127,7 @@
     }
 
     /// Takes in a claim of a home that left, unless the key is known here.
-    pub(crate) fn inherit(&mut self, now: Instant, held: Held, settings: &Settings) {
+    pub(crate) fn import(&mut self, now: Instant, held: Held, settings: &Settings) {
         if self.claims.contains_key(&held.key) {
             return;
         }
--- a/crates/hyssop-policy/src/demand/board.rs
+++ b/crates/hyssop-policy/src/demand/reports.rs
@@ -4,11 +4,11 @@
 
 /// Keeps the latest demand that each entry told.
 #[derive(Clone, Debug, Default)]
-pub struct Board {
+pub struct Reports {
     pools: BTreeMap<String, BTreeMap<entry::Id, demand::Pool>>,
 }
 
-impl Board {
+impl Reports {
     /// Takes in the demand of `from`.
     pub fn insert(&mut self, from: entry::Id, pool: demand::Pool) {
         let reports = self.pools.entry(pool.pool.clone()).or_default();
--- a/crates/hyssop-policy/src/dispatch/dispatcher/arrival.rs
+++ b/crates/hyssop-policy/src/dispatch/dispatcher/arrival.rs
@@ -14,7 +14,7 @@
         let Some(pool) = self
             .pools
             .find(&arrival.pool)
-            .filter(|pool| self.desks.contains_key(pool))
+            .filter(|pool| self.workloads.contains_key(pool))
         else {
             out.push(Action::Finish {
                 key,
@@ -23,9 +23,9 @@
             return;
         };
         let flow = self
-            .desks
+            .workloads
             .get(&pool)
-            .and_then(|desk| desk.flow(&arrival.queue));
+            .and_then(|workload| workload.flow(&arrival.queue));
         let Some(flow) = flow else {
             out.push(Action::Finish {
                 key,
@@ -50,9 +50,9 @@
             may_have_run: false,
             avoid: Avoid::default(),
         };
-        if let Some(desk) = self.desks.get_mut(&pool) {
-            desk.retries.earn();
-            desk.queue.push(waiting(key, &running));
+        if let Some(workload) = self.workloads.get_mut(&pool) {
+            workload.retries.earn();
+            workload.queue.push(waiting(key, &running));
         }
         self.requests.insert(key, running);
         self.pump(now, pool, out);
@@ -66,16 +66,16 @@
         pool: pool::Key,
         flow: flow::Key,
     ) -> Option<Refusal> {
-        let desk = self.desks.get(&pool)?;
-        let usable = self.allocator.usable(&desk.pool.name);
-        let wait = desk.projected_wait(flow, arrival.class, usable);
+        let workload = self.workloads.get(&pool)?;
+        let usable = self.allocator.usable(&workload.pool.name);
+        let wait = workload.projected_wait(flow, arrival.class, usable);
         let reason = if self.is_closed {
             Reason::Stopping
-        } else if self.allocator.total(&desk.pool.name) == 0 {
+        } else if self.allocator.total(&workload.pool.name) == 0 {
             Reason::NoInstance
-        } else if desk.queue.bytes() + arrival.bytes > desk.pool.queue_bytes {
+        } else if workload.queue.bytes() + arrival.bytes > workload.pool.queue_bytes {
             Reason::QueueFull
-        } else if now + wait + desk.service(flow).bound() > arrival.deadline {
+        } else if now + wait + workload.service(flow).bound() > arrival.deadline {
             Reason::WouldMissDeadline
         } else {
             return None;
@@ -95,7 +95,7 @@
     }
 
     pub(super) fn pump_all(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let pools: Vec<pool::Key> = self.desks.keys().copied().collect();
+        let pools: Vec<pool::Key> = self.workloads.keys().copied().collect();
         for pool in pools {
             self.pump(now, pool, out);
         }
@@ -114,14 +114,14 @@
         pool: pool::Key,
         out: &mut Vec<Action>,
     ) -> bool {
-        let Some(desk) = self.desks.get(&pool) else {
+        let Some(workload) = self.workloads.get(&pool) else {
             return false;
         };
-        let Some(first) = desk.queue.peek(&desk.view) else {
+        let Some(first) = workload.queue.peek(&workload.view) else {
             return false;
         };
         let (key, avoid) = (first.key, first.avoid.clone());
-        if now + desk.service(first.flow).bound() > first.deadline {
+        if now + workload.service(first.flow).bound() > first.deadline {
             self.give_up_waiting(key, Reason::WouldMissDeadline, out);
             return true;
         }
@@ -129,12 +129,12 @@
         if self.authority.is_none_or(|until| now >= until) {
             return false;
         }
-        let is_over_due =
-            desk.in_flight() >= self.keep(desk) && self.allocator.unmet(&desk.pool.name) > 0;
+        let is_over_due = workload.in_flight() >= self.keep(workload)
+            && self.allocator.unmet(&workload.pool.name) > 0;
         if is_over_due {
             return false;
         }
-        let pool_name = desk.pool.name.clone();
+        let pool_name = workload.pool.name.clone();
         let Some(grant) = self.acquire(now, &pool_name, &avoid) else {
             return false;
         };
@@ -169,17 +169,17 @@
         };
         running.attempt = Some((grant, now));
         running.attempts += 1;
-        let Some(desk) = self.desks.get_mut(&running.pool) else {
+        let Some(workload) = self.workloads.get_mut(&running.pool) else {
             return;
         };
-        desk.queue.remove(key);
-        desk.count_start(running.flow, running.arrival.class);
+        workload.queue.remove(key);
+        workload.count_start(running.flow, running.arrival.class);
         let left = running.arrival.deadline.saturating_duration_since(now);
         out.push(Action::Start {
             key,
             grant,
             attempt: running.attempts,
-            timeout: left.min(desk.pool.answer_timeout),
+            timeout: left.min(workload.pool.answer_timeout),
             send_by: self.authority.unwrap_or(now),
         });
     }
@@ -194,8 +194,8 @@
         let Some(running) = self.requests.remove(&key) else {
             return;
         };
-        if let Some(desk) = self.desks.get_mut(&running.pool) {
-            desk.queue.remove(key);
+        if let Some(workload) = self.workloads.get_mut(&running.pool) {
+            workload.queue.remove(key);
         }
         let fate = match Verdict::without_retry(running.may_have_run) {
             Outcome::NotRun => Fate::NotRun(self.refuse(reason, Duration::ZERO)),
@@ -213,17 +213,17 @@
             return;
         }
         let pool = running.pool;
-        if let Some(desk) = self.desks.get_mut(&pool) {
-            desk.queue.remove(key);
+        if let Some(workload) = self.workloads.get_mut(&pool) {
+            workload.queue.remove(key);
         }
         self.requests.remove(&key);
     }
 
     pub(super) fn expire(&mut self, now: Instant, pool: pool::Key, out: &mut Vec<Action>) {
-        let Some(desk) = self.desks.get_mut(&pool) else {
+        let Some(workload) = self.workloads.get_mut(&pool) else {
             return;
         };
-        for waiting in desk.queue.expire(now) {
+        for waiting in workload.queue.expire(now) {
             self.give_up_waiting(waiting.key, Reason::DeadlinePassed, out);
         }
     }
--- a/crates/hyssop-policy/src/dispatch/dispatcher/attempt.rs
+++ b/crates/hyssop-policy/src/dispatch/dispatcher/attempt.rs
@@ -22,10 +22,10 @@
             running.avoid.racks.insert(record.rack.clone());
         }
         let took = now.saturating_duration_since(started);
-        if let Some(desk) = self.desks.get_mut(&pool) {
-            desk.count_end(running.flow, running.arrival.class);
+        if let Some(workload) = self.workloads.get_mut(&pool) {
+            workload.count_end(running.flow, running.arrival.class);
             if end == (End::Answered { is_error: false }) {
-                desk.learn_service(running.flow, took);
+                workload.learn_service(running.flow, took);
             }
         }
         if let Some(sample) = end.sample(took) {
@@ -90,14 +90,14 @@
         let Some(running) = self.requests.get(&key) else {
             return;
         };
-        let Some(desk) = self.desks.get_mut(&running.pool) else {
+        let Some(workload) = self.workloads.get_mut(&running.pool) else {
             return;
         };
         let is_permitted = !running.arrival.is_retried_upstream
             && now < running.arrival.deadline
-            && desk.retries.spend();
+            && workload.retries.spend();
         if is_permitted {
-            desk.queue.push(waiting(key, running));
+            workload.queue.push(waiting(key, running));
         } else {
             self.give_up_waiting(key, Reason::RetriesExhausted, out);
         }
--- a/crates/hyssop-policy/src/dispatch/dispatcher/mod.rs
+++ b/crates/hyssop-policy/src/dispatch/dispatcher/mod.rs
@@ -2,7 +2,7 @@
 mod attempt;
 mod share;
 
-use super::{Action, Desk, Event, Running, Settings};
+use super::{Action, Event, Running, Settings, Workload};
 use crate::admission::Waiting;
 use crate::slot::{self, Allocator, Choices, Home};
 use crate::{demand, health};
@@ -16,12 +16,12 @@
     id: entry::Id,
     settings: Settings,
     allocator: Box<dyn Allocator>,
-    health: health::Board,
-    demand: demand::Board,
+    health: health::Monitor,
+    demand: demand::Reports,
     allowance: demand::Allowance,
     pools: Names<pool::Key>,
     flows: Names<flow::Key>,
-    desks: BTreeMap<pool::Key, Desk>,
+    workloads: BTreeMap<pool::Key, Workload>,
     requests: BTreeMap<request::Key, Running>,
     members: BTreeSet<entry::Id>,
     /// The slots that rest after attempts that may still be running, by the end of their rest.
@@ -49,12 +49,12 @@
         Self {
             id,
             allocator,
-            health: health::Board::new(settings.health),
-            demand: demand::Board::default(),
+            health: health::Monitor::new(settings.health),
+            demand: demand::Reports::default(),
             allowance: demand::Allowance::default(),
             pools: Names::default(),
             flows: Names::default(),
-            desks: BTreeMap::new(),
+            workloads: BTreeMap::new(),
             requests: BTreeMap::new(),
             members: BTreeSet::new(),
             cooling: BTreeSet::new(),
@@ -107,9 +107,9 @@
 
     /// Returns the present demand of all pools, for the planner.
     pub fn report(&self, now: Instant) -> Report {
-        let pools = self.desks.values().map(|desk| {
-            let usable = self.allocator.usable(&desk.pool.name);
-            desk.report(now, usable)
+        let pools = self.workloads.values().map(|workload| {
+            let usable = self.allocator.usable(&workload.pool.name);
+            workload.report(now, usable)
         });
         Report {
             pools: pools.collect(),
@@ -136,19 +136,19 @@
                 flows.insert(queue.name.clone(), flow);
             }
             let admission = self.settings.admission;
-            let desk = self
-                .desks
+            let workload = self
+                .workloads
                 .entry(key)
-                .or_insert_with(|| Desk::new(pool.clone(), admission));
-            desk.configure(pool.clone(), flows);
+                .or_insert_with(|| Workload::new(pool.clone(), admission));
+            workload.configure(pool.clone(), flows);
             let spare = pool.size.saturating_sub(pool.budget).max(1);
             self.health.set_bound(&pool.name, spare as usize);
         }
         let names: BTreeSet<&str> = fleet.pools.iter().map(|pool| pool.name.as_str()).collect();
-        self.desks.retain(|_, desk| {
-            names.contains(desk.pool.name.as_str())
-                || !desk.queue.is_empty()
-                || desk.in_flight() > 0
+        self.workloads.retain(|_, workload| {
+            names.contains(workload.pool.name.as_str())
+                || !workload.queue.is_empty()
+                || workload.in_flight() > 0
         });
     }
 
@@ -177,7 +177,7 @@
         self.judge_health(now, out);
         self.tell_health(now, out);
         self.allocate(now, slot::Event::Tick, out);
-        let pools: Vec<pool::Key> = self.desks.keys().copied().collect();
+        let pools: Vec<pool::Key> = self.workloads.keys().copied().collect();
         for pool in pools {
             self.expire(now, pool, out);
             self.replan(now, pool);
--- a/crates/hyssop-policy/src/dispatch/dispatcher/share.rs
+++ b/crates/hyssop-policy/src/dispatch/dispatcher/share.rs
@@ -1,7 +1,7 @@
 //! What entries tell each other: demand, slots and health.
 
 use super::{report_bytes, Dispatcher};
-use crate::dispatch::{Action, Desk, Pace};
+use crate::dispatch::{Action, Pace, Workload};
 use crate::slot;
 use hyssop_model::prelude::*;
 use hyssop_wire::demand::Report;
@@ -10,8 +10,8 @@
 impl Dispatcher {
     pub(super) fn greet(&mut self, now: Instant, peer: entry::Id, out: &mut Vec<Action>) {
         self.allocate(now, slot::Event::PeerUp(peer), out);
-        for desk in self.desks.values_mut() {
-            desk.forget_told();
+        for workload in self.workloads.values_mut() {
+            workload.forget_told();
         }
     }
 
@@ -60,21 +60,22 @@
 
     /// Divides a pool's slots anew.
     pub(super) fn replan(&mut self, now: Instant, pool: pool::Key) {
-        let Some(desk) = self.desks.get_mut(&pool) else {
+        let Some(workload) = self.workloads.get_mut(&pool) else {
             return;
         };
-        let name = desk.pool.name.clone();
+        let name = workload.pool.name.clone();
         let usable = self.allocator.usable(&name);
-        self.demand.insert(self.id, desk.report(now, usable));
+        self.demand.insert(self.id, workload.report(now, usable));
         let total = self.allocator.total(&name);
-        let plan = self.demand.plan(self.id, &name, total, &desk.queues());
-        desk.set_plan(plan, usable, self.settings.deferrable_part);
+        let plan = self.demand.plan(self.id, &name, total, &workload.queues());
+        workload.set_plan(plan, usable, self.settings.deferrable_part);
     }
 
     /// Returns the slots of a pool that this entry keeps for itself.
-    pub(super) fn keep(&self, desk: &Desk) -> u32 {
-        let due = desk.plan.entries.get(&self.id).copied().unwrap_or(0.0);
-        let is_short = self.demand.total(&desk.pool.name) >= self.allocator.total(&desk.pool.name);
+    pub(super) fn keep(&self, workload: &Workload) -> u32 {
+        let due = workload.plan.entries.get(&self.id).copied().unwrap_or(0.0);
+        let is_short =
+            self.demand.total(&workload.pool.name) >= self.allocator.total(&workload.pool.name);
         let reserve = u32::from(!is_short);
         due.ceil() as u32 + reserve
     }
@@ -87,19 +88,20 @@
         heard: Option<entry::Id>,
         out: &mut Vec<Action>,
     ) {
-        let Some(desk) = self.desks.get(&pool) else {
+        let Some(workload) = self.workloads.get(&pool) else {
             return;
         };
-        let name = desk.pool.name.clone();
+        let name = workload.pool.name.clone();
         if heard.is_none() && self.allocator.unmet(&name) == 0 {
             return;
         }
-        let keep = self.keep(desk);
+        let keep = self.keep(workload);
         let spare = self.allocator.usable(&name).saturating_sub(keep);
         let wanted = heard.map(|peer| {
             (
                 peer,
-                self.demand.wanted(self.id, peer, &name, &desk.plan, spare),
+                self.demand
+                    .wanted(self.id, peer, &name, &workload.plan, spare),
             )
         });
         let need = slot::Event::Need {
@@ -118,10 +120,10 @@
         is_tick: bool,
         out: &mut Vec<Action>,
     ) {
-        let Some(desk) = self.desks.get_mut(&pool) else {
+        let Some(workload) = self.workloads.get_mut(&pool) else {
             return;
         };
-        if !is_tick && desk.queue.is_empty() {
+        if !is_tick && workload.queue.is_empty() {
             return;
         }
         let pace = Pace {
@@ -129,16 +131,16 @@
             interval: self.settings.demand_interval,
             refresh: self.settings.demand_refresh,
         };
-        let usable = self.allocator.usable(&desk.pool.name);
-        let report = desk.report(now, usable);
-        if !desk.is_worth_telling(now, &report, &pace) {
+        let usable = self.allocator.usable(&workload.pool.name);
+        let report = workload.report(now, usable);
+        if !workload.is_worth_telling(now, &report, &pace) {
             return;
         }
         let bytes = self.members.len().saturating_sub(1) * report_bytes(&report);
         if !self.allowance.take(now, bytes) {
             return;
         }
-        desk.note_told(now, &report);
+        workload.note_told(now, &report);
         let body = Body::Demand(Report {
             pools: vec![report],
         });
--- a/crates/hyssop-policy/src/dispatch/mod.rs
+++ b/crates/hyssop-policy/src/dispatch/mod.rs
@@ -2,12 +2,12 @@
 
 mod action;
 mod arrival;
-mod desk;
 mod dispatcher;
 mod event;
 mod running;
 mod service;
 mod settings;
+mod workload;
 
 pub use action::{Action, Fate};
 pub use arrival::Arrival;
@@ -15,6 +15,6 @@
 pub use event::Event;
 pub use settings::Settings;
 
-pub(crate) use desk::{Desk, Pace};
 pub(crate) use running::Running;
 pub(crate) use service::Service;
+pub(crate) use workload::{Pace, Workload};
--- a/crates/hyssop-policy/src/dispatch/desk.rs
+++ b/crates/hyssop-policy/src/dispatch/workload.rs
@@ -8,7 +8,7 @@
 use hyssop_wire::demand as report;
 
 /// Is one pool at an entry.
-pub(crate) struct Desk {
+pub(crate) struct Workload {
     pub(crate) pool: Pool,
     pub(crate) queue: Queue,
     pub(crate) retries: retry::Budget,
@@ -20,7 +20,7 @@
     told_at: Option<Instant>,
 }
 
-impl Desk {
+impl Workload {
     pub(crate) fn new(pool: Pool, admission: Admission) -> Self {
         let order: Box<dyn Order> = match admission {
             Admission::Fair => Box::new(Fair),
--- a/crates/hyssop-policy/src/health/mod.rs
+++ b/crates/hyssop-policy/src/health/mod.rs
@@ -1,11 +1,11 @@
 //! Which instances are fit for requests.
 
-mod board;
+mod monitor;
 mod sample;
 mod settings;
 mod subject;
 
-pub use board::Board;
+pub use monitor::Monitor;
 pub use sample::Sample;
 pub use settings::Settings;
 
--- a/crates/hyssop-policy/src/health/board.rs
+++ b/crates/hyssop-policy/src/health/monitor.rs
@@ -4,7 +4,7 @@
 
 /// Judges instances by this entry's samples and by what other observers tell.
 #[derive(Debug)]
-pub struct Board {
+pub struct Monitor {
     settings: Settings,
     subjects: BTreeMap<instance::Key, Subject>,
     opinions: BTreeMap<entry::Id, (Instant, BTreeSet<instance::Key>)>,
@@ -12,8 +12,8 @@
     bounds: BTreeMap<String, usize>,
 }
 
-impl Board {
-    /// Makes a board without instances.
+impl Monitor {
+    /// Makes a monitor without instances.
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
--- a/crates/hyssop-policy/src/job/blame.rs
+++ b/crates/hyssop-policy/src/job/attribution.rs
@@ -4,7 +4,7 @@
 
 /// Tells bad jobs from bad workers.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Blame {
+pub(crate) struct Attribution {
     workers: BTreeMap<String, Suspicion>,
 }
 
@@ -16,7 +16,7 @@
     until: Option<Instant>,
 }
 
-impl Blame {
+impl Attribution {
     /// Notes a failure, and returns whether the worker is to be left alone from now on.
     pub(crate) fn fail(
         &mut self,
--- a/crates/hyssop-policy/src/job/slate.rs
+++ b/crates/hyssop-policy/src/job/inventory.rs
@@ -9,7 +9,7 @@
 
 /// Knows what is free on each worker, and finds the fullest worker that a job fits on.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Slate {
+pub(crate) struct Inventory {
     names: Names<Key>,
     workers: BTreeMap<Key, Entry>,
     /// The workers that take jobs, by pool and free accelerators and processors.
@@ -26,7 +26,7 @@
     is_open: bool,
 }
 
-impl Slate {
+impl Inventory {
     /// Takes in the list of workers, and returns whether it changed; what was reserved stays
     /// reserved.
     pub(crate) fn set_workers(&mut self, workers: Vec<Worker>) -> bool {
--- a/crates/hyssop-policy/src/job/mod.rs
+++ b/crates/hyssop-policy/src/job/mod.rs
@@ -1,13 +1,13 @@
-//! Which job runs on which worker: shares of teams, placement, urgency and blame.
+//! Which job runs on which worker: shares of teams, placement, urgency and attribution.
 
 mod action;
-mod blame;
-mod catalogue;
+mod attribution;
 mod event;
-mod ledger;
+mod inventory;
+mod profile;
+mod quota;
 mod scheduler;
 mod settings;
-mod slate;
 mod task;
 
 pub use action::Action;
@@ -15,8 +15,8 @@
 pub use scheduler::Scheduler;
 pub use settings::Settings;
 
-pub(crate) use blame::Blame;
-pub(crate) use catalogue::Catalogue;
-pub(crate) use ledger::Ledger;
-pub(crate) use slate::Slate;
+pub(crate) use attribution::Attribution;
+pub(crate) use inventory::Inventory;
+pub(crate) use profile::Profile;
+pub(crate) use quota::Quota;
 pub(crate) use task::Task;
--- a/crates/hyssop-policy/src/job/catalogue.rs
+++ b/crates/hyssop-policy/src/job/profile.rs
@@ -3,7 +3,7 @@
 
 /// Remembers what the jobs of each command really used.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Catalogue {
+pub(crate) struct Profile {
     commands: BTreeMap<String, Observed>,
 }
 
@@ -18,7 +18,7 @@
 const LEAST_REPORTS: u32 = 10;
 const WEIGHT: f64 = 0.2;
 
-impl Catalogue {
+impl Profile {
     /// Takes in what a job of `command` used.
     pub(crate) fn observe(&mut self, command: &str, cpu_millis: u64, memory_mib: u64) {
         let observed = self.commands.entry(command.to_owned()).or_default();
--- a/crates/hyssop-policy/src/job/ledger.rs
+++ b/crates/hyssop-policy/src/job/quota.rs
@@ -13,7 +13,7 @@
 /// after Ghodsi et al., "Dominant Resource Fairness", NSDI 2011. Quota that a team does not use is
 /// thereby borrowed by the others and comes back as jobs end.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Ledger {
+pub(crate) struct Quota {
     names: Names<Key>,
     accounts: BTreeMap<Key, Account>,
     /// The waiting jobs of each team in each pool.
@@ -54,7 +54,7 @@
 /// The steps into which a share is divided for ordering.
 const STEPS: f64 = 1e12;
 
-impl Ledger {
+impl Quota {
     pub(crate) fn set_teams(&mut self, teams: &[Team]) {
         for team in teams {
             let key = self.key(&team.name);
--- a/crates/hyssop-policy/src/job/scheduler/mod.rs
+++ b/crates/hyssop-policy/src/job/scheduler/mod.rs
@@ -3,9 +3,9 @@
 mod report;
 mod room;
 
-use super::ledger::Place;
-use super::slate;
-use super::{Action, Blame, Catalogue, Event, Ledger, Settings, Slate, Task};
+use super::inventory;
+use super::quota::Place;
+use super::{Action, Attribution, Event, Inventory, Profile, Quota, Settings, Task};
 use hyssop_model::job::{Record, Size};
 use hyssop_model::prelude::*;
 
@@ -13,13 +13,13 @@
 #[derive(Clone, Debug)]
 pub struct Scheduler {
     settings: Settings,
-    slate: Slate,
-    ledger: Ledger,
-    catalogue: Catalogue,
-    blame: Blame,
+    inventory: Inventory,
+    quota: Quota,
+    profile: Profile,
+    attribution: Attribution,
     tasks: BTreeMap<String, Task>,
     /// The jobs on each worker.
-    on_worker: BTreeMap<slate::Key, BTreeSet<String>>,
+    on_worker: BTreeMap<inventory::Key, BTreeSet<String>>,
     sequence: u64,
     /// The largest urgent job that each pool had lately, and when it had one last.
     urgent_needs: BTreeMap<String, (Size, Instant)>,
@@ -34,10 +34,10 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
-            slate: Slate::default(),
-            ledger: Ledger::default(),
-            catalogue: Catalogue::default(),
-            blame: Blame::default(),
+            inventory: Inventory::default(),
+            quota: Quota::default(),
+            profile: Profile::default(),
+            attribution: Attribution::default(),
             tasks: BTreeMap::new(),
             on_worker: BTreeMap::new(),
             sequence: 0,
@@ -51,7 +51,7 @@
     pub fn step(&mut self, now: Instant, wall_ms: u64, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Workers(workers) => self.set_workers(workers, out),
-            Event::Teams(teams) => self.ledger.set_teams(&teams),
+            Event::Teams(teams) => self.quota.set_teams(&teams),
             Event::Job(record) => self.insert(now, record, out),
             Event::Cancel(job) => self.cancel(&job, out),
             Event::Usage(usages) => self.hear_usage(now, wall_ms, &usages, out),
@@ -67,7 +67,7 @@
 
     /// Returns the part of all workers that a team uses, by the resource it uses most of.
     pub fn share(&self, team: &str) -> f64 {
-        self.ledger.share(team, self.slate.whole())
+        self.quota.share(team, self.inventory.whole())
     }
 
     /// Returns the number of jobs that have not ended.
@@ -81,10 +81,10 @@
     }
 
     fn tick(&mut self, now: Instant, wall_ms: u64, out: &mut Vec<Action>) {
-        for worker in self.blame.take_rested(now) {
-            let worker = self.slate.key(&worker);
-            self.slate.set_open(worker, true);
-            self.dirty.extend(self.slate.pools());
+        for worker in self.attribution.take_rested(now) {
+            let worker = self.inventory.key(&worker);
+            self.inventory.set_open(worker, true);
+            self.dirty.extend(self.inventory.pools());
         }
         self.end_lapsed(now, out);
         self.place_urgent(now, wall_ms, out);
@@ -92,7 +92,7 @@
     }
 }
 
-/// Returns a waiting task's place in the ledger.
+/// Returns a waiting task's place in the quota.
 fn place_of(task: &Task) -> Place {
     Place {
         team: task.team,
@@ -106,13 +106,13 @@
 
 /// Returns what to reserve for a job: never more than its pool's largest worker has.
 fn size_to_reserve(
-    catalogue: &Catalogue,
-    slate: &Slate,
+    profile: &Profile,
+    inventory: &Inventory,
     settings: &Settings,
     record: &Record,
 ) -> Size {
-    let mut size = catalogue.size(&record.command, &record.size, settings.memory_reserve);
-    let largest = slate.largest_memory_mib(&record.pool);
+    let mut size = profile.size(&record.command, &record.size, settings.memory_reserve);
+    let largest = inventory.largest_memory_mib(&record.pool);
     size.memory_mib = size.memory_mib.min(largest.max(record.size.memory_mib));
     size
 }
--- a/crates/hyssop-policy/src/job/scheduler/place.rs
+++ b/crates/hyssop-policy/src/job/scheduler/place.rs
@@ -1,7 +1,7 @@
 //! Which job goes to which worker.
 
 use super::{note_urgent, size_to_reserve, Scheduler};
-use crate::job::ledger::{self};
+use crate::job::quota::{self};
 use crate::job::Action;
 use hyssop_model::job::{Size, State};
 use hyssop_model::prelude::*;
@@ -17,8 +17,8 @@
         let Some(worker) = task.worker else {
             return;
         };
-        self.slate.reserve(worker, &task.reserved);
-        self.ledger.charge(task.team, &task.reserved);
+        self.inventory.reserve(worker, &task.reserved);
+        self.quota.charge(task.team, &task.reserved);
         self.on_worker
             .entry(worker)
             .or_default()
@@ -33,12 +33,12 @@
         let Some(worker) = task.worker.take() else {
             return;
         };
-        self.slate.release(worker, &task.reserved);
+        self.inventory.release(worker, &task.reserved);
         self.dirty.insert(task.record.pool.clone());
         if let Some(jobs) = self.on_worker.get_mut(&worker) {
             jobs.remove(id);
         }
-        self.ledger.refund(task.team, &task.reserved);
+        self.quota.refund(task.team, &task.reserved);
         task.over_at = None;
         task.is_throttled = false;
         task.is_ending = false;
@@ -48,7 +48,7 @@
     pub(super) fn place_urgent(&mut self, now: Instant, wall_ms: u64, out: &mut Vec<Action>) {
         const MOST_AT_ONCE: usize = 256;
         let urgent: Vec<String> = self
-            .ledger
+            .quota
             .urgent()
             .take(MOST_AT_ONCE)
             .map(str::to_owned)
@@ -79,13 +79,13 @@
         const DEEPEST_LOOK: usize = 4;
         // What did not fit in this pass; what is as large or larger does not fit either.
         let mut too_large: Vec<Size> = Vec::new();
-        let whole = *self.slate.whole();
-        let turns = self.ledger.turns(pool, &whole);
-        let mut turns: BinaryHeap<Reverse<(u64, ledger::Key)>> =
+        let whole = *self.inventory.whole();
+        let turns = self.quota.turns(pool, &whole);
+        let mut turns: BinaryHeap<Reverse<(u64, quota::Key)>> =
             turns.into_iter().map(Reverse).collect();
         while let Some(Reverse((_, team))) = turns.pop() {
             for depth in 0..DEEPEST_LOOK {
-                let Some((id, size)) = self.ledger.nth_waiting(team, pool, depth) else {
+                let Some((id, size)) = self.quota.nth_waiting(team, pool, depth) else {
                     break;
                 };
                 if too_large.iter().any(|large| size.holds(large)) {
@@ -94,7 +94,7 @@
                 let id = id.to_owned();
                 if self.place(now, wall_ms, &id, out) {
                     // The team's turn is a later one now; the other teams' turns are as they were.
-                    let next = self.ledger.turn(team, pool, &whole);
+                    let next = self.quota.turn(team, pool, &whole);
                     turns.extend(next.map(|turn| Reverse((turn, team))));
                     break;
                 }
@@ -116,7 +116,7 @@
             return false;
         };
         let record = &mut task.record;
-        let size = size_to_reserve(&self.catalogue, &self.slate, settings, record);
+        let size = size_to_reserve(&self.profile, &self.inventory, settings, record);
         if record.class == Class::Urgent {
             note_urgent(&mut self.urgent_needs, now, &record.pool, &size, settings);
         }
@@ -126,11 +126,11 @@
         if let (Class::Deferrable, Some((need, _))) = (record.class, urgent) {
             // One worker at least keeps room for the next urgent job: making room takes longer than
             // urgent work may wait.
-            if !self.slate.has_two(&record.pool, need) {
+            if !self.inventory.has_two(&record.pool, need) {
                 wanted.add(need);
             }
         }
-        let found = self.slate.find(
+        let found = self.inventory.find(
             &record.pool,
             &wanted,
             settings.candidates,
@@ -139,19 +139,19 @@
         let Some(worker) = found else {
             return false;
         };
-        self.ledger
+        self.quota
             .remove(task.team, &record.pool, record.class, task.sequence);
         let over_at = now + settings.lease + settings.lease_slack + settings.usage_lag;
         record.state = State::Placed;
         record.fence += 1;
         record.lease_ends_ms = wall_ms + settings.lease.as_millis() as u64;
         record.reason.clear();
-        record.worker = Some(self.slate.name(worker).to_owned());
+        record.worker = Some(self.inventory.name(worker).to_owned());
         task.worker = Some(worker);
         task.reserved = size;
         task.over_at = Some(over_at);
-        self.slate.reserve(worker, &size);
-        self.ledger.charge(task.team, &size);
+        self.inventory.reserve(worker, &size);
+        self.quota.charge(task.team, &size);
         self.on_worker
             .entry(worker)
             .or_default()
--- a/crates/hyssop-policy/src/job/scheduler/queue.rs
+++ b/crates/hyssop-policy/src/job/scheduler/queue.rs
@@ -14,11 +14,11 @@
         }
         self.sequence += 1;
         let mut task = Task {
-            team: self.ledger.key(&record.team),
+            team: self.quota.key(&record.team),
             worker: record
                 .worker
                 .as_deref()
-                .map(|worker| self.slate.key(worker)),
+                .map(|worker| self.inventory.key(worker)),
             reserved: record.size,
             over_at: None,
             is_throttled: false,
@@ -33,7 +33,7 @@
                 out.push(Action::Write(task.record));
                 return;
             }
-            self.ledger.push(place_of(&task));
+            self.quota.push(place_of(&task));
             self.dirty.insert(task.record.pool.clone());
         } else {
             // It was placed by an earlier planner; it may run until its lease is over.
@@ -49,10 +49,10 @@
 
     /// Takes in the workers, and ends the waiting jobs that none of them could run.
     pub(super) fn set_workers(&mut self, workers: Vec<Worker>, out: &mut Vec<Action>) {
-        if !self.slate.set_workers(workers) {
+        if !self.inventory.set_workers(workers) {
             return;
         }
-        self.dirty.extend(self.slate.pools());
+        self.dirty.extend(self.inventory.pools());
         let waiting = self
             .tasks
             .values()
@@ -67,7 +67,7 @@
 
     /// Returns why a job can never run, if it can't.
     pub(super) fn impossible(&self, record: &Record) -> Option<String> {
-        if self.slate.is_empty() || self.slate.could_hold(&record.pool, &record.size) {
+        if self.inventory.is_empty() || self.inventory.could_hold(&record.pool, &record.size) {
             return None;
         }
         Some(format!(
@@ -120,7 +120,7 @@
         let Some(task) = self.tasks.get(id) else {
             return;
         };
-        self.ledger.remove(
+        self.quota.remove(
             task.team,
             &task.record.pool,
             task.record.class,
@@ -138,7 +138,7 @@
         task.record.worker = None;
         task.record.reason = reason.to_owned();
         out.push(Action::Write(task.record.clone()));
-        self.ledger.push(place_of(task));
+        self.quota.push(place_of(task));
         self.dirty.insert(task.record.pool.clone());
     }
 
--- a/crates/hyssop-policy/src/job/scheduler/report.rs
+++ b/crates/hyssop-policy/src/job/scheduler/report.rs
@@ -36,7 +36,7 @@
         match usage.phase {
             Phase::Running => self.hear_running(now, wall_ms, usage, out),
             Phase::Done => {
-                self.blame.succeed(&usage.worker);
+                self.attribution.succeed(&usage.worker);
                 self.finish(id, State::Done, "", out);
             }
             Phase::Checkpointed => {
@@ -59,7 +59,7 @@
             return;
         };
         task.over_at = Some(now + settings.lease + settings.lease_slack);
-        self.catalogue
+        self.profile
             .observe(&task.record.command, usage.cpu_millis, usage.memory_mib);
         if task.record.state == State::Placed {
             task.record.state = State::Running;
@@ -91,8 +91,8 @@
         };
         task.reserved.add(&surplus);
         if let Some(worker) = task.worker {
-            self.slate.reserve(worker, &surplus);
-            self.ledger.charge(task.team, &surplus);
+            self.inventory.reserve(worker, &surplus);
+            self.quota.charge(task.team, &surplus);
         }
     }
 
@@ -134,9 +134,12 @@
 
     pub(super) fn after_failure(&mut self, now: Instant, usage: &Usage, out: &mut Vec<Action>) {
         let id = usage.task.as_str();
-        if self.blame.fail(now, &usage.worker, id, &self.settings) {
-            let worker = self.slate.key(&usage.worker);
-            self.slate.set_open(worker, false);
+        if self
+            .attribution
+            .fail(now, &usage.worker, id, &self.settings)
+        {
+            let worker = self.inventory.key(&usage.worker);
+            self.inventory.set_open(worker, false);
             out.push(Action::Suspect {
                 worker: usage.worker.clone(),
             });
--- a/crates/hyssop-policy/src/job/scheduler/room.rs
+++ b/crates/hyssop-policy/src/job/scheduler/room.rs
@@ -1,7 +1,7 @@
 //! Room for urgent jobs on full workers.
 
 use super::{size_to_reserve, Scheduler};
-use crate::job::slate;
+use crate::job::inventory;
 use crate::job::Action;
 use hyssop_model::job::Size;
 use hyssop_model::prelude::*;
@@ -15,9 +15,9 @@
             return;
         };
         let pool = task.record.pool.clone();
-        let need = size_to_reserve(&self.catalogue, &self.slate, &self.settings, &task.record);
-        let workers: Vec<slate::Key> = self
-            .slate
+        let need = size_to_reserve(&self.profile, &self.inventory, &self.settings, &task.record);
+        let workers: Vec<inventory::Key> = self
+            .inventory
             .of_pool(&pool)
             .take(self.settings.candidates)
             .collect();
@@ -39,7 +39,7 @@
         }
     }
 
-    pub(super) fn deferrable_on(&self, worker: slate::Key) -> Vec<String> {
+    pub(super) fn deferrable_on(&self, worker: inventory::Key) -> Vec<String> {
         let jobs = self.on_worker.get(&worker).into_iter().flatten();
         let is_deferrable = |id: &&String| {
             let task = self.tasks.get(*id);
@@ -51,11 +51,11 @@
     /// Halves the processors of a worker's deferrable jobs, if that makes room.
     pub(super) fn throttle(
         &mut self,
-        worker: slate::Key,
+        worker: inventory::Key,
         need: &Size,
         out: &mut Vec<Action>,
     ) -> bool {
-        let Some(mut free) = self.slate.free(worker).copied() else {
+        let Some(mut free) = self.inventory.free(worker).copied() else {
             return false;
         };
         let jobs = self.deferrable_on(worker);
@@ -78,10 +78,10 @@
             };
             task.is_throttled = true;
             task.reserved.subtract(&half);
-            self.slate.release(worker, &half);
-            self.ledger.refund(task.team, &half);
+            self.inventory.release(worker, &half);
+            self.quota.refund(task.team, &half);
             out.push(Action::Signal {
-                worker: self.slate.name(worker).to_owned(),
+                worker: self.inventory.name(worker).to_owned(),
                 job: id,
                 signal: Signal::Throttle,
             });
@@ -90,8 +90,8 @@
     }
 
     /// Tells whether jobs that were asked to end will leave enough room.
-    pub(super) fn is_making_room(&self, worker: slate::Key, need: &Size) -> bool {
-        let Some(mut free) = self.slate.free(worker).copied() else {
+    pub(super) fn is_making_room(&self, worker: inventory::Key, need: &Size) -> bool {
+        let Some(mut free) = self.inventory.free(worker).copied() else {
             return false;
         };
         let jobs = self.on_worker.get(&worker).into_iter().flatten();
@@ -109,11 +109,11 @@
     /// Checkpoints deferrable jobs of a worker until there is room, if that is enough.
     pub(super) fn checkpoint(
         &mut self,
-        worker: slate::Key,
+        worker: inventory::Key,
         need: &Size,
         out: &mut Vec<Action>,
     ) -> bool {
-        let Some(mut free) = self.slate.free(worker).copied() else {
+        let Some(mut free) = self.inventory.free(worker).copied() else {
             return false;
         };
         let mut chosen = Vec::new();
@@ -135,7 +135,7 @@
             };
             task.is_ending = true;
             out.push(Action::Signal {
-                worker: self.slate.name(worker).to_owned(),
+                worker: self.inventory.name(worker).to_owned(),
                 job: id,
                 signal: Signal::Checkpoint,
             });
--- a/crates/hyssop-policy/src/job/settings.rs
+++ b/crates/hyssop-policy/src/job/settings.rs
@@ -9,13 +9,13 @@
     pub lease_slack: Duration,
     /// How late the platform reports usage at most.
     pub usage_lag: Duration,
-    /// On how many workers a job must fail to be blamed.
+    /// On how many workers a job must fail to count as failing.
     pub failures_of_job: usize,
-    /// How many jobs must fail on a worker, with none that ended well between, to blame it.
+    /// How many jobs must fail on a worker, with none that ended well between, to attribution it.
     pub failures_of_worker: usize,
-    /// How long a blamed worker is first left alone.
+    /// How long a suspected worker is first left alone.
     pub shortest_rest: Duration,
-    /// How long a blamed worker is left alone at most.
+    /// How long a suspected worker is left alone at most.
     pub longest_rest: Duration,
     /// The reserve above the memory that was observed.
     pub memory_reserve: f64,
--- a/crates/hyssop-policy/src/job/task.rs
+++ b/crates/hyssop-policy/src/job/task.rs
@@ -1,4 +1,4 @@
-use super::{ledger, slate};
+use super::{inventory, quota};
 use hyssop_model::job::{Record, Size};
 use std::time::Instant;
 
@@ -6,9 +6,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Task {
     pub(crate) record: Record,
-    pub(crate) team: ledger::Key,
+    pub(crate) team: quota::Key,
     /// The worker that it holds room on.
-    pub(crate) worker: Option<slate::Key>,
+    pub(crate) worker: Option<inventory::Key>,
     /// What is reserved for it on its worker.
     pub(crate) reserved: Size,
     /// When its lease is certainly over.
--- a/crates/hyssop-policy/src/membership/change.rs
+++ b/crates/hyssop-policy/src/membership/change.rs
@@ -20,7 +20,7 @@
 /// How long a former member stays in the epoch's record, in milliseconds.
 const RETIRED_LIFE_MS: u64 = 120_000;
 
-/// How long one that handed its claims over stays, so that its keys find their heirs.
+/// How long one that handed its claims over stays, so that its keys find their successors.
 const CLEAN_LIFE_MS: u64 = 900_000;
 
 /// Returns the epoch that `observed.own` should write now, if any.
--- a/crates/hyssop-policy/src/slot/home/loan.rs
+++ b/crates/hyssop-policy/src/slot/home/loan.rs
@@ -9,7 +9,7 @@
 impl Home {
     /// Returns the idle loans of an instance that takes no requests.
     pub(super) fn return_closed(&mut self, key: instance::Key, out: &mut Vec<Action>) {
-        let Some(site) = self.board.get(key) else {
+        let Some(site) = self.inventory.get(key) else {
             return;
         };
         if site.is_open() {
@@ -31,7 +31,7 @@
         let Some(borrowed) = self.ledger.borrowed.remove(&(lender, id)) else {
             return;
         };
-        self.board.update(borrowed.instance, |site| {
+        self.inventory.update(borrowed.instance, |site| {
             site.idle_loans.retain(|loan| *loan != (lender, id));
             site.loans -= 1;
         });
@@ -69,7 +69,7 @@
         lend: &Lend,
         loan: &Loan,
     ) -> bool {
-        let is_open = self.board.get(loan.instance).is_some_and(Site::is_open);
+        let is_open = self.inventory.get(loan.instance).is_some_and(Site::is_open);
         if !is_open {
             return false;
         }
@@ -81,7 +81,7 @@
             idle_since: Some(now),
         };
         self.ledger.borrowed.insert((lender, loan.id), borrowed);
-        self.board.update(loan.instance, |site| {
+        self.inventory.update(loan.instance, |site| {
             site.idle_loans.push((lender, loan.id));
             site.loans += 1;
         });
@@ -93,7 +93,7 @@
             let Some(lent) = self.ledger.take_back(from, *id) else {
                 continue;
             };
-            let is_foreign = self.board.update(lent.instance, |site| {
+            let is_foreign = self.inventory.update(lent.instance, |site| {
                 site.lent.remove(lent.index);
                 !site.home.contains(lent.index)
             });
@@ -113,7 +113,7 @@
             .filter_map(|id| self.ledger.lent.get(id));
         let pools: Vec<String> = lent
             .filter(|lent| lent.to == from && self.epoch.contains(from))
-            .filter_map(|lent| Some(self.board.get(lent.instance)?.record.pool.clone()))
+            .filter_map(|lent| Some(self.inventory.get(lent.instance)?.record.pool.clone()))
             .collect();
         self.take_back(from, &returned.loans);
         if !returned.wants_more {
@@ -168,7 +168,7 @@
         if !self.settings.is_lending || self.is_leaving {
             return;
         }
-        let own: u32 = self.board.of_pool(pool).map(own_capacity).sum();
+        let own: u32 = self.inventory.of_pool(pool).map(own_capacity).sum();
         let Some(need) = self.needs.get_mut(pool) else {
             return;
         };
@@ -177,7 +177,7 @@
         while spare > 0 && !need.wanted.is_empty() {
             for (peer, count) in need.wanted.iter_mut() {
                 let slot = if spare > 0 {
-                    next_free(&self.board, pool)
+                    next_free(&self.inventory, pool)
                 } else {
                     None
                 };
@@ -186,7 +186,8 @@
                     break;
                 };
                 let loan = self.ledger.lend(*peer, self.epoch.number, instance, index);
-                self.board.update(instance, |site| site.lent.insert(index));
+                self.inventory
+                    .update(instance, |site| site.lent.insert(index));
                 loans.entry(*peer).or_default().push(loan);
                 *count -= 1;
                 spare -= 1;
@@ -230,7 +231,7 @@
         borrowed.idle_since = Some(now);
         let is_over =
             now >= borrowed.start_by || borrowed.epoch != self.epoch.number || self.is_leaving;
-        let is_open = self.board.update(grant.instance, |site| {
+        let is_open = self.inventory.update(grant.instance, |site| {
             site.idle_loans.push((lender, id));
             site.is_open()
         });
--- a/crates/hyssop-policy/src/slot/home/mod.rs
+++ b/crates/hyssop-policy/src/slot/home/mod.rs
@@ -1,7 +1,7 @@
 mod loan;
 mod status;
 
-use super::{Action, Allocator, Avoid, Board, Clearance, Event, Grant, Ledger, Settings, Site};
+use super::{Action, Allocator, Avoid, Clearance, Event, Grant, Inventory, Ledger, Settings, Site};
 use hyssop_model::hash;
 use hyssop_model::prelude::*;
 use hyssop_wire::slot::{Mask, Return};
@@ -15,7 +15,7 @@
     id: entry::Id,
     settings: Settings,
     epoch: epoch::Record,
-    board: Board,
+    inventory: Inventory,
     ledger: Ledger,
     clearance: Clearance,
     needs: BTreeMap<String, Need>,
@@ -44,7 +44,7 @@
             id,
             settings,
             epoch: epoch::Record::default(),
-            board: Board::default(),
+            inventory: Inventory::default(),
             ledger: Ledger::default(),
             clearance: Clearance::default(),
             needs: BTreeMap::new(),
@@ -57,7 +57,7 @@
 
     /// Returns the slots of `instance` that this entry may have in use or lent: tests add them up.
     pub fn holds(&self, instance: instance::Key) -> Mask {
-        let Some(site) = self.board.get(instance) else {
+        let Some(site) = self.inventory.get(instance) else {
             return Mask::EMPTY;
         };
         let mut held = (site.clear & !site.lent) | site.busy;
@@ -85,7 +85,7 @@
         for need in self.needs.values_mut() {
             need.wanted.retain(|id, _| epoch.contains(*id));
         }
-        for key in self.board.keys() {
+        for key in self.inventory.keys() {
             self.rehome(key);
         }
         self.has_pending = true;
@@ -95,11 +95,11 @@
 
     /// Works out the slots of an instance that are at home here.
     fn rehome(&mut self, key: instance::Key) {
-        let Some(site) = self.board.get(key) else {
+        let Some(site) = self.inventory.get(key) else {
             return;
         };
         let home = home_slots(self.id, &self.epoch, &site.record);
-        self.board.update(key, |site| {
+        self.inventory.update(key, |site| {
             site.home = home;
             site.clear = site.clear & home;
         });
@@ -113,7 +113,7 @@
     ) {
         for record in records {
             let key = record.key;
-            if self.board.insert(record) {
+            if self.inventory.insert(record) {
                 self.rehome(key);
                 self.has_pending = true;
             }
@@ -138,8 +138,8 @@
         if self.is_leaving {
             return None;
         }
-        let instance = self.board.best(pool, avoid)?;
-        let (own, loan) = self.board.update(instance, |site| {
+        let instance = self.inventory.best(pool, avoid)?;
+        let (own, loan) = self.inventory.update(instance, |site| {
             let own = site.free().first();
             match own {
                 Some(index) => {
@@ -160,7 +160,7 @@
         let borrowed = self.ledger.borrowed.get_mut(&(lender, id))?;
         if now >= borrowed.start_by {
             borrowed.idle_since = Some(now);
-            self.board
+            self.inventory
                 .update(instance, |site| site.idle_loans.push((lender, id)));
             return None;
         }
@@ -177,7 +177,7 @@
             self.release_borrowed(now, grant, lender, id, out);
             return;
         }
-        let is_foreign = self.board.update(grant.instance, |site| {
+        let is_foreign = self.inventory.update(grant.instance, |site| {
             site.busy.remove(grant.index);
             !site.home.contains(grant.index)
         });
@@ -195,7 +195,7 @@
                 instance,
                 is_usable,
             } => {
-                self.board
+                self.inventory
                     .update(instance, |site| site.is_healthy = is_usable);
                 self.return_closed(instance, out);
             }
@@ -225,7 +225,7 @@
     }
 
     fn usable(&self, pool: &str) -> u32 {
-        self.board.of_pool(pool).map(Site::usable).sum()
+        self.inventory.of_pool(pool).map(Site::usable).sum()
     }
 
     fn unmet(&self, pool: &str) -> u32 {
@@ -235,16 +235,16 @@
     }
 
     fn total(&self, pool: &str) -> u32 {
-        let open = self.board.of_pool(pool).filter(|site| site.is_open());
+        let open = self.inventory.of_pool(pool).filter(|site| site.is_open());
         open.map(|site| site.record.slots).sum()
     }
 
     fn instance(&self, key: instance::Key) -> Option<&instance::Record> {
-        self.board.get(key).map(|site| &site.record)
+        self.inventory.get(key).map(|site| &site.record)
     }
 
     fn in_flight(&self, key: instance::Key) -> u32 {
-        self.board.get(key).map_or(0, Site::in_flight)
+        self.inventory.get(key).map_or(0, Site::in_flight)
     }
 }
 
@@ -258,9 +258,9 @@
 }
 
 /// Returns a free slot of the freest open instance that has one of its own.
-fn next_free(board: &Board, pool: &str) -> Option<(instance::Key, u8)> {
-    board.freest(pool).into_iter().find_map(|key| {
-        let free = board.get(key)?.free().first()?;
+fn next_free(inventory: &Inventory, pool: &str) -> Option<(instance::Key, u8)> {
+    inventory.freest(pool).into_iter().find_map(|key| {
+        let free = inventory.get(key)?.free().first()?;
         Some((key, free))
     })
 }
--- a/crates/hyssop-policy/src/slot/home/status.rs
+++ b/crates/hyssop-policy/src/slot/home/status.rs
@@ -20,9 +20,9 @@
             return;
         }
         self.has_pending = false;
-        for key in self.board.keys() {
+        for key in self.inventory.keys() {
             let blocked = self.clearance.blocked(now, key);
-            let is_pending = self.board.update(key, |site| {
+            let is_pending = self.inventory.update(key, |site| {
                 site.clear = site.clear | (site.home & !blocked);
                 site.clear != site.home
             });
@@ -51,7 +51,7 @@
     /// Returns the slots held here whose home under the present epoch is elsewhere.
     pub(super) fn foreign_slots(&self) -> Vec<Held> {
         let mut foreign: BTreeMap<instance::Key, Mask> = BTreeMap::new();
-        for (key, site) in self.board.iter() {
+        for (key, site) in self.inventory.iter() {
             if !site.foreign().is_empty() {
                 foreign.insert(key, site.foreign());
             }
--- a/crates/hyssop-policy/src/slot/board.rs
+++ b/crates/hyssop-policy/src/slot/inventory.rs
@@ -4,14 +4,14 @@
 
 /// Holds the instances by key, and by pool in the order of their free slots.
 #[derive(Debug, Default)]
-pub(crate) struct Board {
+pub(crate) struct Inventory {
     sites: BTreeMap<instance::Key, Site>,
     pools: BTreeMap<String, BTreeSet<instance::Key>>,
     open: BTreeMap<String, BTreeSet<(Reverse<u32>, instance::Key)>>,
     ranks: BTreeMap<instance::Key, (String, u32)>,
 }
 
-impl Board {
+impl Inventory {
     pub(crate) fn get(&self, key: instance::Key) -> Option<&Site> {
         self.sites.get(&key)
     }
--- a/crates/hyssop-policy/src/slot/mod.rs
+++ b/crates/hyssop-policy/src/slot/mod.rs
@@ -2,13 +2,13 @@
 
 mod action;
 mod allocator;
-mod board;
 mod borrowed;
 mod choices;
 mod clearance;
 mod event;
 mod grant;
 mod home;
+mod inventory;
 mod ledger;
 mod lent;
 mod settings;
@@ -22,9 +22,9 @@
 pub use home::Home;
 pub use settings::Settings;
 
-pub(crate) use board::Board;
 pub(crate) use borrowed::Borrowed;
 pub(crate) use clearance::Clearance;
+pub(crate) use inventory::Inventory;
 pub(crate) use ledger::Ledger;
 pub(crate) use lent::Lent;
 pub(crate) use site::Site;
--- a/crates/hyssop-policy/tests/claims.rs
+++ b/crates/hyssop-policy/tests/claims.rs
@@ -7,7 +7,7 @@
 use hyssop_model::entry::Id;
 use hyssop_model::epoch::Retired;
 use hyssop_model::request;
-use hyssop_policy::claim::{Action, Desk, Event, Settings};
+use hyssop_policy::claim::{Action, Coordinator, Event, Settings};
 use hyssop_wire::claim::{Answer, End, Verdict};
 use hyssop_wire::slot::Status;
 use hyssop_wire::Body;
@@ -76,9 +76,9 @@
     ]
 }
 
-/// Is one entry: its desk, its clock's offset and its lease in the table service.
+/// Is one entry: its claims, its clock's offset and its lease in the table service.
 struct Node {
-    desk: Desk,
+    coordinator: Coordinator,
     offset_ms: i64,
     epoch: u64,
     members: Vec<u64>,
@@ -154,7 +154,7 @@
         let bound_ms = Settings::default().clock_bound.as_millis() as i64;
         let offset_ms = [-bound_ms / 2, bound_ms / 2, 0][id as usize % 3];
         let node = Node {
-            desk: Desk::new(Id(id), Settings::default()),
+            coordinator: Coordinator::new(Id(id), Settings::default()),
             offset_ms,
             epoch: 0,
             members: Vec::new(),
@@ -184,7 +184,7 @@
         let now = self.now;
         let mut out = Vec::new();
         if let Some(node) = self.nodes.get_mut(&id) {
-            node.desk.step(now, wall_ms, event, &mut out);
+            node.coordinator.step(now, wall_ms, event, &mut out);
         }
         for action in out {
             self.carry_out(id, action);
@@ -411,7 +411,7 @@
                 let key = self
                     .nodes
                     .get_mut(&id)
-                    .and_then(|node| node.desk.mint(wall_ms));
+                    .and_then(|node| node.coordinator.mint(wall_ms));
                 self.keys.extend(key.map(|key| key.to_string()));
             }
             Op::Claim(node, key) => {
@@ -465,7 +465,8 @@
             Op::HandOver(index) => {
                 let Some(id) = self.pick(index) else { return };
                 let node = &self.nodes[&id];
-                let is_idle = !node.is_paused && node.granted.is_empty() && !node.desk.is_busy();
+                let is_idle =
+                    !node.is_paused && node.granted.is_empty() && !node.coordinator.is_busy();
                 if is_idle && node.members.contains(&id) {
                     self.step(id, Event::HandOver);
                 }
--- a/crates/hyssop-policy/tests/jobs.rs
+++ b/crates/hyssop-policy/tests/jobs.rs
@@ -1,4 +1,4 @@
-//! Jobs: no worker is overfull, nothing runs twice that must not, and blame falls on the guilty.
+//! Jobs: no worker is overfull, nothing runs twice that must not, and failures are attributed.
 
 #![allow(clippy::unwrap_used)]
 
--- a/crates/hyssop-wire/src/claim/handover.rs
+++ b/crates/hyssop-wire/src/claim/handover.rs
@@ -37,7 +37,7 @@
     pub state: State,
 }
 
-/// Hands a leaving entry's claims to the receiver, as far as it is their heir.
+/// Hands a leaving entry's claims to the receiver, as far as it is their successor.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Handover {
     /// The position of this part, from 0.
@@ -48,7 +48,7 @@
     pub parts: u32,
     /// The entries between which the claims are divided by their keys.
     #[serde(rename = "h")]
-    pub heirs: Vec<entry::Id>,
+    pub successors: Vec<entry::Id>,
     /// The claims.
     #[serde(rename = "c")]
     pub claims: Vec<Held>,
--- a/crates/hyssop-wire/src/frame/body.rs
+++ b/crates/hyssop-wire/src/frame/body.rs
@@ -35,7 +35,7 @@
     /// Confirms a [`claim::Settle`].
     #[serde(rename = "k")]
     Settled(claim::Settled),
-    /// Hands the claims of a leaving entry to their heirs.
+    /// Hands the claims of a leaving entry to their successors.
     #[serde(rename = "x")]
     Handover(claim::Handover),
     /// Confirms that a hand-over was taken in as a whole.
