Read fewer rows at rest: own row at renewal, pools from memory, entries now and then

Cause: docs/CAPACITY.md: 56 cells would read 3,010 rows a second at rest, the platform gives 2,000. The planner scanned pools and entries four times a second though only it writes pools, and entries read their own row at every poll though only a renewal needs it.

--- a/crates/hyssop-entry/src/store/keeper.rs
+++ b/crates/hyssop-entry/src/store/keeper.rs
@@ -8,7 +8,7 @@
 use hyssop_model::entry::{Phase, Record};
 use hyssop_model::prelude::*;
 use hyssop_platform::object::Object;
-use hyssop_platform::table::{Condition, Row, Table, Transaction};
+use hyssop_platform::table::{read_one, Condition, Row, Table, Transaction};
 use hyssop_platform::{keys, Error};
 use hyssop_policy::membership::{next_epoch, Observed};
 use rand::Rng;
@@ -122,12 +122,11 @@
 
     fn poll(&mut self) -> Result<(), Error> {
         let region = self.parts.process.region.clone();
-        let name = self.parts.process.name.clone();
-        let poll = Poll::read(self.parts.table.as_ref(), &region, &name)?;
+        let poll = Poll::read(self.parts.table.as_ref(), &region)?;
         self.hold_config(&poll)?;
         self.watch_instances(&poll)?;
         self.watch_epoch(&poll);
-        self.renew(&poll)?;
+        self.renew()?;
         self.watch_members(&poll)
     }
 
@@ -230,7 +229,7 @@
     }
 
     /// Renews the lease when it is due, or when there is news for the planner.
-    fn renew(&mut self, poll: &Poll) -> Result<(), Error> {
+    fn renew(&mut self) -> Result<(), Error> {
         let now = self.parts.clock.now();
         let (held, in_force) = (self.parts.state.held(), self.parts.state.in_force());
         let is_handed_over = self.parts.state.is_handed_over();
@@ -244,8 +243,9 @@
         let process = &self.parts.process;
         let record = self.record(held, in_force);
         let key = keys::entry(&process.region, &process.name);
+        let own_row = read_one(self.parts.table.as_ref(), &key)?;
         let transaction = Transaction::new(write_id())
-            .require(Condition::as_read(&key, poll.own_row.as_ref()))
+            .require(Condition::as_read(&key, own_row.as_ref()))
             .put(&key, &record);
         self.parts.table.commit(&transaction)?;
         self.parts
@@ -340,7 +340,7 @@
     fn leave(&mut self) -> Result<(), Error> {
         let process = &self.parts.process;
         let key = keys::entry(&process.region, &process.name);
-        let row = hyssop_platform::table::read_one(self.parts.table.as_ref(), &key)?;
+        let row = read_one(self.parts.table.as_ref(), &key)?;
         let Some(row) = row else {
             return Ok(());
         };
--- a/crates/hyssop-entry/src/store/poll.rs
+++ b/crates/hyssop-entry/src/store/poll.rs
@@ -10,21 +10,19 @@
     pub(super) head: instance::Head,
     pub(super) config_row: Option<Row>,
     pub(super) config: config::Head,
-    pub(super) own_row: Option<Row>,
 }
 
 impl Poll {
     /// Reads the rows that every entry watches, in one call.
-    pub(super) fn read(table: &dyn Table, region: &str, name: &str) -> Result<Self, Error> {
+    pub(super) fn read(table: &dyn Table, region: &str) -> Result<Self, Error> {
         let wanted = [
             keys::epoch(region),
             keys::head(region),
             keys::CONFIG.to_owned(),
-            keys::entry(region, name),
         ];
         let mut rows = table.read(&wanted)?.into_iter();
         let mut next = || rows.next().flatten();
-        let (epoch_row, head_row, config_row, own_row) = (next(), next(), next(), next());
+        let (epoch_row, head_row, config_row) = (next(), next(), next());
         Ok(Self {
             epoch: epoch_row.as_ref().map(Row::parse).transpose()?,
             head: head_row
@@ -35,7 +33,6 @@
                 .map_or(Ok(config::Head::default()), Row::parse)?,
             epoch_row,
             config_row,
-            own_row,
         })
     }
 }
--- a/crates/hyssop-planner/src/daemon/region.rs
+++ b/crates/hyssop-planner/src/daemon/region.rs
@@ -47,6 +47,7 @@
     next_roster: Instant,
     waiting: BTreeMap<String, String>,
     failures: u32,
+    step_count: u32,
     /// The jobs, while the lease is held and no row surprised it.
     jobs: Option<Controller>,
 }
@@ -88,6 +89,7 @@
             own_live: None,
             waiting: BTreeMap::new(),
             failures: 0,
+            step_count: 0,
             jobs: None,
         }
     }
@@ -137,13 +139,16 @@
             return Ok(());
         }
         self.metrics.steps.inc();
-        let snapshot = Snapshot::read(self.platform.table.as_ref(), &self.name, self.last.take())?;
+        let is_full = self.is_full_read_due();
+        let last = self.last.take();
+        let snapshot = Snapshot::read(self.platform.table.as_ref(), &self.name, last, is_full)?;
         self.refresh_roster()?;
         self.load_fleet(&snapshot)?;
         self.roll_out(&snapshot)?;
         self.remove_dead_entries(&snapshot)?;
-        self.plan(&snapshot)?;
-        self.last = Some(snapshot);
+        let is_changed = self.plan(&snapshot)?;
+        // After a change of its own every row is read anew.
+        self.last = Some(snapshot).filter(|_| !is_changed);
         self.schedule_jobs()
     }
 
@@ -168,6 +173,18 @@
         Ok(())
     }
 
+    /// Tells whether the entries' rows are to be read: now and then, and always while something
+    /// waits for what they say.
+    fn is_full_read_due(&mut self) -> bool {
+        const FULL_READ_STEPS: u32 = 4;
+        self.step_count = self.step_count.wrapping_add(1);
+        let is_awaited = self.last.as_ref().is_none_or(|last| {
+            let is_draining = |record: &instance::Record| record.state == instance::State::Draining;
+            last.config.proposed.is_some() || last.instances.values().any(is_draining)
+        });
+        is_awaited || self.step_count.is_multiple_of(FULL_READ_STEPS)
+    }
+
     fn refresh_roster(&mut self) -> Result<(), Error> {
         let now = self.clock.now();
         if now < self.next_roster {
@@ -271,9 +288,10 @@
         Ok(())
     }
 
-    fn plan(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+    /// Decides and commits one step, and returns whether rows changed.
+    fn plan(&mut self, snapshot: &Snapshot) -> Result<bool, Error> {
         let Some((_, fleet)) = &self.fleet else {
-            return Ok(());
+            return Ok(false);
         };
         let view = View {
             wall_ms: self.clock.wall_ms(),
@@ -292,7 +310,7 @@
         self.planner.step(&view, &mut draft);
         if !draft.is_unchanged() {
             let Some(fence) = self.holder.fence() else {
-                return Ok(());
+                return Ok(false);
             };
             let transaction = transaction(&self.name, snapshot, &draft, fence);
             self.platform.table.commit(&transaction)?;
@@ -300,7 +318,7 @@
         }
         self.reboot(&draft)?;
         self.note(&draft);
-        Ok(())
+        Ok(!draft.is_unchanged())
     }
 
     fn reboot(&self, draft: &Draft) -> Result<(), Error> {
--- a/crates/hyssop-planner/src/rows/snapshot.rs
+++ b/crates/hyssop-planner/src/rows/snapshot.rs
@@ -20,12 +20,18 @@
 }
 
 impl Snapshot {
-    /// Reads the rows of a region; unchanged instance rows are taken from `last`.
+    /// Reads the rows of a region; instance rows that did not change, and pool rows, which nobody
+    /// else writes, are taken from `last`, and so are entry rows unless `is_full`.
     ///
     /// # Errors
     ///
     /// Fails when the table service can't be used or a row can't be parsed.
-    pub(crate) fn read(table: &dyn Table, region: &str, last: Option<Self>) -> Result<Self, Error> {
+    pub(crate) fn read(
+        table: &dyn Table,
+        region: &str,
+        last: Option<Self>,
+        is_full: bool,
+    ) -> Result<Self, Error> {
         let mut snapshot = Self::default();
         let wanted = [
             keys::head(region),
@@ -38,12 +44,9 @@
         snapshot.head = snapshot.single(&wanted[0])?.unwrap_or_default();
         snapshot.config = snapshot.single(&wanted[1])?.unwrap_or_default();
         snapshot.epoch = snapshot.single(&wanted[2])?.unwrap_or_default();
+        snapshot.read_pools(table, region, last.as_ref())?;
+        snapshot.read_entries(table, region, last.as_ref(), is_full)?;
         snapshot.read_instances(table, region, last)?;
-        let pool_prefix = keys::pools(region);
-        snapshot.pools = snapshot.scan(table, &pool_prefix)?;
-        let entries: BTreeMap<String, entry::Record> =
-            snapshot.scan(table, &keys::entries(region))?;
-        snapshot.entries = entries.into_values().collect();
         snapshot.drains = snapshot.scan(table, &keys::drain(region, ""))?;
         let wave_rows = table.read(&[keys::wave(region)])?;
         snapshot.keep(wave_rows.into_iter().flatten().collect());
@@ -51,6 +54,50 @@
         Ok(snapshot)
     }
 
+    fn read_pools(
+        &mut self,
+        table: &dyn Table,
+        region: &str,
+        last: Option<&Self>,
+    ) -> Result<(), Error> {
+        let prefix = keys::pools(region);
+        match last {
+            Some(last) => {
+                self.pools = last.pools.clone();
+                self.keep_from(last, &prefix);
+            }
+            None => self.pools = self.scan(table, &prefix)?,
+        }
+        Ok(())
+    }
+
+    fn read_entries(
+        &mut self,
+        table: &dyn Table,
+        region: &str,
+        last: Option<&Self>,
+        is_full: bool,
+    ) -> Result<(), Error> {
+        let prefix = keys::entries(region);
+        match last {
+            Some(last) if !is_full => {
+                self.entries = last.entries.clone();
+                self.keep_from(last, &prefix);
+            }
+            _ => {
+                let entries: BTreeMap<String, entry::Record> = self.scan(table, &prefix)?;
+                self.entries = entries.into_values().collect();
+            }
+        }
+        Ok(())
+    }
+
+    fn keep_from(&mut self, last: &Self, prefix: &str) {
+        let known = last.rows.iter().filter(|(key, _)| key.starts_with(prefix));
+        self.rows
+            .extend(known.map(|(key, row)| (key.clone(), row.clone())));
+    }
+
     /// Reads the instance rows that changed since `last`, or all of them.
     fn read_instances(
         &mut self,
@@ -71,9 +118,7 @@
             .map(|name| keys::instance(region, name))
             .collect();
         self.instances = last.instances.clone();
-        let known = last.rows.iter().filter(|(key, _)| key.starts_with(&prefix));
-        self.rows
-            .extend(known.map(|(key, row)| (key.clone(), row.clone())));
+        self.keep_from(last, &prefix);
         if keys.is_empty() {
             return Ok(());
         }
