--- a/crates/hyssop-entry/src/store/keeper.rs
+++ b/crates/hyssop-entry/src/store/keeper.rs
@@ -298,7 +298,7 @@
             return Ok(());
         }
         self.next_members = now + MEMBERS_INTERVAL;
-        const OTHERS_PART: u32 = 2;
+        const OTHERS_PART: u32 = 4;
         if is_member && is_first != Some(own) {
             self.next_members = now + MEMBERS_INTERVAL * OTHERS_PART;
         }
--- a/crates/hyssop-policy/src/claim/settings.rs
+++ b/crates/hyssop-policy/src/claim/settings.rs
@@ -32,8 +32,8 @@
             clock_bound: Duration::from_millis(500),
             ask_timeout: Duration::from_secs(2),
             settle_interval: Duration::from_millis(500),
-            promise: Duration::from_secs(2),
-            promise_interval: Duration::from_millis(500),
+            promise: Duration::from_secs(3),
+            promise_interval: Duration::from_secs(1),
             longest_outage: Duration::from_secs(600),
         }
     }
