Write jobs' rows within a rate, the most urgent first

Rows that are due are kept, the most urgent are written first, 40 jobs a step. Ruled out: making room on the workers (the median was 93 ms).

--- a/crates/hyssop-planner/src/jobs/controller.rs
+++ b/crates/hyssop-planner/src/jobs/controller.rs
@@ -16,19 +16,15 @@
     rows: BTreeMap<String, Row>,
     teams: Vec<Team>,
     recorder: Recorder,
+    /// The rows that are still to be written; the scheduler's newest word for each job.
+    pending: BTreeMap<String, Record>,
+    /// The jobs that start once their row is written.
+    pending_starts: BTreeSet<String>,
 }
 
-/// Is what a step of the scheduler calls for.
-#[derive(Default)]
-struct Orders {
-    records: BTreeMap<String, Record>,
-    starts: Vec<Record>,
-    signals: Vec<(String, String, Signal)>,
-    suspects: Vec<String>,
-}
-
-/// How many rows one transaction writes.
-const ROWS_PER_TRANSACTION: usize = 100;
+/// How many jobs' rows one step writes: the platform's rate of writes is for everybody, and what
+/// comes later is written with the next steps.
+const JOBS_PER_STEP: usize = 40;
 
 impl Controller {
     pub(crate) fn new(region: &str, recorder: Recorder) -> Self {
@@ -40,6 +36,8 @@
             rows: BTreeMap::new(),
             teams: Vec::new(),
             recorder,
+            pending: BTreeMap::new(),
+            pending_starts: BTreeSet::new(),
         }
     }
 
@@ -73,9 +71,15 @@
         self.scheduler
             .step(now, wall_ms, Event::Usage(usage), &mut actions);
         self.scheduler.step(now, wall_ms, Event::Tick, &mut actions);
-        let orders = sort(actions);
-        self.write(platform, fence, &orders)?;
-        self.carry_out(now, wall_ms, platform, orders)
+        let (signals, suspects) = self.take_in(actions);
+        let written = self.write(platform, fence)?;
+        self.note(&written, &suspects);
+        self.start(now, wall_ms, platform, &written);
+        for (worker, job, signal) in signals {
+            // A lost signal is repeated with the next report of the job, or its lease runs out.
+            let _ = platform.workers.signal(&worker, &job, signal);
+        }
+        Ok(())
     }
 
     /// Takes in jobs that are new, and those that their callers withdrew.
@@ -109,19 +113,46 @@
         Ok(())
     }
 
-    fn write(
-        &mut self,
-        platform: &Platform,
-        fence: &Condition,
-        orders: &Orders,
-    ) -> Result<(), Error> {
-        let records: Vec<&Record> = orders.records.values().collect();
-        for chunk in records.chunks(ROWS_PER_TRANSACTION) {
-            let transaction = self.transaction(fence, chunk);
-            platform.table.commit(&transaction)?;
-            self.learn_versions(platform, chunk)?;
+    /// Takes in what the scheduler decided, and returns the signals and the suspected workers.
+    fn take_in(&mut self, actions: Vec<Action>) -> (Vec<(String, String, Signal)>, Vec<String>) {
+        let (mut signals, mut suspects) = (Vec::new(), Vec::new());
+        for action in actions {
+            match action {
+                Action::Write(record) => {
+                    self.pending_starts.remove(&record.id);
+                    self.pending.insert(record.id.clone(), record);
+                }
+                Action::Start(record) => {
+                    self.pending_starts.insert(record.id.clone());
+                    self.pending.insert(record.id.clone(), record);
+                }
+                Action::Signal {
+                    worker,
+                    job,
+                    signal,
+                } => signals.push((worker, job, signal)),
+                Action::Suspect { worker } => suspects.push(worker),
+            }
         }
-        Ok(())
+        (signals, suspects)
+    }
+
+    /// Writes the most urgent of the pending rows and returns them.
+    fn write(&mut self, platform: &Platform, fence: &Condition) -> Result<Vec<Record>, Error> {
+        let mut order: Vec<&Record> = self.pending.values().collect();
+        order.sort_by_key(|record| (record.class, record.submitted_ms));
+        order.truncate(JOBS_PER_STEP);
+        if order.is_empty() {
+            return Ok(Vec::new());
+        }
+        let transaction = self.transaction(fence, &order);
+        let written: Vec<Record> = order.into_iter().cloned().collect();
+        platform.table.commit(&transaction)?;
+        for record in &written {
+            self.pending.remove(&record.id);
+        }
+        self.learn_versions(platform, &written)?;
+        Ok(written)
     }
 
     fn transaction(&self, fence: &Condition, records: &[&Record]) -> Transaction {
@@ -140,7 +171,7 @@
         transaction
     }
 
-    fn learn_versions(&mut self, platform: &Platform, records: &[&Record]) -> Result<(), Error> {
+    fn learn_versions(&mut self, platform: &Platform, records: &[Record]) -> Result<(), Error> {
         let keys: Vec<String> = records
             .iter()
             .map(|record| keys::job(&self.region, &record.id))
@@ -155,73 +186,50 @@
         Ok(())
     }
 
-    fn carry_out(
-        &mut self,
-        now: Instant,
-        wall_ms: u64,
-        platform: &Platform,
-        orders: Orders,
-    ) -> Result<(), Error> {
-        for record in orders.records.values() {
-            let fields: [(&str, &dyn std::fmt::Display); 3] = [
-                ("job", &record.id),
-                ("state", &record.state),
-                ("reason", &record.reason),
-            ];
-            self.recorder.record_quietly(Kind::JobChanged, &fields);
+    fn note(&self, written: &[Record], suspects: &[String]) {
+        for record in written {
+            self.recorder.record_quietly(
+                Kind::JobChanged,
+                &[
+                    ("job", &record.id),
+                    ("state", &record.state),
+                    ("reason", &record.reason),
+                ],
+            );
         }
-        for worker in &orders.suspects {
+        for worker in suspects {
             self.recorder
                 .record(Kind::WorkerSuspected, &[("worker", worker)]);
         }
-        for record in orders.starts {
+    }
+
+    /// Starts the jobs whose rows were written.
+    fn start(&mut self, now: Instant, wall_ms: u64, platform: &Platform, written: &[Record]) {
+        for record in written {
+            if !self.pending_starts.remove(&record.id) {
+                continue;
+            }
             let start = Start {
                 worker: record.worker.clone().unwrap_or_default(),
                 task: record.id.clone(),
                 fence: record.fence,
-                command: record.command,
+                command: record.command.clone(),
                 lease_ms: self.settings.lease.as_millis() as u64,
                 resume: record.fence > 1,
             };
-            let is_certain = match platform.workers.start(&start) {
+            let is_certainly_not_started = match platform.workers.start(&start) {
                 Ok(()) | Err(Error::Lost { .. }) => false,
                 Err(_) => true,
             };
-            if is_certain {
+            if is_certainly_not_started {
                 let event = Event::NotStarted {
-                    job: record.id,
+                    job: record.id.clone(),
                     fence: record.fence,
                 };
-                // What follows is written with the next step.
-                self.scheduler.step(now, wall_ms, event, &mut Vec::new());
-            }
-        }
-        for (worker, job, signal) in orders.signals {
-            // A lost signal is repeated with the next report of the job, or its lease runs out.
-            let _ = platform.workers.signal(&worker, &job, signal);
-        }
-        Ok(())
-    }
-}
-
-fn sort(actions: Vec<Action>) -> Orders {
-    let mut orders = Orders::default();
-    for action in actions {
-        match action {
-            Action::Write(record) => {
-                orders.records.insert(record.id.clone(), record);
-            }
-            Action::Start(record) => {
-                orders.records.insert(record.id.clone(), record.clone());
-                orders.starts.push(record);
+                let mut actions = Vec::new();
+                self.scheduler.step(now, wall_ms, event, &mut actions);
+                self.take_in(actions);
             }
-            Action::Signal {
-                worker,
-                job,
-                signal,
-            } => orders.signals.push((worker, job, signal)),
-            Action::Suspect { worker } => orders.suspects.push(worker),
         }
     }
-    orders
 }
