--- a/crates/hyssop-planner/src/rows/snapshot.rs
+++ b/crates/hyssop-planner/src/rows/snapshot.rs
@@ -47,13 +47,23 @@
         snapshot.read_pools(table, region, last.as_ref())?;
         snapshot.read_entries(table, region, last.as_ref(), is_full)?;
         snapshot.read_instances(table, region, last)?;
-        snapshot.drains = snapshot.scan(table, &keys::drain(region, ""))?;
-        let wave_rows = table.read(&[keys::wave(region)])?;
-        snapshot.keep(wave_rows.into_iter().flatten().collect());
-        snapshot.wave = snapshot.single(&keys::wave(region))?;
+        snapshot.read_intents(table, region)?;
         Ok(snapshot)
     }
 
+    /// Reads what operators asked for, drains and wave, in one scan.
+    fn read_intents(&mut self, table: &dyn Table, region: &str) -> Result<(), Error> {
+        let drains = keys::drain(region, "");
+        let rows = table.scan(&keys::intents(region))?;
+        for row in rows.iter().filter(|row| row.key.starts_with(&drains)) {
+            let drain: intent::Drain = row.parse()?;
+            self.drains.insert(drain.instance.clone(), drain);
+        }
+        self.keep(rows);
+        self.wave = self.single(&keys::wave(region))?;
+        Ok(())
+    }
+
     fn read_pools(
         &mut self,
         table: &dyn Table,
