Renew the planner's lease before a commit that a slow store delayed; one constructor for jobs

A step makes some eight calls one after another, so the lease (5 s of use) ran out before its commit, and nothing was ever written. The lease is renewed before the commit; what was read stays a condition of it.

--- a/crates/hyssop-entry/src/jobs/submission.rs
+++ b/crates/hyssop-entry/src/jobs/submission.rs
@@ -1,7 +1,7 @@
 use crate::front::Reject;
 use hyper::{HeaderMap, StatusCode};
 use hyssop_model::class::Class;
-use hyssop_model::job::{Record, Size, State};
+use hyssop_model::job::{Order, Record, Size};
 use serde::Deserialize;
 
 /// Is the body of a submission.
@@ -66,27 +66,22 @@
                 ))
             }
         };
-        Ok(Record {
+        Ok(Record::new(
             id,
-            pool: pool.to_owned(),
-            team: text(TEAM_HEADER).unwrap_or(DEFAULT_TEAM).to_owned(),
-            class,
-            command: submission.command,
-            size: Size {
-                cpu_millis: submission.size.cpu_millis,
-                memory_mib: submission.size.memory_mib,
-                accelerators: submission.size.accelerators,
+            Order {
+                pool: pool.to_owned(),
+                team: text(TEAM_HEADER).unwrap_or(DEFAULT_TEAM).to_owned(),
+                class,
+                command: submission.command,
+                size: Size {
+                    cpu_millis: submission.size.cpu_millis,
+                    memory_mib: submission.size.memory_mib,
+                    accelerators: submission.size.accelerators,
+                },
+                is_idempotent: submission.idempotent,
             },
-            is_idempotent: submission.idempotent,
-            submitted_ms: wall_ms,
-            state: State::Queued,
-            worker: None,
-            fence: 0,
-            lease_ends_ms: 0,
-            failed_on: Vec::new(),
-            is_cancelled: false,
-            reason: String::new(),
-        })
+            wall_ms,
+        ))
     }
 }
 
--- a/crates/hyssop-entry/tests/callers.rs
+++ b/crates/hyssop-entry/tests/callers.rs
@@ -148,12 +148,7 @@
 #[test]
 fn a_key_runs_once_and_its_repeat_gets_the_first_answer() {
     let entry = Running::start();
-    let key = entry
-        .call("POST", "/v1/keys", "", b"")
-        .text()
-        .trim()
-        .to_owned();
-    let header = format!("idempotency-key: {key}\r\n");
+    let (key, header) = entry.mint_key();
     let first = entry.post("/work?ms=1", &header, b"charge");
     assert_eq!((first.status, first.outcome()), (200, "answered"));
     let again = entry.post("/work?ms=1", &header, b"charge");
@@ -167,12 +162,7 @@
 #[test]
 fn a_key_whose_request_may_have_run_is_never_sent_again() {
     let entry = Running::start();
-    let key = entry
-        .call("POST", "/v1/keys", "", b"")
-        .text()
-        .trim()
-        .to_owned();
-    let header = format!("idempotency-key: {key}\r\n");
+    let (key, header) = entry.mint_key();
     let first = entry.post("/truncate", &header, b"charge");
     assert_eq!(first.outcome(), "unknown");
     let again = entry.post("/truncate", &header, b"charge");
@@ -183,12 +173,7 @@
 #[test]
 fn a_running_key_is_in_progress_for_others() {
     let entry = Running::start();
-    let key = entry
-        .call("POST", "/v1/keys", "", b"")
-        .text()
-        .trim()
-        .to_owned();
-    let header = format!("idempotency-key: {key}\r\n");
+    let (key, header) = entry.mint_key();
     std::thread::scope(|scope| {
         let first = scope.spawn(|| entry.post("/work?ms=1000", &header, b"charge"));
         entry.wait_until("the first one runs", || entry.runs("keys", &key) == 1);
--- a/crates/hyssop-entry/tests/support/mod.rs
+++ b/crates/hyssop-entry/tests/support/mod.rs
@@ -154,6 +154,17 @@
         read_answer(&mut stream)
     }
 
+    /// Asks for a bound key, and returns it with the header that bears it.
+    pub fn mint_key(&self) -> (String, String) {
+        let key = self
+            .call("POST", "/v1/keys", "", b"")
+            .text()
+            .trim()
+            .to_owned();
+        let header = format!("idempotency-key: {key}\r\n");
+        (key, header)
+    }
+
     pub fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(&self.address).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
--- a/crates/hyssop-lab/src/measure/jobs.rs
+++ b/crates/hyssop-lab/src/measure/jobs.rs
@@ -3,7 +3,7 @@
 use crate::report::{print_rows, write_json};
 use hyssop_config::fleet::Team;
 use hyssop_model::class::Class;
-use hyssop_model::job::{Record, Size, State, Worker};
+use hyssop_model::job::{Order, Record, Size, Worker};
 use hyssop_platform::worker::{Phase, Usage};
 use hyssop_policy::job::{Action, Event, Scheduler, Settings};
 use rand::Rng;
@@ -88,27 +88,22 @@
 }
 
 fn job(random: &mut ChaCha8Rng, number: usize) -> Record {
-    Record {
-        id: format!("j-{number:07}"),
-        pool: format!("pool-{:02}", random.random_range(0..POOLS)),
-        team: format!("team-{:03}", number % TEAMS),
-        class: Class::Normal,
-        command: format!("command-{}", number % 100),
-        size: Size {
-            cpu_millis: 16_000,
-            memory_mib: 16_384,
-            accelerators: 0,
+    Record::new(
+        format!("j-{number:07}"),
+        Order {
+            pool: format!("pool-{:02}", random.random_range(0..POOLS)),
+            team: format!("team-{:03}", number % TEAMS),
+            class: Class::Normal,
+            command: format!("command-{}", number % 100),
+            size: Size {
+                cpu_millis: 16_000,
+                memory_mib: 16_384,
+                accelerators: 0,
+            },
+            is_idempotent: true,
         },
-        is_idempotent: true,
-        submitted_ms: 0,
-        state: State::Queued,
-        worker: None,
-        fence: 0,
-        lease_ends_ms: 0,
-        failed_on: Vec::new(),
-        is_cancelled: false,
-        reason: String::new(),
-    }
+        0,
+    )
 }
 
 fn measure_once(seed: u64, workers: usize) -> Placement {
--- a/crates/hyssop-model/src/job/record.rs
+++ b/crates/hyssop-model/src/job/record.rs
@@ -1,4 +1,4 @@
-use super::{Size, State};
+use super::{Order, Size, State};
 use crate::class::Class;
 use serde::{Deserialize, Serialize};
 
@@ -36,3 +36,26 @@
     /// Why it is in its state, where that needs a reason.
     pub reason: String,
 }
+
+impl Record {
+    /// Makes the first row of a job, which waits for a worker.
+    pub fn new(id: impl Into<String>, order: Order, submitted_ms: u64) -> Self {
+        Self {
+            id: id.into(),
+            pool: order.pool,
+            team: order.team,
+            class: order.class,
+            command: order.command,
+            size: order.size,
+            is_idempotent: order.is_idempotent,
+            submitted_ms,
+            state: State::Queued,
+            worker: None,
+            fence: 0,
+            lease_ends_ms: 0,
+            failed_on: Vec::new(),
+            is_cancelled: false,
+            reason: String::new(),
+        }
+    }
+}
--- a/crates/hyssop-planner/src/daemon/region.rs
+++ b/crates/hyssop-planner/src/daemon/region.rs
@@ -309,6 +309,9 @@
         let mut draft = Draft::new(snapshot.instances.clone(), snapshot.pools.clone());
         self.planner.step(&view, &mut draft);
         if !draft.is_unchanged() {
+            // With a slow store the lease may have run low since the step began. What was read is
+            // still a condition of the commit, so a fresh lease takes nothing away.
+            self.holder.keep(self.platform.table.as_ref())?;
             let Some(fence) = self.holder.fence() else {
                 return Ok(false);
             };
--- a/crates/hyssop-policy/tests/jobs.rs
+++ b/crates/hyssop-policy/tests/jobs.rs
@@ -6,7 +6,7 @@
 
 use hyssop_config::fleet::Team;
 use hyssop_model::class::Class;
-use hyssop_model::job::{Record, Size, State, Worker};
+use hyssop_model::job::{Order, Record, Size, State, Worker};
 use hyssop_platform::worker::{Phase, Signal, Usage};
 use hyssop_policy::job::{Action, Event, Scheduler, Settings};
 use proptest::prelude::*;
@@ -31,27 +31,22 @@
 }
 
 fn job(number: usize, cpu_millis: u64, class: Class, is_idempotent: bool) -> Record {
-    Record {
-        id: format!("j-{number}"),
-        pool: "archive".to_owned(),
-        team: format!("team-{}", number % 2),
-        class,
-        command: format!("command-{}", number % 3),
-        size: Size {
-            cpu_millis,
-            memory_mib: cpu_millis,
-            accelerators: 0,
+    Record::new(
+        format!("j-{number}"),
+        Order {
+            pool: "archive".to_owned(),
+            team: format!("team-{}", number % 2),
+            class,
+            command: format!("command-{}", number % 3),
+            size: Size {
+                cpu_millis,
+                memory_mib: cpu_millis,
+                accelerators: 0,
+            },
+            is_idempotent,
         },
-        is_idempotent,
-        submitted_ms: 0,
-        state: State::Queued,
-        worker: None,
-        fence: 0,
-        lease_ends_ms: 0,
-        failed_on: Vec::new(),
-        is_cancelled: false,
-        reason: String::new(),
-    }
+        0,
+    )
 }
 
 /// Is the platform: it runs what was started, and loses answers and reports.
