Drop the entry's unread lease; one clock bound, one way to name the planner's writes

Read over the whole change: the entry kept its lease in the shared state and nobody read it, since authority moved to the claim coordinator; the clock bound of leases stood in the entry and in the planner; the planner drew the names of its transactions in five places.

--- a/crates/hyssop-entry/src/state/shared.rs
+++ b/crates/hyssop-entry/src/state/shared.rs
@@ -1,5 +1,4 @@
 use hyssop_model::entry::Member;
-use hyssop_policy::membership::Lease;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -37,7 +36,6 @@
     in_force: AtomicU64,
     is_member: AtomicBool,
     contact: Mutex<Instant>,
-    lease: Mutex<Lease>,
     texts: Mutex<BTreeMap<u64, String>>,
     is_handed_over: AtomicBool,
 }
@@ -52,7 +50,6 @@
             in_force: AtomicU64::new(0),
             is_member: AtomicBool::new(false),
             contact: Mutex::new(now),
-            lease: Mutex::default(),
             texts: Mutex::default(),
             is_handed_over: AtomicBool::new(false),
         }
@@ -85,10 +82,6 @@
         *lock(&self.contact) = now;
     }
 
-    pub(crate) fn lease(&self) -> MutexGuard<'_, Lease> {
-        lock(&self.lease)
-    }
-
     /// Tells whether the present epoch has this entry as a member.
     pub(crate) fn is_member(&self) -> bool {
         self.is_member.load(Ordering::SeqCst)
--- a/crates/hyssop-entry/src/store/keeper.rs
+++ b/crates/hyssop-entry/src/store/keeper.rs
@@ -10,7 +10,7 @@
 use hyssop_platform::object::Object;
 use hyssop_platform::table::{read_one, Condition, Row, Table, Transaction};
 use hyssop_platform::{keys, Error};
-use hyssop_policy::membership::{next_epoch, Observed};
+use hyssop_policy::membership::{next_epoch, Observed, CLOCK_BOUND_MS};
 use rand::Rng;
 use std::sync::Arc;
 
@@ -44,7 +44,6 @@
     is_follower: bool,
 }
 
-const CLOCK_BOUND_MS: u64 = 500;
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
 const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
 
@@ -248,10 +247,6 @@
             .require(Condition::as_read(&key, own_row.as_ref()))
             .put(&key, &record);
         self.parts.table.commit(&transaction)?;
-        self.parts
-            .state
-            .lease()
-            .renew(now, process.lease, process.lease_margin);
         let ends = now + process.lease.saturating_sub(process.lease_margin);
         // The core is gone only when the process stops.
         let _ = self.parts.inbox.send(Message::Lease(ends));
@@ -352,7 +347,6 @@
             .require(Condition::unchanged(&row))
             .delete(&key);
         self.parts.table.commit(&transaction)?;
-        self.parts.state.lease().give_up();
         self.parts
             .recorder
             .record(Kind::LeaseLost, &[("cause", &"stopping")]);
--- a/crates/hyssop-planner/src/daemon/region.rs
+++ b/crates/hyssop-planner/src/daemon/region.rs
@@ -1,7 +1,7 @@
 use crate::jobs::Controller;
 use crate::lease::Holder;
 use crate::reports::Source;
-use crate::rows::{transaction, Snapshot};
+use crate::rows::{transaction, write_id, Snapshot};
 use crate::status::Metrics;
 use hyssop_config::fleet::Fleet;
 use hyssop_config::settings::Process;
@@ -336,7 +336,7 @@
     /// Starts a transaction that takes effect only while the lease is held.
     fn fenced(&self, build: impl FnOnce(Transaction) -> Transaction) -> Option<Transaction> {
         let fence = self.holder.fence()?;
-        let transaction = Transaction::new(uuid::Uuid::new_v4().to_string()).require(fence);
+        let transaction = Transaction::new(write_id()).require(fence);
         Some(build(transaction))
     }
 
--- a/crates/hyssop-planner/src/jobs/controller.rs
+++ b/crates/hyssop-planner/src/jobs/controller.rs
@@ -1,4 +1,5 @@
 use crate::daemon::Platform;
+use crate::rows::write_id;
 use hyssop_config::fleet::Team;
 use hyssop_event::{Kind, Recorder};
 use hyssop_model::job::Record;
@@ -156,8 +157,7 @@
     }
 
     fn transaction(&self, fence: &Condition, records: &[&Record]) -> Transaction {
-        let mut transaction =
-            Transaction::new(uuid::Uuid::new_v4().to_string()).require(fence.clone());
+        let mut transaction = Transaction::new(write_id()).require(fence.clone());
         for record in records {
             let key = keys::job(&self.region, &record.id);
             transaction = transaction.require(Condition::as_read(&key, self.rows.get(&key)));
--- a/crates/hyssop-planner/src/lease/holder.rs
+++ b/crates/hyssop-planner/src/lease/holder.rs
@@ -1,10 +1,11 @@
+use crate::rows::write_id;
 use hyssop_config::settings::Process;
 use hyssop_event::{Kind, Recorder};
 use hyssop_model::lease::Record;
 use hyssop_model::prelude::*;
 use hyssop_platform::table::{read_one, Condition, Row, Table, Transaction};
 use hyssop_platform::{keys, Error};
-use hyssop_policy::membership::Lease;
+use hyssop_policy::membership::{Lease, CLOCK_BOUND_MS};
 use std::sync::Arc;
 
 /// Takes, renews and gives up the lease.
@@ -19,7 +20,6 @@
 }
 
 const RENEWALS_PER_LEASE: u32 = 3;
-const CLOCK_BOUND_MS: u64 = 500;
 
 impl Holder {
     pub(crate) fn new(
@@ -65,7 +65,7 @@
             self.lose();
             return Ok(());
         };
-        let transaction = Transaction::new(uuid::Uuid::new_v4().to_string())
+        let transaction = Transaction::new(write_id())
             .require(Condition::as_read(&key, row.as_ref()))
             .put(&key, &next);
         table.commit(&transaction)?;
@@ -118,7 +118,7 @@
         let mut record: Record = row.parse()?;
         record.expires_ms = 0;
         record.incarnation = 0;
-        let transaction = Transaction::new(uuid::Uuid::new_v4().to_string())
+        let transaction = Transaction::new(write_id())
             .require(Condition::unchanged(&row))
             .put(&row.key, &record);
         self.lease.give_up();
--- a/crates/hyssop-planner/src/rows/commit.rs
+++ b/crates/hyssop-planner/src/rows/commit.rs
@@ -10,7 +10,7 @@
     draft: &Draft,
     fence: Condition,
 ) -> Transaction {
-    let mut transaction = Transaction::new(uuid::Uuid::new_v4().to_string()).require(fence);
+    let mut transaction = Transaction::new(write_id()).require(fence);
     if !draft.changed_instances.is_empty() {
         let key = keys::head(region);
         let mut head = snapshot.head.clone();
@@ -45,3 +45,8 @@
     }
     transaction
 }
+
+/// Draws the name of a transaction.
+pub(crate) fn write_id() -> String {
+    uuid::Uuid::new_v4().to_string()
+}
--- a/crates/hyssop-planner/src/rows/mod.rs
+++ b/crates/hyssop-planner/src/rows/mod.rs
@@ -3,5 +3,5 @@
 mod commit;
 mod snapshot;
 
-pub(crate) use commit::transaction;
+pub(crate) use commit::{transaction, write_id};
 pub(crate) use snapshot::Snapshot;
--- a/crates/hyssop-policy/src/membership/mod.rs
+++ b/crates/hyssop-policy/src/membership/mod.rs
@@ -5,3 +5,6 @@
 
 pub use change::{next_epoch, Observed};
 pub use lease::Lease;
+
+/// The bound between any two wall clocks by which a lease counts as over, in milliseconds.
+pub const CLOCK_BOUND_MS: u64 = 500;
