--- /dev/null
+++ b/crates/hyssop-edge/src/daemon/life.rs
@@ -0,0 +1,189 @@
+use super::configuration::{fetch_on_demand, follow_operators};
+use super::error::{Error, ListenSnafu, RuntimeSnafu};
+use crate::front::{self, Traffic};
+use crate::http::Client;
+use crate::node::{Clock, Node, Tuning};
+use crate::ownership::{follow_owners, keep_parts, register, release_all};
+use crate::peer;
+use crate::store::Store;
+use hyssop_platform::dialect::Dialect;
+use hyssop_policy::owner;
+use log4rs::append::console::ConsoleAppender;
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::pattern::PatternEncoder;
+use platform::settings::Settings;
+use snafu::ResultExt;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{watch, Notify};
+use tokio::task::{spawn_local, LocalSet};
+
+/// The process ends this long before it would be killed.
+const EXIT_MARGIN: Duration = Duration::from_millis(800);
+/// The pause between looks at the requests under way during a stop.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Runs the process until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when an address can't be listened on.
+pub fn run(settings: Settings, dialect: Box<dyn Dialect>) -> Result<(), Error> {
+    set_up_log()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    LocalSet::new().block_on(&runtime, live(settings, dialect.into()))
+}
+
+fn set_up_log() -> Result<(), Error> {
+    let failed = |reason: String| Error::Log { reason };
+    let encoder = PatternEncoder::new("level={l} {m}{n}");
+    let console = ConsoleAppender::builder()
+        .encoder(Box::new(encoder))
+        .build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("console", Box::new(console)))
+        .build(
+            Root::builder()
+                .appender("console")
+                .build(log::LevelFilter::Info),
+        )
+        .map_err(|error| failed(error.to_string()))?;
+    log4rs::init_config(config).map_err(|error| failed(error.to_string()))?;
+    Ok(())
+}
+
+fn tuning(settings: &Settings) -> Tuning {
+    /// The bound on a lease of our own choice: a dark worker's tasks run elsewhere after it.
+    const LEASE: Duration = Duration::from_millis(3_500);
+    let longest = Duration::from_millis(settings.bounds.hold_max_ms);
+    Tuning {
+        owner: owner::Settings {
+            lease: LEASE.min(longest),
+            remember: Duration::from_secs_f64(settings.bounds.status_s) + Duration::from_secs(10),
+            notice: Duration::from_millis(settings.bounds.notice_ms),
+            ..owner::Settings::default()
+        },
+        grace: Duration::from_secs_f64(settings.bounds.grace_period_s),
+        holder_gap: Duration::from_millis(settings.bounds.lease_duration_ms),
+    }
+}
+
+fn node(settings: &Settings, dialect: Rc<dyn Dialect>) -> Rc<Node> {
+    let clock = Clock::new();
+    let client = Client::default();
+    let store = Store::new(
+        settings.platform.address,
+        dialect.clone(),
+        client.clone(),
+        clock.clone(),
+    );
+    Rc::new(Node {
+        name: settings.node_name.clone(),
+        process: format!("{}/{}", settings.node_name, clock.wall_ms()),
+        data_centre: settings.zone.clone(),
+        address: SocketAddr::new(settings.ip, settings.internal_port_range.0),
+        instances: settings.cloud_api.map(|service| service.address),
+        tuning: tuning(settings),
+        clock,
+        dialect,
+        client,
+        store,
+        configuration: RefCell::default(),
+        waves: RefCell::default(),
+        members: RefCell::default(),
+        owners: RefCell::default(),
+        runners: RefCell::default(),
+        fleet_term: Cell::new(None),
+        links: RefCell::default(),
+        changes: watch::channel(0).0,
+        configuration_wanted: Notify::new(),
+        is_stopping: Cell::new(false),
+        heard_at: Cell::new(Duration::ZERO),
+    })
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
+
+async fn live(settings: Settings, dialect: Rc<dyn Dialect>) -> Result<(), Error> {
+    let node = node(&settings, dialect);
+    let front = listen(settings.listen_addresses.front).await?;
+    let ready = listen(settings.listen_addresses.ready).await?;
+    let peers = listen(node.address).await?;
+    let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
+    let mut hang_up = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
+    log::info!(
+        "event=start node={} process={} data_centre={} version={}",
+        node.name,
+        node.process,
+        node.data_centre,
+        env!("CARGO_PKG_VERSION")
+    );
+    let traffic = Rc::new(Traffic::default());
+    spawn_local(follow_operators(node.clone()));
+    spawn_local(fetch_on_demand(node.clone()));
+    spawn_local(follow_owners(node.clone()));
+    spawn_local(register(node.clone(), false));
+    spawn_local(peer::listen(node.clone(), peers));
+    spawn_local(peer::keep_links(node.clone()));
+    spawn_local(keep_parts(node.clone()));
+    spawn_local(front::serve(
+        node.clone(),
+        ready,
+        Rc::default(),
+        front::probe,
+    ));
+    spawn_local(front::serve(
+        node.clone(),
+        front,
+        traffic.clone(),
+        front::handle,
+    ));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            // The addresses can't change in one life, and nothing else is read from the file.
+            _ = hang_up.recv() => log::info!("event=reload outcome=unchanged"),
+        }
+    }
+    stop(&node, &traffic).await;
+    Ok(())
+}
+
+/// Gives all parts up, serves on as an entry for the time that is left, and ends when nothing
+/// is under way.
+async fn stop(node: &Rc<Node>, traffic: &Traffic) {
+    let begun = node.clock.now();
+    let until = begun + node.tuning.grace.saturating_sub(EXIT_MARGIN);
+    node.is_stopping.set(true);
+    log::info!(
+        "event=stop node={} active={}",
+        node.name,
+        traffic.active.get()
+    );
+    spawn_local(register(node.clone(), true));
+    release_all(node).await;
+    let quiet_at = begun + (until.saturating_sub(begun)).mul_f64(0.7);
+    while node.clock.now() < until {
+        if node.clock.now() >= quiet_at && traffic.active.get() == 0 {
+            break;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    log::info!(
+        "event=end node={} active={} after_ms={}",
+        node.name,
+        traffic.active.get(),
+        node.clock.now().saturating_sub(begun).as_millis()
+    );
+}
--- /dev/null
+++ b/crates/hyssop-edge/src/fleet/mod.rs
@@ -0,0 +1,5 @@
+//! The holder of the fleet's instances at work.
+
+mod holder;
+
+pub(crate) use holder::Holder;
--- /dev/null
+++ b/crates/hyssop-edge/src/node/mod.rs
@@ -0,0 +1,9 @@
+//! What all parts of the process share.
+
+mod clock;
+mod context;
+mod owner;
+
+pub(crate) use clock::Clock;
+pub(crate) use context::{Node, Tuning, FLEET};
+pub(crate) use owner::{Member, Ownership};
--- /dev/null
+++ b/crates/hyssop-edge/src/ownership/keeper.rs
@@ -0,0 +1,116 @@
+use super::takeover;
+use crate::node::Node;
+use hyssop_policy::succession::{self, Candidate};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The pause between looks at the parts' owners.
+const PAUSE: Duration = Duration::from_millis(50);
+/// All processes start within a third of a second; waiting longer spreads the parts.
+const SETTLE: Duration = Duration::from_millis(600);
+/// An owner that has not been heard for this long is taken for dead; nearly three heartbeats.
+const SILENCE: Duration = Duration::from_millis(700);
+/// An owner that can't reach the store for this long, while this process can, is replaced.
+const STORELESS: Duration = Duration::from_millis(1_000);
+/// Each further choice waits this much longer for the choices before it.
+const RANK_PAUSE: Duration = Duration::from_millis(250);
+/// A process that hears nobody may itself be cut off; it takes over only after this time.
+const ISOLATION_PAUSE: Duration = Duration::from_secs(3);
+
+/// Takes over parts whose owners are gone.
+pub(crate) async fn keep_parts(node: Rc<Node>) {
+    tokio::time::sleep(SETTLE).await;
+    let mut vacant_since: BTreeMap<String, Duration> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(PAUSE).await;
+        if node.is_stopping.get() {
+            return;
+        }
+        let now = node.clock.now();
+        let vacant: Vec<String> = node
+            .parts()
+            .into_iter()
+            .filter(|part| is_vacant(&node, part, now))
+            .collect();
+        vacant_since.retain(|part, _| vacant.contains(part));
+        for part in &vacant {
+            vacant_since.entry(part.clone()).or_insert(now);
+        }
+        if vacant.is_empty() {
+            continue;
+        }
+        let orders = succession::order(&vacant, &candidates(&node, &vacant));
+        for part in vacant {
+            let Some(rank) = orders[&part].iter().position(|name| *name == node.name) else {
+                continue;
+            };
+            let mut pause = RANK_PAUSE * rank as u32;
+            if is_isolated(&node, now) {
+                pause += ISOLATION_PAUSE;
+            }
+            if now.saturating_sub(vacant_since[&part]) >= pause {
+                takeover::take(&node, &part).await;
+                vacant_since.remove(&part);
+            }
+        }
+    }
+}
+
+/// Tells whether a part has no owner that can be counted on.
+fn is_vacant(node: &Node, part: &str, now: Duration) -> bool {
+    let owners = node.owners.borrow();
+    let Some(owner) = owners.get(part) else {
+        return true;
+    };
+    if owner.is_released {
+        return true;
+    }
+    if owner.node == node.name {
+        return owner.process != node.process;
+    }
+    let members = node.members.borrow();
+    let Some(member) = members.get(&owner.node) else {
+        return true;
+    };
+    if member.process != owner.process {
+        return true;
+    }
+    let links = node.links.borrow();
+    let Some(link) = links.get(&owner.node) else {
+        return false;
+    };
+    if now.saturating_sub(link.heard_at.get()) >= SILENCE {
+        return true;
+    }
+    let failed = Duration::from_millis(link.standing.borrow().store_failed_ms);
+    failed >= STORELESS && node.store.failed_since().is_none()
+}
+
+fn candidates(node: &Node, vacant: &[String]) -> Vec<Candidate> {
+    let owners = node.owners.borrow();
+    let owned = |name: &str| {
+        owners
+            .iter()
+            .filter(|(part, owner)| owner.node == name && !vacant.contains(part))
+            .count()
+    };
+    node.members
+        .borrow()
+        .values()
+        .filter(|member| !member.is_leaving)
+        .map(|member| Candidate {
+            name: member.node.clone(),
+            owned: owned(&member.node),
+        })
+        .collect()
+}
+
+/// Tells whether no peer at all has been heard lately.
+fn is_isolated(node: &Node, now: Duration) -> bool {
+    let links = node.links.borrow();
+    !links.is_empty()
+        && links
+            .values()
+            .all(|link| now.saturating_sub(link.heard_at.get()) >= SILENCE)
+}
--- /dev/null
+++ b/crates/hyssop-edge/src/peer/link.rs
@@ -0,0 +1,199 @@
+use super::{Answer, Ask, Body, Frame, Standing};
+use crate::node::{Member, Node};
+use futures_util::{SinkExt, StreamExt};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::{client_async, WebSocketStream};
+
+const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+const REDIAL_PAUSE: Duration = Duration::from_millis(150);
+/// Signs of life are asked for this often; three go missing before a peer counts as silent.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+/// A link without any sign of life for this time is dialled anew.
+const SILENCE: Duration = Duration::from_millis(800);
+/// The pause between looks at who the members are.
+const MEMBERS_PAUSE: Duration = Duration::from_millis(100);
+
+/// Is this process's connection to one peer.
+pub(crate) struct Link {
+    pub(crate) peer: Member,
+    /// When the peer was last heard, or the link was made.
+    pub(crate) heard_at: Cell<Duration>,
+    /// How the peer said that it stands.
+    pub(crate) standing: RefCell<Standing>,
+    is_open: Cell<bool>,
+    next: Cell<u64>,
+    asked: RefCell<BTreeMap<u64, oneshot::Sender<Answer>>>,
+    frames: flume::Sender<Body>,
+}
+
+impl Link {
+    /// Tells whether the peer can be asked now.
+    pub(crate) fn is_open(&self) -> bool {
+        self.is_open.get()
+    }
+
+    /// Asks the peer; `None` where the link broke, so that the peer may or may not have heard.
+    pub(crate) async fn ask(&self, ask: Ask, timeout: Duration) -> Option<Answer> {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.asked.borrow_mut().insert(number, sender);
+        if self.frames.send(Body::Ask(number, ask)).is_err() {
+            self.asked.borrow_mut().remove(&number);
+            return None;
+        }
+        let answer = tokio::time::timeout(timeout, receiver).await;
+        self.asked.borrow_mut().remove(&number);
+        answer.ok()?.ok()
+    }
+
+    fn close(&self) {
+        self.is_open.set(false);
+        // Dropping the senders tells all who wait that no answer comes.
+        self.asked.borrow_mut().clear();
+    }
+}
+
+/// Keeps a link to every other member.
+pub(crate) async fn keep_links(node: Rc<Node>) {
+    loop {
+        let members = node.members.borrow().clone();
+        for member in members.values().filter(|member| member.node != node.name) {
+            let is_kept = node
+                .links
+                .borrow()
+                .get(&member.node)
+                .is_some_and(|link| link.peer == *member);
+            if is_kept {
+                continue;
+            }
+            let (frames, queue) = flume::unbounded();
+            let link = Rc::new(Link {
+                peer: member.clone(),
+                heard_at: Cell::new(node.clock.now()),
+                standing: RefCell::default(),
+                is_open: Cell::new(false),
+                next: Cell::new(0),
+                asked: RefCell::default(),
+                frames,
+            });
+            node.links
+                .borrow_mut()
+                .insert(member.node.clone(), link.clone());
+            tokio::task::spawn_local(run(node.clone(), link, queue));
+        }
+        tokio::time::sleep(MEMBERS_PAUSE).await;
+    }
+}
+
+/// Dials until another process has taken the peer's place.
+async fn run(node: Rc<Node>, link: Rc<Link>, queue: flume::Receiver<Body>) {
+    loop {
+        let is_current = node
+            .links
+            .borrow()
+            .get(&link.peer.node)
+            .is_some_and(|current| Rc::ptr_eq(current, &link));
+        if !is_current {
+            link.close();
+            return;
+        }
+        if let Ok(Some(socket)) = tokio::time::timeout(DIAL_TIMEOUT, dial(&link)).await {
+            queue.drain().for_each(drop);
+            link.is_open.set(true);
+            node.announce();
+            log::info!("event=peer-up peer={}", link.peer.node);
+            serve(&node, &link, &queue, socket).await;
+            link.close();
+            node.announce();
+            log::info!("event=peer-down peer={}", link.peer.node);
+        }
+        tokio::time::sleep(REDIAL_PAUSE).await;
+    }
+}
+
+async fn dial(link: &Link) -> Option<WebSocketStream<TcpStream>> {
+    let stream = TcpStream::connect(link.peer.address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let url = format!("ws://{}/", link.peer.address);
+    let (socket, _) = client_async(url, stream).await.ok()?;
+    Some(socket)
+}
+
+/// Sends questions and heartbeats, and hands answers on, until the link breaks or falls silent.
+async fn serve(
+    node: &Rc<Node>,
+    link: &Rc<Link>,
+    queue: &flume::Receiver<Body>,
+    socket: WebSocketStream<TcpStream>,
+) {
+    let (mut sink, mut stream) = socket.split();
+    link.heard_at.set(node.clock.now());
+    let mut heartbeat = tokio::time::interval(HEARTBEAT);
+    heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let body = tokio::select! {
+            message = stream.next() => {
+                let Some(Ok(message)) = message else { return };
+                receive(node, link, &message);
+                continue;
+            }
+            body = queue.recv_async() => {
+                let Ok(body) = body else { return };
+                body
+            }
+            _ = heartbeat.tick() => {
+                let silent = node.clock.now().saturating_sub(link.heard_at.get());
+                if silent >= SILENCE {
+                    return;
+                }
+                Body::Ping
+            }
+        };
+        let version = node.configuration.borrow().version;
+        let frame = Frame { version, body }.encode();
+        let sent = tokio::time::timeout(SILENCE, sink.send(Message::binary(frame))).await;
+        if !matches!(sent, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
+
+fn receive(node: &Node, link: &Link, message: &Message) {
+    let Message::Binary(bytes) = message else {
+        return;
+    };
+    let Some(frame) = Frame::decode(bytes) else {
+        log::warn!(
+            "event=frame-refused peer={} bytes={}",
+            link.peer.node,
+            bytes.len()
+        );
+        return;
+    };
+    let now = node.clock.now();
+    link.heard_at.set(now);
+    node.heard_at.set(now);
+    node.note_version(frame.version);
+    match frame.body {
+        Body::Answer(number, answer) => {
+            if let Some(sender) = link.asked.borrow_mut().remove(&number) {
+                // Whoever asked may have given up; then nobody needs the answer.
+                let _ = sender.send(answer);
+            }
+        }
+        Body::Pong(standing) => {
+            for (part, term) in &standing.owned {
+                node.note_owner(part, *term, &link.peer);
+            }
+            link.standing.replace(standing);
+        }
+        Body::Ask(..) | Body::Ping => {}
+    }
+}
--- /dev/null
+++ b/crates/hyssop-edge/src/peer/listener.rs
@@ -0,0 +1,81 @@
+use super::{Body, Frame};
+use crate::node::Node;
+use futures_util::{SinkExt, StreamExt};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_tungstenite::accept_async;
+use tokio_tungstenite::tungstenite::Message;
+
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// A peer asks for signs of life four times a second; one that does not for this long is gone.
+const SILENCE: Duration = Duration::from_secs(5);
+
+/// Accepts peers' links and answers their questions.
+pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(node.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("event=peer-accept-failed reason={error:?}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(node: Rc<Node>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("event=peer-option-failed reason={error:?}");
+    }
+    let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, accept_async(stream));
+    let Ok(Ok(socket)) = handshake.await else {
+        return;
+    };
+    let (mut sink, mut stream) = socket.split();
+    let (answers, queue) = flume::unbounded::<Body>();
+    let writer = node.clone();
+    let sender = tokio::task::spawn_local(async move {
+        while let Ok(body) = queue.recv_async().await {
+            let version = writer.configuration.borrow().version;
+            let frame = Frame { version, body }.encode();
+            if sink.feed(Message::binary(frame)).await.is_err() {
+                return;
+            }
+            if queue.is_empty() && sink.flush().await.is_err() {
+                return;
+            }
+        }
+    });
+    while let Ok(Some(Ok(message))) = tokio::time::timeout(SILENCE, stream.next()).await {
+        let Message::Binary(bytes) = message else {
+            continue;
+        };
+        let Some(frame) = Frame::decode(&bytes) else {
+            log::warn!("event=frame-refused bytes={}", bytes.len());
+            break;
+        };
+        node.heard_at.set(node.clock.now());
+        node.note_version(frame.version);
+        match frame.body {
+            Body::Ask(number, ask) => {
+                let node = node.clone();
+                let answers = answers.clone();
+                tokio::task::spawn_local(async move {
+                    let answer = node.answer(ask).await;
+                    // A broken link needs no answer; the asker finds out by itself.
+                    let _ = answers.send(Body::Answer(number, answer));
+                });
+            }
+            Body::Ping => {
+                // As above: the link's end shows by itself.
+                let _ = answers.send(Body::Pong(node.standing()));
+            }
+            Body::Answer(..) | Body::Pong(_) => {}
+        }
+    }
+    sender.abort();
+}
--- /dev/null
+++ b/crates/hyssop-edge/src/pool/calls.rs
@@ -0,0 +1,154 @@
+use super::Runner;
+use crate::http::{Failure, Lane};
+use hyssop_policy::owner::{TaskKey, WorkerKey};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Workers answer orders within milliseconds; a lost answer is found out by asking again.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+/// A report takes this much longer than its wait before it counts as missed.
+const REPORT_SLACK: Duration = Duration::from_millis(600);
+
+impl Runner {
+    fn address(&self, worker: WorkerKey) -> Option<SocketAddr> {
+        Some(self.owner.borrow().worker(worker)?.listing.address)
+    }
+
+    pub(super) async fn start_run(self: Rc<Self>, worker: WorkerKey, task: TaskKey, run: u64) {
+        let Some(address) = self.address(worker) else {
+            return;
+        };
+        let slot = self.node.client.slot(address, Lane::Order).await;
+        if self.is_leaving.get() || !self.node.has_authority() {
+            // The owner orders the start again while the run is unanswered.
+            return;
+        }
+        let now = self.node.clock.now();
+        let Some(order) = self.owner.borrow_mut().order(worker, task, run, now) else {
+            return;
+        };
+        let reply = slot
+            .call(self.node.dialect.start(&order), ORDER_TIMEOUT)
+            .await;
+        let started = reply.ok().map(|reply| self.node.dialect.read_start(&reply));
+        if let Some(started) = started {
+            log::debug!(
+                "event=start task={} run={run} outcome={started}",
+                order.task
+            );
+        } else {
+            log::info!(
+                "event=start-unanswered task={} run={run} worker={}",
+                order.task,
+                order.worker
+            );
+        }
+        let now = self.node.clock.now();
+        self.owner
+            .borrow_mut()
+            .started(worker, task, run, started, now);
+        self.wake.notify_one();
+    }
+
+    pub(super) async fn stop_run(self: Rc<Self>, worker: WorkerKey, task: String, run: u64) {
+        let Some(address) = self.address(worker) else {
+            return;
+        };
+        let slot = self.node.client.slot(address, Lane::Order).await;
+        let call = {
+            let owner = self.owner.borrow();
+            let Some(state) = owner.worker(worker).filter(|_| !owner.is_deposed()) else {
+                return;
+            };
+            let id = state.listing.id.clone();
+            self.node.dialect.stop(&id, &task, run, owner.term())
+        };
+        let reply = slot.call(call, ORDER_TIMEOUT).await;
+        let now = self.node.clock.now();
+        let owner = &mut *self.owner.borrow_mut();
+        match reply {
+            Ok(reply) if self.node.dialect.is_other_incarnation(&reply) => {
+                owner.lose_worker(worker, now);
+            }
+            reply => {
+                let is_answered = reply.is_ok_and(|reply| reply.status < 429);
+                owner.stopped(worker, &task, run, is_answered);
+            }
+        }
+        self.wake.notify_one();
+    }
+
+    pub(super) async fn pace_run(
+        self: Rc<Self>,
+        worker: WorkerKey,
+        task: String,
+        run: u64,
+        percent: u32,
+    ) {
+        let Some(address) = self.address(worker) else {
+            return;
+        };
+        let slot = self.node.client.slot(address, Lane::Order).await;
+        let call = {
+            let owner = self.owner.borrow();
+            let Some(state) = owner.worker(worker).filter(|_| !owner.is_deposed()) else {
+                return;
+            };
+            let id = state.listing.id.clone();
+            self.node
+                .dialect
+                .pace(&id, &task, run, percent, owner.term())
+        };
+        if let Err(failure) = slot.call(call, ORDER_TIMEOUT).await {
+            // The next report shows the pace's effect, and it is set again.
+            log::info!("event=pace-unanswered task={task} run={run} reason={failure}");
+        }
+    }
+
+    pub(super) async fn hold_worker(
+        self: Rc<Self>,
+        worker: WorkerKey,
+        wait: Duration,
+        extends: bool,
+    ) {
+        let Some(address) = self.address(worker) else {
+            return;
+        };
+        let slot = self.node.client.slot(address, Lane::Hold).await;
+        let extends = extends && self.node.has_authority();
+        let sent_at = self.node.clock.now();
+        let Some(hold) = self.owner.borrow_mut().hold(worker, wait, extends, sent_at) else {
+            return;
+        };
+        let reply = slot
+            .call(self.node.dialect.hold(&hold), wait + REPORT_SLACK)
+            .await;
+        let now = self.node.clock.now();
+        let owner = &mut *self.owner.borrow_mut();
+        match reply {
+            Ok(reply) if self.node.dialect.is_other_incarnation(&reply) => {
+                owner.lose_worker(worker, now);
+            }
+            Ok(reply) if self.node.dialect.is_fenced(&reply) => owner.depose(),
+            Ok(reply) => match self.node.dialect.read_report(&reply) {
+                Some(report) => owner.report(worker, report, sent_at, hold.acknowledged, now),
+                None => {
+                    log::info!(
+                        "event=report-refused worker={} status={}",
+                        hold.worker,
+                        reply.status
+                    );
+                    owner.miss_report(worker, now);
+                }
+            },
+            Err(failure) => {
+                if failure == Failure::Lost {
+                    log::info!("event=report-missed worker={}", hold.worker);
+                }
+                owner.miss_report(worker, now);
+            }
+        }
+        self.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/hyssop-edge/src/pool/questions.rs
@@ -0,0 +1,122 @@
+use super::Runner;
+use crate::peer::{Answer, Ask};
+use hyssop_policy::owner::{Admission, Cancellation};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// While a transaction has gone unanswered for longer than this, new jobs are refused at once:
+/// the store is down or too slow for callers to wait for.
+const STORE_PATIENCE: Duration = Duration::from_millis(700);
+/// When to come back after a refusal for the store's sake.
+const RETURN_MS: u64 = 1_000;
+
+impl Runner {
+    /// Answers a question to this pool.
+    pub(crate) async fn answer(&self, ask: Ask) -> Answer {
+        if self.is_over() || self.owner.borrow().is_deposed() {
+            return Answer::NotOwner;
+        }
+        match ask {
+            Ask::Submit {
+                queue,
+                id,
+                age_ms,
+                patience_ms,
+                submission,
+                ..
+            } => {
+                if self.is_leaving.get() {
+                    return Answer::NotOwner;
+                }
+                let now = self.node.clock.now();
+                let is_known = self.owner.borrow().phase(&id).is_some();
+                let is_waiting = self.accepting.borrow().contains_key(&id);
+                if !is_known && !is_waiting && self.is_store_away() {
+                    return Answer::Refused("the store does not answer".to_owned(), RETURN_MS);
+                }
+                let age = Duration::from_millis(age_ms);
+                let wall_ms = self.node.clock.wall_ms();
+                let admission = self
+                    .owner
+                    .borrow_mut()
+                    .submit(&id, &queue, submission, age, now, wall_ms);
+                match admission {
+                    Admission::Accepted => Answer::Done,
+                    Admission::Refused(reason) => Answer::Refused(reason, RETURN_MS),
+                    Admission::Pending => self.await_acceptance(&id, patience_ms).await,
+                }
+            }
+            Ask::Phase { id, .. } => match self.owner.borrow().phase(&id) {
+                Some(phase) => Answer::Phase(phase),
+                None => Answer::Unknown,
+            },
+            Ask::Cancel {
+                id, patience_ms, ..
+            } => {
+                let now = self.node.clock.now();
+                let cancellation = self.owner.borrow_mut().cancel(&id, now);
+                match cancellation {
+                    Cancellation::Done => Answer::Done,
+                    Cancellation::Unknown => Answer::Unknown,
+                    Cancellation::Pending => {
+                        let (sender, receiver) = oneshot::channel();
+                        self.cancelling
+                            .borrow_mut()
+                            .entry(id)
+                            .or_default()
+                            .push(sender);
+                        self.store_wake.notify_one();
+                        let patience = Duration::from_millis(patience_ms);
+                        match tokio::time::timeout(patience, receiver).await {
+                            Ok(Ok(answer)) => answer,
+                            _ => Answer::Uncertain,
+                        }
+                    }
+                }
+            }
+            Ask::Waiting { queue, .. } => Answer::Waiting(self.owner.borrow().waiting(&queue)),
+            Ask::Demand { .. } => Answer::Demand(self.owner.borrow().demand(self.node.clock.now())),
+            Ask::Vacate {
+                workers, for_ms, ..
+            } => {
+                let until = self.node.clock.now() + Duration::from_millis(for_ms);
+                let owner = &mut *self.owner.borrow_mut();
+                for id in owner.listed() {
+                    if workers.contains(&id) {
+                        owner.vacate(&id, until);
+                    } else {
+                        owner.release(&id);
+                    }
+                }
+                self.wake.notify_one();
+                Answer::Done
+            }
+        }
+    }
+
+    async fn await_acceptance(&self, id: &str, patience_ms: u64) -> Answer {
+        let (sender, receiver) = oneshot::channel();
+        self.accepting
+            .borrow_mut()
+            .entry(id.to_owned())
+            .or_default()
+            .push(sender);
+        self.store_wake.notify_one();
+        let patience = Duration::from_millis(patience_ms);
+        match tokio::time::timeout(patience, receiver).await {
+            Ok(Ok(answer)) => answer,
+            // A job that was never sent to the store may still be refused for certain.
+            _ if self.owner.borrow_mut().withdraw(id) => {
+                Answer::Refused("the store does not answer".to_owned(), RETURN_MS)
+            }
+            _ => Answer::Uncertain,
+        }
+    }
+
+    fn is_store_away(&self) -> bool {
+        let now = self.node.clock.now();
+        self.unanswered_since
+            .get()
+            .is_some_and(|since| now.saturating_sub(since) >= STORE_PATIENCE)
+    }
+}
--- /dev/null
+++ b/crates/hyssop-edge/src/store/client.rs
@@ -0,0 +1,111 @@
+use crate::http::{Client, Failure, Lane};
+use crate::node::Clock;
+use hyssop_platform::dialect::Dialect;
+use hyssop_platform::rows::{Commit, Page, Range, Row, Transaction};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A store that is slow sixty times over still answers within this time.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Calls the store and remembers how it answered.
+#[derive(Clone)]
+pub(crate) struct Store {
+    pub(crate) address: SocketAddr,
+    pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) client: Client,
+    pub(crate) clock: Clock,
+    health: Rc<Health>,
+}
+
+#[derive(Default)]
+struct Health {
+    answered_at: Cell<Duration>,
+    failed_since: Cell<Option<Duration>>,
+}
+
+impl Store {
+    pub(crate) fn new(
+        address: SocketAddr,
+        dialect: Rc<dyn Dialect>,
+        client: Client,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            address,
+            dialect,
+            client,
+            clock,
+            health: Rc::default(),
+        }
+    }
+
+    /// Returns when the store last did what it was asked.
+    pub(crate) fn answered_at(&self) -> Duration {
+        self.health.answered_at.get()
+    }
+
+    /// Returns since when every call has failed, `None` while it works.
+    pub(crate) fn failed_since(&self) -> Option<Duration> {
+        self.health.failed_since.get()
+    }
+
+    pub(super) fn note(&self, is_good: bool) {
+        let now = self.clock.now();
+        if is_good {
+            self.health.answered_at.set(now);
+            if let Some(since) = self.health.failed_since.take() {
+                let lasted = now.saturating_sub(since).as_millis();
+                log::info!("event=dependency-regained dependency=store after_ms={lasted}");
+            }
+        } else if self.health.failed_since.get().is_none() {
+            self.health.failed_since.set(Some(now));
+            log::warn!("event=dependency-lost dependency=store");
+        }
+    }
+
+    /// Commits a transaction once, without finding out what became of a lost answer.
+    pub(crate) async fn commit(&self, transaction: &Transaction) -> Result<Commit, Failure> {
+        let call = self.dialect.commit(transaction);
+        let answer = self
+            .client
+            .call(self.address, Lane::Plain, call, CALL_TIMEOUT)
+            .await
+            .map(|reply| self.dialect.read_commit(&reply));
+        let is_good = matches!(answer, Ok(Commit::Done(_) | Commit::Conflict(_)));
+        self.note(is_good);
+        answer
+    }
+
+    /// Reads all rows of a part; `None` when the store does not answer.
+    pub(crate) async fn read(&self, table: &str, part: &str) -> Option<Page> {
+        let mut all = Page::default();
+        let mut range = Range {
+            table: table.to_owned(),
+            part: part.to_owned(),
+            from: String::new(),
+        };
+        loop {
+            let call = self.dialect.get(&range);
+            let reply = self
+                .client
+                .call(self.address, Lane::Plain, call, CALL_TIMEOUT)
+                .await;
+            let page = reply.ok().and_then(|reply| self.dialect.read_page(&reply));
+            self.note(page.is_some());
+            let page = page?;
+            if all.version == 0 {
+                all.version = page.version;
+            }
+            let last = page.rows.last().map(|row: &Row| row.key.key.clone());
+            all.rows.extend(page.rows);
+            match last {
+                // The next page begins right after the last key.
+                Some(last) if page.has_more => range.from = format!("{last}\0"),
+                _ => return Some(all),
+            }
+        }
+    }
+}
--- a/crates/hyssop-model/src/lib.rs
+++ b/crates/hyssop-model/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod pool;
 pub mod prelude;
 pub mod request;
+pub mod work;
--- /dev/null
+++ b/crates/hyssop-model/src/work/ending.rs
@@ -0,0 +1,19 @@
+use strum::{Display, EnumString};
+
+/// Says how a run of a task ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Ending {
+    /// With success.
+    Done,
+    /// Through its own fault or the worker's.
+    Failed,
+    /// By an order to stop.
+    Stopped,
+    /// Because its lease ran out.
+    Lapsed,
+    /// Because another member of its gang ended.
+    Broken,
+    /// Because the other members of its gang did not come.
+    Alone,
+}
--- /dev/null
+++ b/crates/hyssop-model/src/work/mod.rs
@@ -0,0 +1,34 @@
+//! Jobs, the workers that run their tasks, and the instances below the workers.
+//!
+//! These are the product's words for what a platform offers; an adapter translates a platform's
+//! own names into them once, at the border.
+
+mod configuration;
+mod ending;
+mod instance;
+mod phase;
+mod pool;
+mod queue;
+mod report;
+mod resources;
+mod schedule;
+mod step;
+mod submission;
+mod task;
+mod wave;
+mod worker;
+
+pub use configuration::Configuration;
+pub use ending::Ending;
+pub use instance::{Condition, Instance};
+pub use phase::Phase;
+pub use pool::Pool;
+pub use queue::Queue;
+pub use report::{Ended, Report, Running};
+pub use resources::Resources;
+pub use schedule::Schedule;
+pub use step::Step;
+pub use submission::Submission;
+pub use task::Task;
+pub use wave::Wave;
+pub use worker::Worker;
--- /dev/null
+++ b/crates/hyssop-model/src/work/schedule.rs
@@ -0,0 +1,19 @@
+use serde::{Deserialize, Serialize};
+
+/// Says when a job's occurrences are due, by the time of day.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// When occurrence 0 is due, in Unix milliseconds.
+    pub first_ms: i64,
+    /// The time between occurrences, in milliseconds.
+    pub interval_ms: i64,
+    /// The number of occurrences.
+    pub count: u32,
+}
+
+impl Schedule {
+    /// Returns when occurrence `number` is due, in Unix milliseconds.
+    pub fn due_ms(&self, number: u32) -> i64 {
+        self.first_ms + i64::from(number) * self.interval_ms
+    }
+}
--- /dev/null
+++ b/crates/hyssop-platform/src/dialect/transfer.rs
@@ -0,0 +1,18 @@
+/// Describes a change of an instance that ends what runs on it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Transfer {
+    /// It joins another pool.
+    Move {
+        /// The instance.
+        instance: String,
+        /// The pool that it joins.
+        pool: String,
+    },
+    /// It is maintained for a wave.
+    Maintain {
+        /// The instance.
+        instance: String,
+        /// The wave's number.
+        wave: u64,
+    },
+}
--- a/crates/hyssop-platform/src/lib.rs
+++ b/crates/hyssop-platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! What must last lives here: the transactional table service and the object store. Calls block,
 //! so a daemon makes them on threads of their own and never on the path of a request.
 
+pub mod dialect;
 pub mod error;
 pub mod fake;
 pub mod http;
@@ -10,6 +11,7 @@
 pub mod object;
 pub mod resolve;
 pub mod roster;
+pub mod rows;
 pub mod table;
 pub mod worker;
 
--- /dev/null
+++ b/crates/hyssop-platform/src/rows/mod.rs
@@ -0,0 +1,15 @@
+//! Versioned rows in tables and parts, as a shared store keeps them.
+
+mod commit;
+mod key;
+mod page;
+mod range;
+mod row;
+mod transaction;
+
+pub use commit::Commit;
+pub use key::Key;
+pub use page::Page;
+pub use range::Range;
+pub use row::Row;
+pub use transaction::Transaction;
--- /dev/null
+++ b/crates/hyssop-policy/src/owner/capacity.rs
@@ -0,0 +1,80 @@
+use super::Owner;
+use hyssop_model::work::Resources;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Says what a pool's jobs ask for and what its workers hold.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The pool.
+    pub pool: String,
+    /// The owner's term.
+    pub term: u64,
+    /// What tasks need whose turn has come and that no worker has room for.
+    pub waiting: Resources,
+    /// What runs reserve.
+    pub running: Resources,
+    /// What the workers that take tasks hold in all.
+    pub room: Resources,
+    /// The workers.
+    pub loads: Vec<Load>,
+}
+
+/// Says what one worker is doing.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// The worker.
+    pub worker: String,
+    /// The instance below it.
+    pub instance: String,
+    /// The number of its runs.
+    pub runs: u32,
+    /// The number of its runs that last.
+    pub lasting: u32,
+    /// The processor that its runs reserve, in thousandths of a core.
+    pub cpu: u64,
+    /// Whether it answers and takes orders.
+    pub is_sound: bool,
+    /// Whether it is being emptied.
+    pub is_vacating: bool,
+}
+
+impl Owner {
+    /// Sums up what the pool's jobs ask for.
+    pub fn demand(&self, now: Duration) -> Demand {
+        let mut demand = Demand {
+            pool: self.pool.clone(),
+            term: self.term,
+            ..Demand::default()
+        };
+        for (_, step) in self.waiting_tasks() {
+            demand.waiting.add(&step.reserved());
+        }
+        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+            demand.running.add(&worker.used);
+            if worker.takes_tasks(now) {
+                demand.room.add(&worker.listing.capacity);
+            }
+            let lasting = worker
+                .runs
+                .keys()
+                .filter(|task| {
+                    self.jobs
+                        .get(&task.job)
+                        .and_then(|job| job.submission.steps.get(task.step as usize))
+                        .is_some_and(|step| step.lasts)
+                })
+                .count() as u32;
+            demand.loads.push(Load {
+                worker: worker.listing.id.clone(),
+                instance: worker.listing.instance.clone(),
+                runs: worker.runs.len() as u32,
+                lasting,
+                cpu: worker.used.cpu,
+                is_sound: worker.is_known && worker.silent_since.is_none(),
+                is_vacating: worker.is_vacating(now),
+            });
+        }
+        demand
+    }
+}
--- /dev/null
+++ b/crates/hyssop-policy/src/owner/progress.rs
@@ -0,0 +1,123 @@
+use super::job::{Job, Occurrence, State};
+use hyssop_model::work::{Phase, Submission};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Is the row that holds a job as handed in.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Accepted {
+    pub(super) queue: String,
+    pub(super) asked_wall_ms: i64,
+    pub(super) submission: Submission,
+}
+
+/// Is the row that holds how far a job has come.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Progress {
+    /// The final phase, once there is one.
+    pub(super) phase: Option<Phase>,
+    pub(super) queue: String,
+    pub(super) has_started: bool,
+    pub(super) next_occurrence: u32,
+    pub(super) finished_occurrences: u32,
+    pub(super) occurrences: Vec<(u32, Vec<StageProgress>)>,
+}
+
+/// Holds the tasks of a step that differ from fresh ones.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(super) struct StageProgress {
+    pub(super) done: Vec<u32>,
+    pub(super) failed: Vec<(u32, Vec<u64>)>,
+    pub(super) checkpoints: Vec<(u32, String)>,
+}
+
+impl Progress {
+    pub(super) fn of(job: &Job) -> Self {
+        let phase = job.phase.is_final().then_some(job.phase);
+        let stages = |occurrence: &Occurrence| occurrence.stages.iter().map(stage).collect();
+        Self {
+            phase,
+            queue: job.queue.clone(),
+            has_started: job.has_started,
+            next_occurrence: job.next_occurrence,
+            finished_occurrences: job.finished_occurrences,
+            occurrences: if phase.is_some() {
+                Vec::new()
+            } else {
+                job.occurrences
+                    .iter()
+                    .map(|(number, occurrence)| (*number, stages(occurrence)))
+                    .collect()
+            },
+        }
+    }
+
+    /// Restores the occurrences of `submission`; tasks that are not done may run somewhere.
+    pub(super) fn occurrences(&self, submission: &Submission) -> Vec<(u32, Occurrence)> {
+        self.occurrences
+            .iter()
+            .map(|(number, stages)| {
+                let mut occurrence = Occurrence::new(submission, Duration::ZERO, State::Unlocated);
+                for (stage, stored) in occurrence.stages.iter_mut().zip(stages) {
+                    stored.restore(stage);
+                }
+                (*number, occurrence)
+            })
+            .collect()
+    }
+}
+
+impl StageProgress {
+    fn restore(&self, stage: &mut super::job::Stage) {
+        for &index in &self.done {
+            if let Some(task) = stage.tasks.get_mut(index as usize) {
+                task.state = State::Done;
+                stage.done += 1;
+            }
+        }
+        for (index, runs) in &self.failed {
+            if let Some(task) = stage.tasks.get_mut(*index as usize) {
+                task.failed_runs = runs.iter().copied().collect();
+            }
+        }
+        for (index, checkpoint) in &self.checkpoints {
+            if let Some(task) = stage.tasks.get_mut(*index as usize) {
+                task.checkpoint.clone_from(checkpoint);
+            }
+        }
+    }
+}
+
+fn stage(stage: &super::job::Stage) -> StageProgress {
+    let mut progress = StageProgress::default();
+    for (index, task) in (0..).zip(&stage.tasks) {
+        if task.state == State::Done {
+            progress.done.push(index);
+            continue;
+        }
+        if !task.failed_runs.is_empty() {
+            let runs = task.failed_runs.iter().copied().collect();
+            progress.failed.push((index, runs));
+        }
+        if !task.checkpoint.is_empty() {
+            progress.checkpoints.push((index, task.checkpoint.clone()));
+        }
+    }
+    progress
+}
+
+/// Encodes a row.
+///
+/// # Panics
+///
+/// Panics when the value can't be encoded, which no value of these types can cause.
+pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).expect("rows are plain data");
+    bytes
+}
+
+/// Decodes a row; `None` where it can't be read.
+pub(super) fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    ciborium::from_reader(bytes).ok()
+}
--- /dev/null
+++ b/crates/hyssop-policy/src/owner/watch.rs
@@ -0,0 +1,95 @@
+use super::job::{Occurrence, State};
+use super::{Owner, TaskKey, WorkerKey};
+use std::time::Duration;
+
+/// A task that makes no progress for this share of its expected duration, and for at least
+/// `STALL_MIN`, hangs; several reports lie within that time.
+const STALL_SHARE: f64 = 0.5;
+const STALL_MIN: Duration = Duration::from_millis(1_200);
+
+impl Owner {
+    /// Opens the occurrences of scheduled jobs that are due by the time of day.
+    pub(super) fn open_occurrences(&mut self, now: Duration, wall_ms: i64) {
+        for key in &self.open {
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            let Some(schedule) = job.submission.schedule else {
+                continue;
+            };
+            if job.phase.is_final() {
+                continue;
+            }
+            while job.next_occurrence < schedule.count
+                && schedule.due_ms(job.next_occurrence) <= wall_ms
+            {
+                let due_ms = schedule.due_ms(job.next_occurrence);
+                let late = Duration::from_millis((wall_ms - due_ms).unsigned_abs());
+                let due_at = now.saturating_sub(late);
+                let occurrence = Occurrence::new(&job.submission, due_at, State::Waiting);
+                job.occurrences.insert(job.next_occurrence, occurrence);
+                job.next_occurrence += 1;
+                self.dirty.insert(*key);
+                self.is_placing_due = true;
+            }
+        }
+    }
+
+    /// Returns when the next occurrence of a scheduled job is due, in Unix milliseconds.
+    pub fn next_due_ms(&self) -> Option<i64> {
+        self.open
+            .iter()
+            .filter_map(|key| {
+                let job = self.jobs.get(key)?;
+                let schedule = job.submission.schedule?;
+                (job.next_occurrence < schedule.count).then(|| schedule.due_ms(job.next_occurrence))
+            })
+            .min()
+    }
+
+    /// Stops runs that stand still, so that they go on elsewhere, and orders lost starts again.
+    ///
+    /// The load that this answers: tasks on some workers hang while the worker reports as usual.
+    /// A stop is no failed attempt of the job's.
+    pub(super) fn watch_runs(&mut self, now: Duration) {
+        self.watch_starts(now);
+        let mut hanging: Vec<(WorkerKey, TaskKey)> = Vec::new();
+        for (key, worker) in &self.workers {
+            if worker.silent_since.is_some() {
+                continue;
+            }
+            for (task, run) in &worker.runs {
+                let Some(job) = self.jobs.get(&task.job) else {
+                    continue;
+                };
+                let Some(step) = job.submission.steps.get(task.step as usize) else {
+                    continue;
+                };
+                if step.lasts || step.gang || !run.is_confirmed || run.stopping_at.is_some() {
+                    continue;
+                }
+                let expected = step.estimate_ms as f64 * self.learning.factor(&job.queue);
+                let bound = Duration::from_secs_f64(expected * STALL_SHARE / 1_000.0);
+                // Only reports show progress, so silence between them is no standstill.
+                let seen_at = worker.polled_at;
+                if seen_at.saturating_sub(run.moved_at) >= bound.max(STALL_MIN) {
+                    hanging.push((*key, *task));
+                }
+            }
+        }
+        for (key, task) in hanging {
+            log::info!(
+                "event=run-stalled pool={} worker={} job={} step={} index={}",
+                self.pool,
+                self.workers[&key].listing.id,
+                self.jobs[&task.job].id,
+                task.step,
+                task.index
+            );
+            if let Some(worker) = self.workers.get_mut(&key) {
+                worker.blocked_until = now + self.settings.quarantine;
+            }
+            self.stop_task(key, task, now);
+        }
+    }
+}
