Move and maintain instances; keep an unanswered extension from putting a lease's end off

Change: hyssop-policy::fleet decides moves and waves, the holder orders them under its term; silent workers are asked without extension; a worker whose instance was changed is known to have ended.

--- a/crates/hyssop-edge/src/fleet/holder.rs
+++ b/crates/hyssop-edge/src/fleet/holder.rs
@@ -1,11 +1,362 @@
-use crate::node::Node;
-use crate::store::Committer;
+use crate::http::Lane;
+use crate::node::{Node, FLEET};
+use crate::peer::{Answer, Ask};
+use crate::store::{Committer, Verdict};
+use futures_util::future::join_all;
+use hyssop_model::work::Instance;
+use hyssop_platform::dialect::{self, Transfer};
+use hyssop_platform::rows::{Key, Transaction};
+use hyssop_policy::fleet::{Campaign, Change, Decision, Fleet, Settings};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::time::Duration;
+
+/// The table of the holder's rows.
+const TABLE: &str = "holder";
+const BASE_KEY: &str = "base";
+const CAMPAIGN_PREFIX: &str = "campaign/";
+/// The pause between decisions.
+const TICK: Duration = Duration::from_millis(100);
+/// Beyond the platform's gap between two holders: clocks differ by less.
+const GAP_SLACK: Duration = Duration::from_millis(500);
+/// An order leaves this soon after the store has confirmed the term, or not at all.
+const CONFIRMED: Duration = Duration::from_millis(300);
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Workers are emptied for this long unless told again.
+const VACATE: Duration = Duration::from_millis(1_500);
 
 /// Moves and maintains instances during one term.
-pub(crate) struct Holder;
+pub(crate) struct Holder {
+    node: Rc<Node>,
+    term: u64,
+    fleet: RefCell<Fleet>,
+    committer: Committer,
+    /// The workers that each pool was last told to empty.
+    vacating: BTreeMap<String, BTreeSet<String>>,
+    stored_base: bool,
+    stored: BTreeMap<u64, Campaign>,
+    reported: BTreeMap<u64, bool>,
+}
 
 impl Holder {
     /// Starts the holder's work.
-    pub(crate) fn start(_node: Rc<Node>, _term: u64, _committer: Committer) {}
+    pub(crate) fn start(node: Rc<Node>, term: u64, committer: Committer) {
+        tokio::task::spawn_local(async move {
+            let taken_at = node.clock.now();
+            let Some((base, campaigns)) = read(&node).await else {
+                return;
+            };
+            let mut holder = Self {
+                stored_base: !base.is_empty(),
+                stored: campaigns.clone(),
+                fleet: RefCell::new(Fleet::new(Settings::default(), base, campaigns)),
+                node,
+                term,
+                committer,
+                vacating: BTreeMap::new(),
+                reported: BTreeMap::new(),
+            };
+            holder.run(taken_at).await;
+        });
+    }
+
+    fn is_current(&self) -> bool {
+        self.node
+            .owners
+            .borrow()
+            .get(FLEET)
+            .is_some_and(|owner| owner.term == self.term && !owner.is_released)
+            && !self.node.is_stopping.get()
+    }
+
+    async fn run(&mut self, taken_at: Duration) {
+        // The earlier holder's orders and this one's keep the platform's distance.
+        let gap = if self.term > 1 {
+            self.node.tuning.holder_gap + GAP_SLACK
+        } else {
+            Duration::ZERO
+        };
+        while self.is_current() {
+            tokio::time::sleep(TICK).await;
+            let now = self.node.clock.now();
+            if !self.look().await || now < taken_at + gap {
+                continue;
+            }
+            let decision = {
+                let now = self.node.clock.now();
+                self.fleet.borrow_mut().decide(now)
+            };
+            if !self.act(decision).await {
+                log::info!("event=holder-deposed term={}", self.term);
+                break;
+            }
+        }
+        if self.node.fleet_term.get() == Some(self.term) {
+            self.node.fleet_term.set(None);
+        }
+    }
+
+    /// Learns how the fleet stands; returns whether it is known.
+    async fn look(&self) -> bool {
+        let configuration = self.node.configuration.borrow().clone();
+        let spare = configuration
+            .pools
+            .values()
+            .filter(|pool| pool.is_spare)
+            .map(|pool| pool.name.clone())
+            .collect();
+        let asked_at = self.node.clock.now();
+        let Some(instances) = self.list().await else {
+            return false;
+        };
+        {
+            let fleet = &mut *self.fleet.borrow_mut();
+            fleet.set_spare(spare);
+            fleet.list(instances, asked_at);
+            for wave in self.node.waves.borrow().values() {
+                fleet.take_wave(wave, asked_at);
+            }
+        }
+        let asked = configuration
+            .pools
+            .values()
+            .filter(|pool| !pool.is_spare)
+            .map(|pool| {
+                self.ask(Ask::Demand {
+                    part: pool.name.clone(),
+                })
+            });
+        for answer in join_all(asked).await {
+            if let Some(Answer::Demand(demand)) = answer {
+                let now = self.node.clock.now();
+                self.fleet.borrow_mut().take_demand(demand, now);
+            }
+        }
+        true
+    }
+
+    async fn list(&self) -> Option<Vec<Instance>> {
+        let address = self.node.instances?;
+        let mut all = Vec::new();
+        let mut page: Option<String> = None;
+        loop {
+            let call = self.node.dialect.instances(page.as_deref());
+            let reply = self
+                .node
+                .client
+                .call(address, Lane::Plain, call, CALL_TIMEOUT)
+                .await
+                .ok()?;
+            let (instances, next) = self.node.dialect.read_instances(&reply)?;
+            all.extend(instances);
+            match next {
+                Some(next) => page = Some(next),
+                None => return Some(all),
+            }
+        }
+    }
+
+    async fn ask(&self, ask: Ask) -> Option<Answer> {
+        let part = ask.part().to_owned();
+        if self
+            .node
+            .runner(&part)
+            .is_some_and(|runner| !runner.is_over())
+        {
+            return Some(self.node.answer(ask).await);
+        }
+        let owner = self.node.owners.borrow().get(&part)?.node.clone();
+        let link = self.node.links.borrow().get(&owner)?.clone();
+        if !link.is_open() {
+            return None;
+        }
+        link.ask(ask, ASK_TIMEOUT).await
+    }
+
+    /// Carries a decision out; returns whether the term goes on.
+    async fn act(&mut self, decision: Decision) -> bool {
+        let pools: BTreeSet<String> = decision
+            .vacate
+            .keys()
+            .chain(self.vacating.keys())
+            .cloned()
+            .collect();
+        for pool in pools {
+            let workers = decision.vacate.get(&pool).cloned().unwrap_or_default();
+            let ask = Ask::Vacate {
+                part: pool.clone(),
+                workers: workers.iter().cloned().collect(),
+                for_ms: VACATE.as_millis() as u64,
+            };
+            let is_told = matches!(self.ask(ask).await, Some(Answer::Done));
+            if is_told && workers.is_empty() {
+                self.vacating.remove(&pool);
+            } else {
+                self.vacating.insert(pool, workers);
+            }
+        }
+        if !decision.changes.is_empty() && !self.order(decision.changes).await {
+            return false;
+        }
+        self.report_waves().await;
+        true
+    }
+
+    /// Orders changes, once the store has confirmed that the term goes on.
+    async fn order(&mut self, changes: Vec<Change>) -> bool {
+        let mut transaction = Transaction::default();
+        if !self.stored_base {
+            let value = encode(self.fleet.borrow().base());
+            let key = Key::new(TABLE, FLEET, BASE_KEY);
+            transaction.writes.push((key, value));
+        }
+        let asked_at = self.node.clock.now();
+        let until = asked_at + CALL_TIMEOUT;
+        let clock = self.node.clock.clone();
+        let gives_up = move || clock.now() >= until;
+        match self.committer.commit(transaction, gives_up).await {
+            Verdict::Done => self.stored_base = true,
+            Verdict::Refused => return true,
+            Verdict::Deposed => return false,
+        }
+        let now = self.node.clock.now();
+        if now.saturating_sub(asked_at) > CONFIRMED || !self.is_current() {
+            return true;
+        }
+        for change in &changes {
+            self.fleet.borrow_mut().note_ordered(change.clone(), now);
+        }
+        join_all(changes.into_iter().map(|change| self.transfer(change))).await;
+        true
+    }
+
+    async fn transfer(&self, change: Change) {
+        let Some(address) = self.node.instances else {
+            return;
+        };
+        let transfer = match &change {
+            Change::Move { instance, pool } => Transfer::Move {
+                instance: instance.clone(),
+                pool: pool.clone(),
+            },
+            Change::Maintain { instance, wave } => Transfer::Maintain {
+                instance: instance.clone(),
+                wave: *wave,
+            },
+        };
+        let call = self
+            .node
+            .dialect
+            .transfer(&transfer, &self.node.name, self.term);
+        let reply = self
+            .node
+            .client
+            .call(address, Lane::Plain, call, CALL_TIMEOUT)
+            .await;
+        let outcome = reply
+            .ok()
+            .map(|reply| self.node.dialect.read_transfer(&reply));
+        log::info!(
+            "event=transfer change={change:?} term={} outcome={outcome:?}",
+            self.term
+        );
+        if outcome == Some(dialect::Change::Done) {
+            self.tell_ended(change.instance()).await;
+        }
+        let fleet = &mut *self.fleet.borrow_mut();
+        match (outcome, &change) {
+            (Some(dialect::Change::Done), Change::Maintain { instance, wave }) => {
+                fleet.note_maintained(*wave, instance);
+            }
+            // Without an answer it may be under way; the list will show.
+            (Some(dialect::Change::Done) | None, _) => {}
+            (Some(_), _) => fleet.note_refused(change.instance()),
+        }
+    }
+
+    /// Tells the pool that the worker on a changed instance has ended, long before the registry
+    /// does.
+    async fn tell_ended(&self, instance: &str) {
+        let found = self.fleet.borrow().worker_on(instance);
+        if let Some((part, worker)) = found {
+            let workers = vec![worker];
+            // The registry tells the same later, so a lost word costs a failed start at most.
+            let _ = self.ask(Ask::Ended { part, workers }).await;
+        }
+    }
+
+    /// Stores how far waves have come, and tells the operators.
+    async fn report_waves(&mut self) {
+        let campaigns = self.fleet.borrow().campaigns().clone();
+        if campaigns == self.stored {
+            return;
+        }
+        let mut transaction = Transaction::default();
+        for (number, campaign) in &campaigns {
+            if self.stored.get(number) != Some(campaign) {
+                let key = Key::new(TABLE, FLEET, &format!("{CAMPAIGN_PREFIX}{number}"));
+                transaction.writes.push((key, encode(campaign)));
+            }
+        }
+        if self.committer.commit(transaction, || false).await != Verdict::Done {
+            return;
+        }
+        for (number, campaign) in &campaigns {
+            let is_done = campaign.is_done();
+            if self.reported.get(number) == Some(&is_done) {
+                continue;
+            }
+            let (key, value) = self.node.dialect.wave_status(*number, is_done);
+            let table = self.node.dialect.status_table();
+            let status = Transaction {
+                writes: vec![(Key::new(table, "", &key), value)],
+                ..Transaction::default()
+            };
+            if self.node.store.commit(&status).await.is_ok() {
+                log::info!("event=wave-reported wave={number} done={is_done}");
+                self.reported.insert(*number, is_done);
+            }
+        }
+        self.stored = campaigns;
+    }
+}
+
+/// Encodes a row.
+///
+/// # Panics
+///
+/// Panics when the value can't be encoded, which no row of these types can cause.
+fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).expect("rows are plain data");
+    bytes
+}
+
+/// Reads what an earlier holder stored.
+async fn read(node: &Rc<Node>) -> Option<(BTreeMap<String, usize>, BTreeMap<u64, Campaign>)> {
+    const PAUSE: Duration = Duration::from_millis(150);
+    let page = loop {
+        if node.is_stopping.get() {
+            return None;
+        }
+        match node.store.read(TABLE, FLEET).await {
+            Some(page) => break page,
+            None => tokio::time::sleep(PAUSE).await,
+        }
+    };
+    let mut base = BTreeMap::new();
+    let mut campaigns = BTreeMap::new();
+    for row in page.rows {
+        if row.key.key == BASE_KEY {
+            base = ciborium::from_reader(row.value.as_slice()).unwrap_or_default();
+        } else if let Some(number) = row.key.key.strip_prefix(CAMPAIGN_PREFIX) {
+            let campaign = ciborium::from_reader(row.value.as_slice());
+            if let (Ok(number), Ok(campaign)) = (number.parse(), campaign) {
+                campaigns.insert(number, campaign);
+            }
+        }
+    }
+    Some((base, campaigns))
 }
--- a/crates/hyssop-edge/src/http/client.rs
+++ b/crates/hyssop-edge/src/http/client.rs
@@ -19,11 +19,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 type Sender = SendRequest<Full<Bytes>>;
+type Lanes = BTreeMap<(SocketAddr, Lane), Rc<Connections>>;
 
 /// Calls services and keeps connections for the next call.
 #[derive(Clone, Default)]
 pub(crate) struct Client {
-    lanes: Rc<RefCell<BTreeMap<(SocketAddr, Lane), Rc<Connections>>>>,
+    lanes: Rc<RefCell<Lanes>>,
 }
 
 struct Connections {
--- a/crates/hyssop-edge/src/peer/frame.rs
+++ b/crates/hyssop-edge/src/peer/frame.rs
@@ -63,6 +63,8 @@
         workers: Vec<String>,
         for_ms: u64,
     },
+    /// Tells that instances were moved or maintained, which ended the workers on them.
+    Ended { part: String, workers: Vec<String> },
 }
 
 impl Ask {
@@ -74,7 +76,8 @@
             | Self::Cancel { part, .. }
             | Self::Waiting { part, .. }
             | Self::Demand { part }
-            | Self::Vacate { part, .. } => part,
+            | Self::Vacate { part, .. }
+            | Self::Ended { part, .. } => part,
         }
     }
 }
--- a/crates/hyssop-edge/src/pool/calls.rs
+++ b/crates/hyssop-edge/src/pool/calls.rs
@@ -1,6 +1,6 @@
 use super::Runner;
 use crate::http::{Failure, Lane};
-use hyssop_policy::owner::{TaskKey, WorkerKey};
+use hyssop_policy::owner::{Answer, TaskKey, WorkerKey};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,23 +31,25 @@
         let reply = slot
             .call(self.node.dialect.start(&order), ORDER_TIMEOUT)
             .await;
-        let started = reply.ok().map(|reply| self.node.dialect.read_start(&reply));
-        if let Some(started) = started {
-            log::debug!(
-                "event=start task={} run={run} outcome={started}",
-                order.task
-            );
-        } else {
-            log::info!(
-                "event=start-unanswered task={} run={run} worker={}",
-                order.task,
-                order.worker
-            );
-        }
+        let answer = match reply {
+            Ok(reply) => Answer::Given(self.node.dialect.read_start(&reply)),
+            Err(Failure::Unsent) => Answer::Unsent,
+            Err(Failure::Lost) => Answer::Lost,
+        };
+        log::info!(
+            "event=start task={} run={run} worker={} outcome={}",
+            order.task,
+            order.worker,
+            match answer {
+                Answer::Given(started) => started.to_string(),
+                Answer::Unsent => Failure::Unsent.to_string(),
+                Answer::Lost => Failure::Lost.to_string(),
+            }
+        );
         let now = self.node.clock.now();
         self.owner
             .borrow_mut()
-            .started(worker, task, run, started, now);
+            .started(worker, task, run, answer, now);
         self.wake.notify_one();
     }
 
--- a/crates/hyssop-edge/src/pool/questions.rs
+++ b/crates/hyssop-edge/src/pool/questions.rs
@@ -76,6 +76,14 @@
             }
             Ask::Waiting { queue, .. } => Answer::Waiting(self.owner.borrow().waiting(&queue)),
             Ask::Demand { .. } => Answer::Demand(self.owner.borrow().demand(self.node.clock.now())),
+            Ask::Ended { workers, .. } => {
+                let now = self.node.clock.now();
+                for id in workers {
+                    self.owner.borrow_mut().end_worker(&id, now);
+                }
+                self.wake.notify_one();
+                Answer::Done
+            }
             Ask::Vacate {
                 workers, for_ms, ..
             } => {
--- /dev/null
+++ b/crates/hyssop-policy/src/fleet/maintain.rs
@@ -0,0 +1,125 @@
+use super::{Change, Decision, Fleet};
+use hyssop_model::work::{Condition, Instance};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+impl Fleet {
+    /// Notes that an instance's maintenance for a wave has begun.
+    pub fn note_maintained(&mut self, wave: u64, instance: &str) {
+        if let Some(campaign) = self.campaigns.get_mut(&wave) {
+            campaign.begun.insert(instance.to_owned());
+        }
+    }
+
+    /// Maintains what is due: instances that are switched off first, then those that are empty,
+    /// then those that are emptied for it, where callers wait least.
+    ///
+    /// The load that this answers: half the fleet is due within the time of two turns of demand.
+    /// A pool with waiting tasks keeps its instances until the wave's time is short.
+    pub(super) fn maintain(&self, now: Duration, decision: &mut Decision) {
+        for (&number, campaign) in &self.campaigns {
+            let mut free = (campaign.cap as usize).saturating_sub(self.down(number));
+            let due: Vec<&Instance> = campaign
+                .due()
+                .filter_map(|name| self.instances.get(name))
+                .filter(|instance| self.is_up(instance))
+                .filter(|instance| !decision.touches(instance))
+                .collect();
+            let is_urgent = self.is_urgent(due.len(), campaign.cap, campaign.deadline, now);
+            let mut emptying = self.away(now);
+            let mut ranked: Vec<(u64, &Instance)> = due
+                .into_iter()
+                .filter_map(|instance| Some((self.cost(instance, now)?, instance)))
+                .collect();
+            ranked.sort_by(|(a, x), (b, y)| a.cmp(b).then(x.name.cmp(&y.name)));
+            for (cost, instance) in ranked {
+                if free == 0 {
+                    break;
+                }
+                let is_spare = self.spare.contains(&instance.pool);
+                let away = emptying.entry(instance.pool.clone()).or_insert(0);
+                if !is_spare {
+                    let size = self.size(&instance.pool) as f64;
+                    let most = ((size * self.settings.share).floor() as usize).max(1);
+                    let is_crowded = self
+                        .demand(&instance.pool, now)
+                        .is_none_or(|demand| demand.waiting.cpu > 0);
+                    if *away >= most || (is_crowded && !is_urgent && cost > 0) {
+                        continue;
+                    }
+                }
+                *away += 1;
+                free -= 1;
+                decision.empty(instance);
+                if self.is_empty(instance, now) {
+                    decision.changes.push(Change::Maintain {
+                        instance: instance.name.clone(),
+                        wave: number,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Counts the instances that are, or may be, down for a wave.
+    fn down(&self, wave: u64) -> usize {
+        let Some(campaign) = self.campaigns.get(&wave) else {
+            return 0;
+        };
+        campaign
+            .instances
+            .iter()
+            .filter(|name| {
+                let is_ordered =
+                    matches!(self.ordered.get(*name), Some((_, Change::Maintain { .. })));
+                let is_down = self
+                    .instances
+                    .get(*name)
+                    .is_some_and(|instance| instance.condition == Condition::Maintained);
+                is_ordered || is_down
+            })
+            .count()
+    }
+
+    /// Counts, for each pool, the instances that are down.
+    fn away(&self, _now: Duration) -> BTreeMap<String, usize> {
+        let mut away = BTreeMap::new();
+        for instance in self.instances.values() {
+            if !self.is_up(instance) && instance.condition != Condition::Moving {
+                *away.entry(instance.pool.clone()).or_insert(0) += 1;
+            }
+        }
+        away
+    }
+
+    /// Tells whether the wave's time is short for what is left of it.
+    fn is_urgent(&self, left: usize, cap: u32, deadline: Duration, now: Duration) -> bool {
+        let rounds = left.div_ceil(cap.max(1) as usize) as u32;
+        let need = self.settings.turn * rounds + self.settings.reserve;
+        now + need >= deadline
+    }
+
+    /// Ranks an instance by what its maintenance costs callers; `None` where nothing is known.
+    fn cost(&self, instance: &Instance, now: Duration) -> Option<u64> {
+        /// A lasting task that must move costs more than any other work.
+        const LASTING: u64 = 1_000_000;
+        if self.spare.contains(&instance.pool) || instance.worker.is_none() {
+            return Some(0);
+        }
+        let load = self.load(instance, now)?;
+        // What is being emptied already stays first, so that the choice does not change.
+        if load.is_vacating {
+            return Some(u64::from(load.runs > 0));
+        }
+        Some(load.cpu + u64::from(load.lasting) * LASTING + u64::from(load.runs > 0))
+    }
+
+    /// Tells whether nothing runs on an instance and nothing new is given to it.
+    pub(super) fn is_empty(&self, instance: &Instance, now: Duration) -> bool {
+        if self.spare.contains(&instance.pool) || instance.worker.is_none() {
+            return true;
+        }
+        self.load(instance, now)
+            .is_some_and(|load| load.is_vacating && load.runs == 0)
+    }
+}
--- /dev/null
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -0,0 +1,235 @@
+//! The fleet's instances: which pool each is in, and when each is maintained.
+//!
+//! A [`Fleet`] is fed the platform's list of instances, the pools' demands and the operators'
+//! waves, each with the time; it returns the workers to empty and the changes to order. It makes
+//! no call and reads no clock.
+
+mod maintain;
+mod settings;
+mod supply;
+mod tracking;
+
+pub use settings::Settings;
+pub use tracking::Campaign;
+
+use crate::owner::{Demand, Load};
+use hyssop_model::work::{Condition, Instance, Wave};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Is a change of an instance that is due now.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Change {
+    /// It joins another pool.
+    Move {
+        /// The instance.
+        instance: String,
+        /// The pool that it joins.
+        pool: String,
+    },
+    /// It is maintained for a wave.
+    Maintain {
+        /// The instance.
+        instance: String,
+        /// The wave.
+        wave: u64,
+    },
+}
+
+impl Change {
+    /// Returns the instance that changes.
+    pub fn instance(&self) -> &str {
+        match self {
+            Self::Move { instance, .. } | Self::Maintain { instance, .. } => instance,
+        }
+    }
+}
+
+/// Decides for the fleet's instances during one term.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    settings: Settings,
+    /// The pools whose instances are switched off.
+    spare: BTreeSet<String>,
+    instances: BTreeMap<String, Instance>,
+    /// The size that each pool has by itself; it is never moved below.
+    base: BTreeMap<String, usize>,
+    demands: BTreeMap<String, (Duration, Demand)>,
+    campaigns: BTreeMap<u64, Campaign>,
+    /// Changes that were ordered and do not show in the list yet, with the time of the order.
+    ordered: BTreeMap<String, (Duration, Change)>,
+    /// Instances without work, with the time since when.
+    idle_since: BTreeMap<String, Duration>,
+}
+
+impl Fleet {
+    /// Makes the decisions' state, with the sizes and campaigns that an earlier holder stored.
+    pub fn new(
+        settings: Settings,
+        base: BTreeMap<String, usize>,
+        campaigns: BTreeMap<u64, Campaign>,
+    ) -> Self {
+        Self {
+            settings,
+            spare: BTreeSet::new(),
+            instances: BTreeMap::new(),
+            base,
+            demands: BTreeMap::new(),
+            campaigns,
+            ordered: BTreeMap::new(),
+            idle_since: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the size that each pool has by itself, for a next holder.
+    pub fn base(&self) -> &BTreeMap<String, usize> {
+        &self.base
+    }
+
+    /// Returns the campaigns, for a next holder and for the operators.
+    pub fn campaigns(&self) -> &BTreeMap<u64, Campaign> {
+        &self.campaigns
+    }
+
+    /// Names the spare pools.
+    pub fn set_spare(&mut self, spare: BTreeSet<String>) {
+        self.spare = spare;
+    }
+
+    /// Takes the platform's list, asked for at `asked_at`.
+    pub fn list(&mut self, instances: Vec<Instance>, asked_at: Duration) {
+        self.instances = instances
+            .into_iter()
+            .map(|instance| (instance.name.clone(), instance))
+            .collect();
+        if self.base.is_empty() {
+            for instance in self.instances.values() {
+                *self.base.entry(instance.pool.clone()).or_insert(0) += 1;
+            }
+        }
+        // An order shows in a list that was asked for well after it.
+        let show = self.settings.show;
+        let instances = &self.instances;
+        self.ordered.retain(|name, (ordered_at, _)| {
+            let is_up = instances
+                .get(name)
+                .is_some_and(|instance| instance.condition == Condition::Up);
+            !(is_up && asked_at >= *ordered_at + show)
+        });
+    }
+
+    /// Takes a pool's demand.
+    pub fn take_demand(&mut self, demand: Demand, now: Duration) {
+        for load in &demand.loads {
+            if load.runs == 0 {
+                self.idle_since.entry(load.instance.clone()).or_insert(now);
+            } else {
+                self.idle_since.remove(&load.instance);
+            }
+        }
+        self.demands.insert(demand.pool.clone(), (now, demand));
+    }
+
+    /// Notes that a change was ordered; its effect shows in the list later.
+    pub fn note_ordered(&mut self, change: Change, now: Duration) {
+        self.idle_since.remove(change.instance());
+        self.ordered
+            .insert(change.instance().to_owned(), (now, change));
+    }
+
+    /// Notes that the platform will not carry a change out now.
+    pub fn note_refused(&mut self, instance: &str) {
+        self.ordered.remove(instance);
+    }
+
+    /// Returns the pool and the worker of an instance, where it has a worker in a pool at work.
+    pub fn worker_on(&self, instance: &str) -> Option<(String, String)> {
+        let instance = self.instances.get(instance)?;
+        if self.spare.contains(&instance.pool) {
+            return None;
+        }
+        Some((instance.pool.clone(), instance.worker.clone()?))
+    }
+
+    /// Decides what to empty and what to change.
+    pub fn decide(&mut self, now: Duration) -> Decision {
+        let mut decision = Decision::default();
+        self.maintain(now, &mut decision);
+        self.supply(now, &mut decision);
+        decision
+    }
+
+    /// Returns a pool's demand while it is fresh enough to act on.
+    fn demand(&self, pool: &str, now: Duration) -> Option<&Demand> {
+        self.demands
+            .get(pool)
+            .filter(|(at, _)| now.saturating_sub(*at) <= self.settings.fresh)
+            .map(|(_, demand)| demand)
+    }
+
+    /// Returns what the worker on an instance is doing.
+    fn load(&self, instance: &Instance, now: Duration) -> Option<&Load> {
+        self.demand(&instance.pool, now)?
+            .loads
+            .iter()
+            .find(|load| load.instance == instance.name)
+    }
+
+    fn is_up(&self, instance: &Instance) -> bool {
+        instance.condition == Condition::Up && !self.ordered.contains_key(&instance.name)
+    }
+
+    /// Counts the instances that are in a pool or on their way there.
+    fn size(&self, pool: &str) -> usize {
+        self.instances
+            .values()
+            .filter(|instance| match self.ordered.get(&instance.name) {
+                Some((_, Change::Move { pool: target, .. })) => target == pool,
+                _ => instance.pool == pool,
+            })
+            .count()
+    }
+}
+
+/// Says what the fleet wants now.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Decision {
+    /// The workers to empty, by pool.
+    pub vacate: BTreeMap<String, BTreeSet<String>>,
+    /// The changes to order, in their order.
+    pub changes: Vec<Change>,
+}
+
+impl Decision {
+    fn empty(&mut self, instance: &Instance) {
+        if let Some(worker) = &instance.worker {
+            self.vacate
+                .entry(instance.pool.clone())
+                .or_default()
+                .insert(worker.clone());
+        }
+    }
+
+    fn touches(&self, instance: &Instance) -> bool {
+        self.changes
+            .iter()
+            .any(|change| change.instance() == instance.name)
+            || instance.worker.as_ref().is_some_and(|worker| {
+                self.vacate
+                    .get(&instance.pool)
+                    .is_some_and(|workers| workers.contains(worker))
+            })
+    }
+}
+
+/// Takes the waves that operators ask for.
+impl Fleet {
+    /// Takes a wave that was first seen at `now`.
+    pub fn take_wave(&mut self, wave: &Wave, now: Duration) {
+        let campaign = self
+            .campaigns
+            .entry(wave.number)
+            .or_insert_with(|| Campaign::new(wave, now));
+        campaign.cap = wave.cap;
+    }
+}
--- a/crates/hyssop-policy/src/lib.rs
+++ b/crates/hyssop-policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claim;
 pub mod demand;
 pub mod dispatch;
+pub mod fleet;
 pub mod health;
 pub mod job;
 pub mod membership;
--- a/crates/hyssop-policy/src/owner/ending.rs
+++ b/crates/hyssop-policy/src/owner/ending.rs
@@ -54,6 +54,15 @@
         // unlocated task stays so.
         let is_current =
             matches!(held.state, State::Placed(holder) if holder == key && ended.run >= held.run);
+        if ended.ending != Ending::Done {
+            log::info!(
+                "event=run-ended task={} run={} worker={} ending={} current={is_current}",
+                ended.task,
+                ended.run,
+                worker.listing.id,
+                ended.ending
+            );
+        }
         if !ended.checkpoint.is_empty() && held.state != State::Done {
             held.checkpoint.clone_from(&ended.checkpoint);
             self.dirty.insert(job_key);
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -39,6 +39,7 @@
 pub use key::{JobKey, TaskKey, WorkerKey};
 pub use recovery::Record;
 pub use settings::Settings;
+pub use start::Answer;
 pub use worker::Worker;
 
 use hyssop_model::work::Configuration;
@@ -70,6 +71,8 @@
     is_recovering: bool,
     dirty: BTreeSet<JobKey>,
     pending: Option<batch::Pending>,
+    /// Workers that are known to have ended although the registry may still list them.
+    ended_workers: BTreeSet<(String, i64)>,
     /// Rows of workers that are gone, to be removed.
     departed: BTreeSet<String>,
     learning: Learning,
@@ -97,6 +100,7 @@
             is_recovering: false,
             dirty: BTreeSet::new(),
             pending: None,
+            ended_workers: BTreeSet::new(),
             departed: BTreeSet::new(),
             learning: Learning::default(),
             actions: Vec::new(),
--- a/crates/hyssop-policy/src/owner/place.rs
+++ b/crates/hyssop-policy/src/owner/place.rs
@@ -272,6 +272,8 @@
                     number,
                     reserved: need,
                     ordered_at: now,
+                    asked_at: now,
+                    may_exist: false,
                     is_confirmed: false,
                     stopping_at: None,
                     percent: 0.0,
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -29,6 +29,12 @@
             self.unlist_worker(&listing.id);
             return;
         }
+        if self
+            .ended_workers
+            .contains(&(listing.id.clone(), listing.incarnation))
+        {
+            return;
+        }
         self.is_placing_due = true;
         if let Some(key) = self.worker_key(&listing.id, listing.incarnation) {
             if let Some(worker) = self.workers.get_mut(&key) {
@@ -144,6 +150,21 @@
         );
     }
 
+    /// Notes that the instance below a worker was moved or maintained, which ends the worker.
+    pub fn end_worker(&mut self, id: &str, now: Duration) {
+        let found: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.listing.id == id)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in found {
+            let incarnation = self.workers[&key].listing.incarnation;
+            self.ended_workers.insert((id.to_owned(), incarnation));
+            self.lose_worker(key, now);
+        }
+    }
+
     /// Puts a task back that ran on `worker`, if it still counts as placed there.
     pub(super) fn requeue(&mut self, task: TaskKey, worker: WorkerKey) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -224,6 +245,8 @@
                 number: running.run,
                 reserved: step.reserved(),
                 ordered_at: sent,
+                asked_at: sent,
+                may_exist: false,
                 is_confirmed: true,
                 stopping_at: (!may_adopt).then_some(now),
                 percent: running.percent,
@@ -245,7 +268,8 @@
             }
             let since = now.saturating_sub(worker.polled_at);
             let is_silent = worker.silent_since.is_some();
-            let extends = !worker.runs.is_empty();
+            // An extension that is not answered must not put the end of the lease off.
+            let extends = !worker.runs.is_empty() && !is_silent;
             let is_due = if is_silent {
                 since >= self.settings.retry_pause
             } else if worker.stored < worker.applied {
--- a/crates/hyssop-policy/src/owner/start.rs
+++ b/crates/hyssop-policy/src/owner/start.rs
@@ -8,15 +8,30 @@
 /// A worker that takes nothing is asked again after this time.
 const UNHEALTHY_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// An unanswered start is sent again after this time.
+const RESEND_PAUSE: Duration = Duration::from_millis(250);
+/// A start that was not even sent, for want of a connection's turn, is ordered again after this.
+const UNSENT_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Says what came back for a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The worker answered.
+    Given(Started),
+    /// No connection came about, so the worker has not heard of it.
+    Unsent,
+    /// No answer came; the start may be carried out, now or later.
+    Lost,
+}
+
 impl Owner {
-    /// Takes the answer to a start; `None` means that no answer came, so that it may still be
-    /// carried out.
+    /// Takes what came back for a start.
     pub fn started(
         &mut self,
         key: WorkerKey,
         task: TaskKey,
         run: u64,
-        answer: Option<Started>,
+        answer: Answer,
         now: Duration,
     ) {
         let Some(worker) = self.workers.get_mut(&key) else {
@@ -30,7 +45,7 @@
             return;
         }
         match answer {
-            Some(Started::Done(clock)) => {
+            Answer::Given(Started::Done(clock)) => {
                 if let Some(held) = worker.runs.get_mut(&task) {
                     held.is_confirmed = true;
                     held.moved_at = now;
@@ -42,7 +57,7 @@
                     job.has_started = true;
                 }
             }
-            Some(Started::Fenced) => {
+            Answer::Given(Started::Fenced) => {
                 log::warn!(
                     "event=fenced pool={} term={} worker={}",
                     self.pool,
@@ -51,8 +66,8 @@
                 );
                 self.is_deposed = true;
             }
-            Some(Started::OtherIncarnation) => self.lose_worker(key, now),
-            Some(refusal) => {
+            Answer::Given(Started::OtherIncarnation) => self.lose_worker(key, now),
+            Answer::Given(refusal) => {
                 worker.release(task);
                 match refusal {
                     Started::Full => worker.blocked_until = now + FULL_PAUSE,
@@ -71,15 +86,18 @@
                 );
                 self.requeue(task, key);
             }
-            None => {
+            Answer::Unsent | Answer::Lost => {
+                let Some(held) = worker.runs.get_mut(&task) else {
+                    return;
+                };
+                held.may_exist |= answer == Answer::Lost;
                 // The same run is ordered again: if the first order took effect, or does so
                 // later, the worker has just one run of that number.
-                if worker.silent_since.is_none() {
-                    self.actions.push(Action::Start {
-                        worker: key,
-                        task,
-                        run,
-                    });
+                held.asked_at = now;
+                if !held.may_exist {
+                    worker.release(task);
+                    worker.blocked_until = worker.blocked_until.max(now + FULL_PAUSE);
+                    self.requeue(task, key);
                 }
             }
         }
@@ -110,8 +128,6 @@
         /// A confirmed stop of a run that never began frees its room after this time: the
         /// worker rejects that run from then on, so no ending will tell of it.
         const NEVER_BEGUN: Duration = Duration::from_millis(2_000);
-        /// Starts are given up as unanswered after this time and ordered again.
-        const UNANSWERED: Duration = Duration::from_millis(1_500);
         let mut freed = Vec::new();
         for (key, worker) in &mut self.workers {
             if worker.silent_since.is_some() {
@@ -125,9 +141,15 @@
                     freed.push((*key, *task));
                 } else if run.stopping_at.is_none()
                     && !run.is_confirmed
-                    && now.saturating_sub(run.ordered_at) >= UNANSWERED
+                    && now.saturating_sub(run.asked_at)
+                        >= if run.may_exist {
+                            RESEND_PAUSE
+                        } else {
+                            UNSENT_PAUSE
+                        }
                 {
-                    run.ordered_at = now;
+                    // The call itself takes its time; it is not sent again meanwhile.
+                    run.asked_at = now + UNSENT_PAUSE;
                     self.actions.push(Action::Start {
                         worker: *key,
                         task: *task,
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -119,6 +119,10 @@
     pub(super) number: u64,
     pub(super) reserved: Resources,
     pub(super) ordered_at: Duration,
+    /// When the start was last sent, or its answer was last missed.
+    pub(super) asked_at: Duration,
+    /// Whether an unanswered start may have been carried out, or may be yet.
+    pub(super) may_exist: bool,
     /// Whether the worker has confirmed that it runs.
     pub(super) is_confirmed: bool,
     /// When it was ordered to stop.
