Model a pool under faults; settle starts whose orders may have been carried out

From the model: a start sent to a worker that restarted under its identifier ran there and was started elsewhere. Change: a refused start that may have been carried out is stopped first, and freed by a report asked for after the stop's confirmation; a new incarnation inherits starts that no report has listed; the budget counts tasks on leaving workers as away.

--- a/crates/hyssop-edge/src/pool/calls.rs
+++ b/crates/hyssop-edge/src/pool/calls.rs
@@ -75,7 +75,7 @@
             }
             reply => {
                 let is_answered = reply.is_ok_and(|reply| reply.status < 429);
-                owner.stopped(worker, &task, run, is_answered);
+                owner.stopped(worker, &task, run, is_answered, now);
             }
         }
         self.wake.notify_one();
--- a/crates/hyssop-policy/src/owner/budget.rs
+++ b/crates/hyssop-policy/src/owner/budget.rs
@@ -43,10 +43,15 @@
             }
         }
         for (key, task) in candidates {
-            // A leaving worker ends its tasks anyway, so their budget is not at stake.
+            // A leaving worker ends its tasks anyway, so their own budget is not at stake; but one
+            // of the step that is being stopped under that budget ends first.
             let is_draining = self.workers[&key].listing.is_draining;
-            let has_room = self.has_room_beside(key, task, now);
-            if has_room && (is_draining || self.may_interrupt(task)) {
+            let may_stop = if is_draining {
+                !self.is_sibling_stopping(task)
+            } else {
+                self.may_interrupt(task)
+            };
+            if may_stop && self.has_room_beside(key, task, now) {
                 self.stop_task(key, task, now);
             }
         }
@@ -71,10 +76,25 @@
         step.may_miss.map_or(away == 0, |most| away < most)
     }
 
+    /// Tells whether another task of the step has been ordered to stop and has not ended.
+    fn is_sibling_stopping(&self, task: TaskKey) -> bool {
+        let first = TaskKey { index: 0, ..task };
+        let last = TaskKey {
+            index: u32::MAX,
+            ..task
+        };
+        self.workers.values().any(|worker| {
+            worker
+                .runs
+                .range(first..=last)
+                .any(|(other, run)| *other != task && run.stopping_at.is_some())
+        })
+    }
+
     fn is_serving(&self, task: TaskKey) -> bool {
         self.holder(task)
             .and_then(|key| self.workers.get(&key))
-            .filter(|worker| worker.silent_since.is_none())
+            .filter(|worker| worker.silent_since.is_none() && !worker.listing.is_draining)
             .and_then(|worker| worker.runs.get(&task))
             .is_some_and(|run| run.serving_since.is_some() && run.stopping_at.is_none())
     }
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -7,20 +7,14 @@
 /// How long endings may wait for the store before the worker is asked again regardless.
 const UNSTORED_PAUSE: Duration = Duration::from_millis(150);
 
+/// An order on its way arrives within this time, or its connection breaks.
+const IN_FLIGHT: Duration = Duration::from_millis(700);
+
 impl Owner {
     /// Takes a worker's registration; another incarnation under its identifier proves the earlier
     /// one gone.
     pub fn list_worker(&mut self, listing: work::Worker, now: Duration) {
-        let earlier: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.listing.id == listing.id)
-            .filter(|(_, worker)| worker.listing.incarnation != listing.incarnation)
-            .map(|(key, _)| *key)
-            .collect();
-        for key in earlier {
-            self.lose_worker(key, now);
-        }
+        let inherited = self.replace_incarnation(&listing, now);
         let earlier = |(id, incarnation): &(String, i64)| {
             *id == listing.id && *incarnation != listing.incarnation
         };
@@ -45,11 +39,80 @@
         }
         let key = WorkerKey(self.next_worker);
         self.next_worker += 1;
-        let worker = Worker::new(listing);
+        let mut worker = Worker::new(listing);
+        for (task, run, lease_end) in inherited {
+            worker.lease_end = worker.lease_end.max(lease_end);
+            if let Some(held) = self.task_mut(task) {
+                held.state = State::Placed(key);
+            }
+            worker.reserve(task, run);
+        }
         self.departed.remove(&worker.row_name());
         self.workers.insert(key, worker);
     }
 
+    /// Gives up the earlier incarnation under a worker's identifier.
+    ///
+    /// What a report of it has listed is gone with it. A start that none has listed may have been
+    /// carried out by the new incarnation, which bears the same identifier; such runs are
+    /// returned, with the ends of their leases, and settled by the new one's first report.
+    fn replace_incarnation(
+        &mut self,
+        listing: &work::Worker,
+        now: Duration,
+    ) -> Vec<(TaskKey, Run, Duration)> {
+        let earlier: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.listing.id == listing.id)
+            .filter(|(_, worker)| worker.listing.incarnation != listing.incarnation)
+            .map(|(key, _)| *key)
+            .collect();
+        let is_here = listing.pool == self.pool;
+        let mut inherited = Vec::new();
+        for key in earlier {
+            let open: Vec<TaskKey> = self.workers[&key]
+                .runs
+                .iter()
+                .filter(|(_, run)| is_here && !run.is_reported && run.stopping_at.is_none())
+                .map(|(task, _)| *task)
+                .collect();
+            for task in open {
+                let Some(worker) = self.workers.get_mut(&key) else {
+                    continue;
+                };
+                let lease_end = worker.lease_end;
+                if let Some(mut run) = worker.release(task) {
+                    run.is_confirmed = false;
+                    run.may_exist = true;
+                    inherited.push((task, run, lease_end));
+                }
+            }
+            self.lose_worker(key, now);
+        }
+        inherited
+    }
+
+    /// Settles, by a new incarnation's first report, the runs that it may have been given under
+    /// its predecessor's name; those just ordered are ordered again instead, as the same run.
+    fn settle_inherited(&mut self, key: WorkerKey, sent_at: Duration) {
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
+        let gone: Vec<TaskKey> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| !run.is_reported && run.asked_at + IN_FLIGHT <= sent_at)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in gone {
+            if let Some(worker) = self.workers.get_mut(&key) {
+                worker.release(task);
+            }
+            self.requeue(task, key);
+        }
+    }
+
     /// Notes that the registry no longer lists a worker; it may still run what it was given.
     pub fn unlist_worker(&mut self, id: &str) {
         for worker in self.workers.values_mut() {
@@ -87,7 +150,11 @@
             .incarnation
             .is_some_and(|incarnation| incarnation != worker.listing.incarnation)
         {
-            self.lose_worker(key, now);
+            let listing = work::Worker {
+                incarnation: report.incarnation.unwrap_or_default(),
+                ..worker.listing.clone()
+            };
+            self.list_worker(listing, now);
             return;
         }
         worker.silent_since = None;
@@ -95,18 +162,23 @@
         worker.clock_offset_ms = Some(report.clock_ms - now.as_millis() as i64);
         worker.acknowledged = worker.acknowledged.max(acknowledged);
         let name = (worker.listing.id.clone(), worker.listing.incarnation);
-        if !worker.is_known {
+        let is_first = !worker.is_known;
+        if is_first {
             worker.is_known = true;
             self.is_placing_due = true;
         }
         for running in &report.running {
             self.note_running(key, running, sent_at, now);
         }
-        let mut ended = report.ended;
-        ended.sort_by_key(|ended| ended.number);
-        for ended in ended {
+        let mut endings = report.ended;
+        endings.sort_by_key(|ended| ended.number);
+        for ended in endings {
             self.end(key, ended, now);
         }
+        if is_first {
+            self.settle_inherited(key, sent_at);
+        }
+        self.release_never_begun(key, &report.running, sent_at);
         self.unaccounted.remove(&name);
         if let Some(worker) = self.workers.get_mut(&key) {
             let doubtful = std::mem::take(&mut worker.doubtful);
@@ -206,6 +278,7 @@
         if let Some(run) = worker.runs.get_mut(&task) {
             if run.number == running.run {
                 run.is_confirmed = true;
+                run.is_reported = true;
                 if running.percent != run.percent {
                     run.percent = running.percent;
                     run.moved_at = now;
@@ -248,7 +321,9 @@
                 asked_at: sent,
                 may_exist: false,
                 is_confirmed: true,
+                is_reported: true,
                 stopping_at: (!may_adopt).then_some(now),
+                stop_confirmed_at: None,
                 percent: running.percent,
                 moved_at: now,
                 serving_since: (running.percent >= 100.0).then_some(now),
--- a/crates/hyssop-policy/src/owner/start.rs
+++ b/crates/hyssop-policy/src/owner/start.rs
@@ -68,7 +68,6 @@
             }
             Answer::Given(Started::OtherIncarnation) => self.lose_worker(key, now),
             Answer::Given(refusal) => {
-                worker.release(task);
                 match refusal {
                     Started::Full => worker.blocked_until = now + FULL_PAUSE,
                     Started::Unhealthy | Started::Invalid => {
@@ -84,7 +83,14 @@
                     self.pool,
                     worker.listing.id
                 );
-                self.requeue(task, key);
+                let may_exist = worker.runs.get(&task).is_some_and(|held| held.may_exist);
+                if may_exist {
+                    // An earlier order of the same run may have been carried out, or may be yet.
+                    self.stop_task(key, task, now);
+                } else {
+                    worker.release(task);
+                    self.requeue(task, key);
+                }
             }
             Answer::Unsent | Answer::Lost => {
                 let Some(held) = worker.runs.get_mut(&task) else {
@@ -104,13 +110,30 @@
     }
 
     /// Takes the answer to a stop; without one it is ordered again while the worker answers holds.
-    pub fn stopped(&mut self, key: WorkerKey, task: &str, run: u64, is_answered: bool) {
-        if is_answered {
-            return;
-        }
+    pub fn stopped(
+        &mut self,
+        key: WorkerKey,
+        task: &str,
+        run: u64,
+        is_answered: bool,
+        now: Duration,
+    ) {
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
+        if is_answered {
+            let jobs = &self.jobs;
+            let is_meant = |key: &TaskKey| {
+                jobs.get(&key.job)
+                    .is_some_and(|job| super::order::task_name(job, *key) == task)
+            };
+            for (key, held) in &mut worker.runs {
+                if held.number == run && held.stopping_at.is_some() && is_meant(key) {
+                    held.stop_confirmed_at.get_or_insert(now);
+                }
+            }
+            return;
+        }
         if worker.silent_since.is_some() {
             worker.doubtful.insert(task.to_owned(), run);
         } else {
@@ -122,31 +145,21 @@
         }
     }
 
-    /// Orders again what was left unanswered by a worker that answers once more, and releases
-    /// starts that were stopped before they took effect.
+    /// Orders again the starts that were left unanswered by workers that answer holds.
     pub(super) fn watch_starts(&mut self, now: Duration) {
-        /// A confirmed stop of a run that never began frees its room after this time: the
-        /// worker rejects that run from then on, so no ending will tell of it.
-        const NEVER_BEGUN: Duration = Duration::from_millis(2_000);
-        let mut freed = Vec::new();
         for (key, worker) in &mut self.workers {
             if worker.silent_since.is_some() {
                 continue;
             }
             for (task, run) in &mut worker.runs {
-                let is_stopped = run
-                    .stopping_at
-                    .is_some_and(|at| now.saturating_sub(at) >= NEVER_BEGUN);
-                if is_stopped && !run.is_confirmed {
-                    freed.push((*key, *task));
-                } else if run.stopping_at.is_none()
+                let pause = if run.may_exist {
+                    RESEND_PAUSE
+                } else {
+                    UNSENT_PAUSE
+                };
+                if run.stopping_at.is_none()
                     && !run.is_confirmed
-                    && now.saturating_sub(run.asked_at)
-                        >= if run.may_exist {
-                            RESEND_PAUSE
-                        } else {
-                            UNSENT_PAUSE
-                        }
+                    && now.saturating_sub(run.asked_at) >= pause
                 {
                     // The call itself takes its time; it is not sent again meanwhile.
                     run.asked_at = now + UNSENT_PAUSE;
@@ -158,7 +171,37 @@
                 }
             }
         }
-        for (key, task) in freed {
+    }
+
+    /// Frees the room of runs that were stopped before they took effect: the worker has confirmed
+    /// the stop, so that it rejects the run from then on, and a report asked for later than that
+    /// tells of no such run.
+    pub(super) fn release_never_begun(
+        &mut self,
+        key: WorkerKey,
+        running: &[hyssop_model::work::Running],
+        sent_at: Duration,
+    ) {
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
+        let jobs = &self.jobs;
+        let is_running = |task: &TaskKey, number: u64| {
+            jobs.get(&task.job).is_some_and(|job| {
+                let name = super::order::task_name(job, *task);
+                running
+                    .iter()
+                    .any(|entry| entry.run == number && entry.task.to_string() == name)
+            })
+        };
+        let never_begun: Vec<TaskKey> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| run.stop_confirmed_at.is_some_and(|at| at <= sent_at))
+            .filter(|(task, run)| !is_running(task, run.number))
+            .map(|(task, _)| *task)
+            .collect();
+        for task in never_begun {
             if let Some(worker) = self.workers.get_mut(&key) {
                 worker.release(task);
             }
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -125,8 +125,13 @@
     pub(super) may_exist: bool,
     /// Whether the worker has confirmed that it runs.
     pub(super) is_confirmed: bool,
+    /// Whether a report has listed it, so that it is of this incarnation for certain.
+    pub(super) is_reported: bool,
     /// When it was ordered to stop.
     pub(super) stopping_at: Option<Duration>,
+    /// When the worker confirmed the stop; a report asked for later tells of the run, if it was
+    /// ever there.
+    pub(super) stop_confirmed_at: Option<Duration>,
     /// Progress, and when it last changed.
     pub(super) percent: f64,
     pub(super) moved_at: Duration,
--- /dev/null
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -0,0 +1,38 @@
+//! A pool's owners, workers, store and callers in one thread on a fake clock, driven by a seed.
+//!
+//! The decisions are the real ones; only calls, time and workers are made here. After each start
+//! and ending the promises are checked.
+
+mod promises;
+mod store;
+mod worker;
+mod world;
+
+pub use worker::FakeWorker;
+pub use world::{Faults, World};
+
+use hyssop_model::work::{Resources, Step, Submission};
+
+/// Makes a job of `steps` steps in a row, each of `count` tasks that take `ms`.
+pub fn job(steps: usize, count: u32, ms: u64) -> Submission {
+    let step = |number: usize| Step {
+        count,
+        need: Resources {
+            cpu: 1_000,
+            memory: 100,
+            accelerators: 0,
+        },
+        estimate_ms: ms,
+        after: if number == 0 {
+            Vec::new()
+        } else {
+            vec![number - 1]
+        },
+        ..Step::default()
+    };
+    Submission {
+        specification: format!("{ms}"),
+        steps: (0..steps).map(step).collect(),
+        schedule: None,
+    }
+}
--- /dev/null
+++ b/crates/hyssop-policy/tests/owner_model.rs
@@ -0,0 +1,81 @@
+//! Seeded days of one pool under faults; the model checks the promises at each start and ending.
+
+mod model;
+
+use model::{job, Faults, World};
+
+const SEEDS: u64 = 200;
+const JOBS: u64 = 30;
+
+/// Plays a day of `seed`: jobs come, and every half second something may go wrong.
+fn play(seed: u64) -> World {
+    let mut world = World::new(seed, 5, 6);
+    world.run(500);
+    let mut submitted = 0;
+    for _ in 0..40 {
+        if submitted < JOBS {
+            let steps = world.pick(1..4) as usize;
+            let count = world.pick(1..8) as u32;
+            let ms = world.pick(100..2_000);
+            world.submit(&format!("{submitted:016x}"), job(steps, count, ms));
+            submitted += 1;
+        }
+        match world.pick(0..14) {
+            0 => world.take_over(),
+            1 => {
+                world.kill_owner();
+                world.run(400);
+                world.take_over();
+            }
+            2 => {
+                world.pause_owner(true);
+                world.run(700);
+                world.take_over();
+            }
+            3 => world.pause_owner(false),
+            4 | 5 => {
+                let number = world.pick(0..5) as usize;
+                world.workers[number].is_reachable = !world.workers[number].is_reachable;
+            }
+            6 => {
+                let number = world.pick(0..5) as usize;
+                let now_ms = world.now_ms;
+                world.workers[number].restart(now_ms);
+                world.relist(number);
+            }
+            7 => {
+                world.faults = Faults {
+                    lost_answers: 0.1,
+                    late_orders: 0.1,
+                    slow_commits: 0.3,
+                };
+            }
+            8 => world.faults = Faults::default(),
+            9 => world.is_store_up = !world.is_store_up,
+            10 => {
+                let number = world.pick(0..submitted);
+                world.cancel(&format!("{number:016x}"));
+            }
+            11 => {
+                let number = world.pick(0..5) as usize;
+                world.workers[number].hangs = !world.workers[number].hangs;
+            }
+            12 => {
+                world.withdraw(&format!("{:016x}", submitted - 1));
+            }
+            _ => {}
+        }
+        world.run(500);
+    }
+    world.finish();
+    world
+}
+
+#[test]
+fn promises_hold_under_faults() {
+    let mut starts = 0;
+    for seed in 0..SEEDS {
+        starts += play(seed).promises.starts;
+    }
+    assert!(starts > 1_000, "the days start only {starts} tasks");
+}
