--- a/crates/hyssop-edge/src/daemon/configuration.rs
+++ b/crates/hyssop-edge/src/daemon/configuration.rs
@@ -3,6 +3,7 @@
 use hyssop_platform::rows::Row;
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Follows what operators write: the configuration and maintenance waves.
 pub(super) async fn follow_operators(node: Rc<Node>) {
@@ -16,7 +17,7 @@
         }
         true
     };
-    follow(node.store.clone(), table, parts, accept).await;
+    follow(node.store.clone(), table, Duration::ZERO, parts, accept).await;
 }
 
 /// Reads the configuration at once when a peer knows a newer one.
--- a/crates/hyssop-edge/src/daemon/life.rs
+++ b/crates/hyssop-edge/src/daemon/life.rs
@@ -75,7 +75,7 @@
     }
 }
 
-fn node(settings: &Settings, dialect: Rc<dyn Dialect>) -> Rc<Node> {
+fn node(settings: &Settings, dialect: Rc<dyn Dialect>, address: SocketAddr) -> Rc<Node> {
     let clock = Clock::new();
     let client = Client::default();
     let store = Store::new(
@@ -88,7 +88,7 @@
         name: settings.node_name.clone(),
         process: format!("{}/{}", settings.node_name, clock.wall_ms()),
         data_centre: settings.zone.clone(),
-        address: SocketAddr::new(settings.ip, settings.internal_port_range.0),
+        address,
         instances: settings.cloud_api.map(|service| service.address),
         tuning: tuning(settings),
         clock,
@@ -109,21 +109,26 @@
     })
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address)
+/// Listens on `address`; returns the address in use too, which tells a port of the system's choice.
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), Error> {
+    let listener = TcpListener::bind(address)
         .await
-        .context(ListenSnafu { address })
+        .context(ListenSnafu { address })?;
+    let bound = listener.local_addr().context(ListenSnafu { address })?;
+    Ok((listener, bound))
 }
 
 async fn live(settings: Settings, dialect: Rc<dyn Dialect>) -> Result<(), Error> {
-    let node = node(&settings, dialect);
-    let front = listen(settings.listen_addresses.front).await?;
-    let ready = listen(settings.listen_addresses.ready).await?;
-    let peers = listen(node.address).await?;
+    let (front, front_address) = listen(settings.listen_addresses.front).await?;
+    let (ready, ready_address) = listen(settings.listen_addresses.ready).await?;
+    let link = SocketAddr::new(settings.ip, settings.internal_port_range.0);
+    let (peers, link) = listen(link).await?;
+    let node = node(&settings, dialect, link);
     let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
     let mut hang_up = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
     log::info!(
-        "event=start node={} process={} data_centre={} version={}",
+        "event=start front={front_address} ready={ready_address} peers={link} node={} process={} \
+         data_centre={} version={}",
         node.name,
         node.process,
         node.data_centre,
--- a/crates/hyssop-edge/src/ownership/registry.rs
+++ b/crates/hyssop-edge/src/ownership/registry.rs
@@ -35,23 +35,29 @@
         parts.insert(String::new());
         parts
     };
-    follow(node.store.clone(), OWNERS, parts, |update| {
-        match update {
-            Update::Whole(rows) => {
-                let present: BTreeSet<&str> = rows
-                    .iter()
-                    .filter(|row| row.key.part.is_empty())
-                    .map(|row| row.key.key.as_str())
-                    .collect();
-                node.members
-                    .borrow_mut()
-                    .retain(|name, _| *name == node.name || present.contains(name.as_str()));
-                rows.iter().for_each(|row| take(&node, row));
+    follow(
+        node.store.clone(),
+        OWNERS,
+        Duration::ZERO,
+        parts,
+        |update| {
+            match update {
+                Update::Whole(rows) => {
+                    let present: BTreeSet<&str> = rows
+                        .iter()
+                        .filter(|row| row.key.part.is_empty())
+                        .map(|row| row.key.key.as_str())
+                        .collect();
+                    node.members
+                        .borrow_mut()
+                        .retain(|name, _| *name == node.name || present.contains(name.as_str()));
+                    rows.iter().for_each(|row| take(&node, row));
+                }
+                Update::Changed(rows) => rows.iter().for_each(|row| take(&node, row)),
             }
-            Update::Changed(rows) => rows.iter().for_each(|row| take(&node, row)),
-        }
-        true
-    })
+            true
+        },
+    )
     .await;
 }
 
--- a/crates/hyssop-edge/src/pool/runner.rs
+++ b/crates/hyssop-edge/src/pool/runner.rs
@@ -13,6 +13,10 @@
 /// Leases, stalls and blocked workers are looked at this often while something is open.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Every worker writes to the registry each 1.5 s, so its changes come all the time; a new worker
+/// is noticed this much later, well within the 2 s after which a leaving one gets nothing new.
+const REGISTRY_PAUSE: Duration = Duration::from_millis(120);
+
 /// Drives the owner of one pool.
 pub(crate) struct Runner {
     pub(super) node: Rc<Node>,
@@ -157,7 +161,7 @@
         let store = self.node.store.clone();
         let table = store.dialect.registry_table();
         let parts = || BTreeSet::from([String::new()]);
-        follow(store, table, parts, |update| {
+        follow(store, table, REGISTRY_PAUSE, parts, |update| {
             if self.is_over() {
                 return false;
             }
--- a/crates/hyssop-edge/src/store/feed.rs
+++ b/crates/hyssop-edge/src/store/feed.rs
@@ -22,9 +22,13 @@
 
 /// Follows the rows of `table`: reads `parts()` whole, then each change, until `accept` returns
 /// false.
+///
+/// At least `pause` lies between two calls, so that changes which come in quick succession share
+/// one: each call is priced, and each wakes the process.
 pub(crate) async fn follow(
     store: Store,
     table: &'static str,
+    pause: Duration,
     parts: impl Fn() -> BTreeSet<String>,
     mut accept: impl FnMut(Update) -> bool,
 ) {
@@ -75,9 +79,13 @@
         if page.rows.is_empty() {
             *version = (*version).max(page.version);
         }
+        let has_changed = !page.rows.is_empty();
         if !accept(Update::Changed(page.rows)) {
             return;
         }
+        if has_changed && !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
     }
 }
 
