Weigh owners by their instances' share of a processor; look at leases and budgets every 40 ms

Change: a part goes where the share for each part stays largest; leases, stalls and budgets are looked at every 40 ms, and ranks are kept for 50 ms, instead of at each answer.

--- a/crates/hyssop-edge/src/daemon/life.rs
+++ b/crates/hyssop-edge/src/daemon/life.rs
@@ -88,6 +88,7 @@
         name: settings.node_name.clone(),
         process: format!("{}/{}", settings.node_name, clock.wall_ms()),
         data_centre: settings.zone.clone(),
+        share: settings.limits.share(),
         address,
         instances: settings.cloud_api.map(|service| service.address),
         tuning: tuning(settings),
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -33,6 +33,8 @@
     /// Tells this process apart from earlier ones of its node.
     pub(crate) process: String,
     pub(crate) data_centre: String,
+    /// This instance's share of a processor, in thousandths of a core.
+    pub(crate) share: u64,
     /// Where peers reach this process.
     pub(crate) address: SocketAddr,
     pub(crate) instances: Option<SocketAddr>,
--- a/crates/hyssop-edge/src/node/owner.rs
+++ b/crates/hyssop-edge/src/node/owner.rs
@@ -25,6 +25,8 @@
     pub(crate) process: String,
     /// Where peers reach it.
     pub(crate) address: SocketAddr,
+    /// Its share of a processor, in thousandths of a core.
+    pub(crate) share: u64,
     /// Whether it is leaving and should take no part over.
     pub(crate) is_leaving: bool,
 }
--- a/crates/hyssop-edge/src/ownership/keeper.rs
+++ b/crates/hyssop-edge/src/ownership/keeper.rs
@@ -102,6 +102,7 @@
         .map(|member| Candidate {
             name: member.node.clone(),
             owned: owned(&member.node),
+            share: member.share,
         })
         .collect()
 }
--- a/crates/hyssop-edge/src/ownership/registry.rs
+++ b/crates/hyssop-edge/src/ownership/registry.rs
@@ -14,6 +14,7 @@
         node: node.name.clone(),
         process: node.process.clone(),
         address: node.address,
+        share: node.share,
         is_leaving,
     };
     node.members
--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -152,6 +152,7 @@
             if !job.is_stored {
                 job.is_stored = true;
                 self.is_placing_due = true;
+                self.is_ranking_stale = true;
                 told.push(Told::Accepted(job.id.clone()));
             }
             if phase.is_final() && job.stored_phase.is_none() {
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -50,6 +50,10 @@
 /// Blocked workers become free by time alone, so placing is tried again after this pause.
 const PLACING_PAUSE: Duration = Duration::from_millis(100);
 
+/// Leases, stalls, schedules and budgets are looked at this often: finding out costs as much as
+/// there are runs, and none of them is more exact than a report's delay.
+const WATCH_PAUSE: Duration = Duration::from_millis(40);
+
 /// Decides for one pool during one term.
 #[derive(Debug)]
 pub struct Owner {
@@ -80,6 +84,11 @@
     is_deposed: bool,
     is_placing_due: bool,
     placed_at: Duration,
+    watched_at: Duration,
+    /// The open jobs in the order in which they get room, and when that was found out.
+    ranking: Vec<JobKey>,
+    ranked_at: Duration,
+    is_ranking_stale: bool,
 }
 
 impl Owner {
@@ -107,6 +116,10 @@
             is_deposed: false,
             is_placing_due: false,
             placed_at: Duration::ZERO,
+            watched_at: Duration::ZERO,
+            ranking: Vec::new(),
+            ranked_at: Duration::ZERO,
+            is_ranking_stale: true,
         }
     }
 
@@ -147,11 +160,14 @@
         if self.is_deposed {
             return Vec::new();
         }
-        self.expire_workers(now);
         self.settle_recovery(now);
-        self.open_occurrences(now, wall_ms);
-        self.watch_runs(now);
-        self.watch_budgets(now);
+        if now.saturating_sub(self.watched_at) >= WATCH_PAUSE {
+            self.watched_at = now;
+            self.expire_workers(now);
+            self.open_occurrences(now, wall_ms);
+            self.watch_runs(now);
+            self.watch_budgets(now);
+        }
         let is_stale = now.saturating_sub(self.placed_at) >= PLACING_PAUSE;
         if self.is_placing_due || is_stale {
             self.is_placing_due = false;
--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -32,7 +32,18 @@
     /// seconds. Worth is earned by whole jobs in time, so a job that can still end in time goes
     /// before one that can't, the earlier deadline first; overdue jobs fill what is left, the one
     /// with the least work first, so that the most of them end.
-    pub(super) fn ranked(&self, now: Duration) -> Vec<JobKey> {
+    pub(super) fn ranked(&mut self, now: Duration) -> Vec<JobKey> {
+        /// Ranks change with time and progress, but little within this time.
+        const FRESH: Duration = Duration::from_millis(50);
+        if self.is_ranking_stale || now.saturating_sub(self.ranked_at) >= FRESH {
+            self.ranking = self.rank_all(now);
+            self.ranked_at = now;
+            self.is_ranking_stale = false;
+        }
+        self.ranking.clone()
+    }
+
+    fn rank_all(&self, now: Duration) -> Vec<JobKey> {
         let mut ranked: Vec<(Rank, JobKey)> = self
             .open
             .iter()
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -255,7 +255,7 @@
 
     /// Takes a run that a worker says is under way.
     fn note_running(&mut self, key: WorkerKey, running: &Running, sent: Duration, now: Duration) {
-        let stop = Action::Stop {
+        let stop = || Action::Stop {
             worker: key,
             task: running.task.to_string(),
             run: running.run,
@@ -266,7 +266,7 @@
         let found = self.names.get(&running.task.job).copied();
         let Some((job_key, job)) = found.and_then(|k| Some((k, self.jobs.get_mut(&k)?))) else {
             // A run of no job that is known can't be one that was accepted.
-            self.actions.push(stop);
+            self.actions.push(stop());
             return;
         };
         let task = TaskKey {
@@ -301,7 +301,7 @@
             .stage_mut(task.occurrence, task.step)
             .and_then(|stage| stage.tasks.get_mut(task.index as usize));
         let (Some(held), Some(step)) = (held, step) else {
-            self.actions.push(stop);
+            self.actions.push(stop());
             return;
         };
         let may_adopt = !is_final && matches!(held.state, State::Unlocated | State::Waiting);
@@ -330,7 +330,7 @@
             },
         );
         if !may_adopt {
-            self.actions.push(stop);
+            self.actions.push(stop());
         }
     }
 
--- a/crates/hyssop-policy/src/succession/candidate.rs
+++ b/crates/hyssop-policy/src/succession/candidate.rs
@@ -5,4 +5,6 @@
     pub name: String,
     /// How many parts it owns already.
     pub owned: usize,
+    /// Its share of a processor, in thousandths of a core.
+    pub share: u64,
 }
--- a/crates/hyssop-policy/src/succession/mod.rs
+++ b/crates/hyssop-policy/src/succession/mod.rs
@@ -3,12 +3,14 @@
 //! Every process works out the same order from what it knows; the compare-and-set on the part's
 //! row decides where they know different things. Options weighed: plain rendezvous hashing loads
 //! one instance with several parts while others have none, which a quarter of a core does not
-//! bear; so the fewest parts come first and the hash only breaks ties.
+//! bear; the fewest parts alone gives a pool to an instance with an eighth of a core. So the part
+//! goes where the processor's share for each part stays largest, and the hash only breaks ties.
 
 mod candidate;
 
 pub use candidate::Candidate;
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -16,19 +18,25 @@
 ///
 /// A vacant part counts for its first choice, so that several vacant parts are spread.
 pub fn order(vacant: &[String], candidates: &[Candidate]) -> BTreeMap<String, Vec<String>> {
-    let mut owned: BTreeMap<&str, usize> = candidates
+    let mut owned: BTreeMap<&str, (u64, u64)> = candidates
         .iter()
-        .map(|candidate| (candidate.name.as_str(), candidate.owned))
+        .map(|candidate| {
+            let state = (candidate.owned as u64, candidate.share.max(1));
+            (candidate.name.as_str(), state)
+        })
         .collect();
     let mut orders = BTreeMap::new();
     for part in vacant {
-        let mut ranked: Vec<(usize, u64, &str)> = owned
+        let mut ranked: Vec<(Reverse<u64>, u64, &str)> = owned
             .iter()
-            .map(|(name, count)| (*count, xxh3_64(format!("{part} {name}").as_bytes()), *name))
+            .map(|(name, (count, share))| {
+                let hash = xxh3_64(format!("{part} {name}").as_bytes());
+                (Reverse(share / (count + 1)), hash, *name)
+            })
             .collect();
         ranked.sort_unstable();
         if let Some((_, _, first)) = ranked.first() {
-            *owned.entry(first).or_insert(0) += 1;
+            owned.entry(first).and_modify(|(count, _)| *count += 1);
         }
         let names = ranked.into_iter().map(|(_, _, name)| name.to_owned());
         orders.insert(part.clone(), names.collect());
