--- a/crates/hyssop-policy/tests/model/worker.rs
+++ b/crates/hyssop-policy/tests/model/worker.rs
@@ -90,6 +90,12 @@
         self.runs.iter().map(|(task, run)| (task, run.number))
     }
 
+    /// Counts the lasting tasks that are at work.
+    pub fn serving(&self, now_ms: i64) -> usize {
+        let is_serving = |run: &&Run| now_ms >= run.began_ms + STARTUP_MS;
+        self.runs.values().filter(is_serving).count()
+    }
+
     fn used(&self) -> u64 {
         self.runs.len() as u64 * 1_000
     }
--- a/crates/hyssop-policy/tests/owner.rs
+++ b/crates/hyssop-policy/tests/owner.rs
@@ -158,9 +158,10 @@
     }
 }
 
-/// Counts the tasks that run.
-fn running(world: &World) -> usize {
-    world.workers.iter().map(|w| w.running().count()).sum()
+/// Counts the lasting tasks that are at work.
+fn serving(world: &World) -> usize {
+    let at = world.now_ms;
+    world.workers.iter().map(|w| w.serving(at)).sum()
 }
 
 fn empty(world: &mut World, worker: usize) {
@@ -169,11 +170,11 @@
     world.owner().vacate(&id, until);
 }
 
-/// Lets time pass and returns the fewest tasks that ran at any moment of it.
+/// Lets time pass and returns the fewest tasks that were at work at any moment of it.
 fn fewest(world: &mut World, ms: i64) -> usize {
     let looks = (0..ms / 5).map(|_| {
         world.run(5);
-        running(world)
+        serving(world)
     });
     looks.min().unwrap_or(0)
 }
