Pace filling tasks by the tails of serving ones; maintain switched-off instances first

Change: owner::pace halves the speed at 0.7 of the target and raises it by little below 0.45; the cost of an instance's maintenance is a type with its classes in order.

--- a/crates/hyssop-edge/src/pool/calls.rs
+++ b/crates/hyssop-edge/src/pool/calls.rs
@@ -103,8 +103,8 @@
                 .pace(&id, &task, run, percent, owner.term())
         };
         if let Err(failure) = slot.call(call, ORDER_TIMEOUT).await {
-            // The next report shows the pace's effect, and it is set again.
             log::info!("event=pace-unanswered task={task} run={run} reason={failure}");
+            self.owner.borrow_mut().pace_missed(worker, run);
         }
     }
 
--- a/crates/hyssop-policy/src/fleet/maintain.rs
+++ b/crates/hyssop-policy/src/fleet/maintain.rs
@@ -3,6 +3,18 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Says what the maintenance of an instance costs callers; less goes first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Cost {
+    /// 0 switched off, 1 being emptied, 2 at work.
+    class: u32,
+    /// Tasks that last and would have to move.
+    lasting: u32,
+    /// The processor at work, in thousandths of a core.
+    cpu: u64,
+    is_busy: bool,
+}
+
 impl Fleet {
     /// Notes that an instance's maintenance for a wave has begun.
     pub fn note_maintained(&mut self, wave: u64, instance: &str) {
@@ -27,7 +39,7 @@
                 .collect();
             let is_urgent = self.is_urgent(due.len(), campaign.cap, campaign.deadline, now);
             let mut emptying = self.away(now);
-            let mut ranked: Vec<(u64, &Instance)> = due
+            let mut ranked: Vec<(Cost, &Instance)> = due
                 .into_iter()
                 .filter_map(|instance| Some((self.cost(instance, now)?, instance)))
                 .collect();
@@ -44,7 +56,7 @@
                     let is_crowded = self
                         .demand(&instance.pool, now)
                         .is_none_or(|demand| demand.waiting.cpu > 0);
-                    if *away >= most || (is_crowded && !is_urgent && cost > 0) {
+                    if *away >= most || (is_crowded && !is_urgent && cost.is_busy) {
                         continue;
                     }
                 }
@@ -100,18 +112,18 @@
     }
 
     /// Ranks an instance by what its maintenance costs callers; `None` where nothing is known.
-    fn cost(&self, instance: &Instance, now: Duration) -> Option<u64> {
-        /// A lasting task that must move costs more than any other work.
-        const LASTING: u64 = 1_000_000;
+    fn cost(&self, instance: &Instance, now: Duration) -> Option<Cost> {
         if self.spare.contains(&instance.pool) || instance.worker.is_none() {
-            return Some(0);
+            return Some(Cost::default());
         }
         let load = self.load(instance, now)?;
-        // What is being emptied already stays first, so that the choice does not change.
-        if load.is_vacating {
-            return Some(u64::from(load.runs > 0));
-        }
-        Some(load.cpu + u64::from(load.lasting) * LASTING + u64::from(load.runs > 0))
+        Some(Cost {
+            // What is being emptied already goes first, so that the choice does not change.
+            class: if load.is_vacating { 1 } else { 2 },
+            lasting: load.lasting,
+            cpu: load.cpu,
+            is_busy: load.runs > 0,
+        })
     }
 
     /// Tells whether nothing runs on an instance and nothing new is given to it.
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -22,6 +22,7 @@
 mod key;
 mod learning;
 mod order;
+mod pace;
 mod place;
 mod progress;
 mod recovery;
--- a/crates/hyssop-policy/src/owner/place.rs
+++ b/crates/hyssop-policy/src/owner/place.rs
@@ -280,6 +280,7 @@
                     stop_confirmed_at: None,
                     percent: 0.0,
                     moved_at: now,
+                    pace: 100,
                     serving_since: None,
                 },
             );
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -170,6 +170,7 @@
         for running in &report.running {
             self.note_running(key, running, sent_at, now);
         }
+        self.pace(key, &report.running, now);
         let mut endings = report.ended;
         endings.sort_by_key(|ended| ended.number);
         for ended in endings {
@@ -326,6 +327,7 @@
                 stop_confirmed_at: None,
                 percent: running.percent,
                 moved_at: now,
+                pace: 100,
                 serving_since: (running.percent >= 100.0).then_some(now),
             },
         );
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -39,6 +39,9 @@
     pub(super) slowness: f64,
     /// Until when it is being emptied, by the fleet's word.
     pub(super) vacating_until: Option<Duration>,
+    /// The share of their speed that filling tasks are to work at, and when it last changed.
+    pub(super) pace: u32,
+    pub(super) paced_at: Duration,
     /// Starts whose answers never came, by task name; stopped before anything else.
     pub(super) doubtful: BTreeMap<String, u64>,
 }
@@ -64,6 +67,8 @@
             strikes: BTreeSet::new(),
             slowness: 1.0,
             vacating_until: None,
+            pace: 100,
+            paced_at: Duration::ZERO,
             doubtful: BTreeMap::new(),
         }
     }
@@ -135,6 +140,8 @@
     /// Progress, and when it last changed.
     pub(super) percent: f64,
     pub(super) moved_at: Duration,
+    /// The share of its speed that it was last paced to.
+    pub(super) pace: u32,
     /// Since when a lasting task has been at work.
     pub(super) serving_since: Option<Duration>,
 }
--- /dev/null
+++ b/crates/hyssop-policy/tests/fleet.rs
@@ -0,0 +1,235 @@
+//! Where instances go and when they are maintained.
+
+use hyssop_model::work::{Condition, Instance, Resources, Wave};
+use hyssop_policy::fleet::{Change, Decision, Fleet, Settings};
+use hyssop_policy::owner::{Demand, Load};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const CORE: u64 = 1_000;
+
+fn instance(name: &str, pool: &str, condition: Condition) -> Instance {
+    Instance {
+        name: name.to_owned(),
+        pool: pool.to_owned(),
+        condition,
+        data_centre: "a".to_owned(),
+        labels: Vec::new(),
+        capacity: Resources {
+            cpu: 16 * CORE,
+            memory: 1,
+            accelerators: 0,
+        },
+        worker: (pool != "spare").then(|| format!("w-{name}")),
+    }
+}
+
+/// Is a fleet of two pools of four and two spare instances.
+struct Situation {
+    fleet: Fleet,
+    instances: Vec<Instance>,
+    now: Duration,
+}
+
+impl Situation {
+    fn new() -> Self {
+        let mut instances = Vec::new();
+        for pool in ["a", "b"] {
+            for number in 0..4 {
+                instances.push(instance(&format!("{pool}{number}"), pool, Condition::Up));
+            }
+        }
+        instances.push(instance("s0", "spare", Condition::Up));
+        instances.push(instance("s1", "spare", Condition::Up));
+        let mut fleet = Fleet::new(Settings::default(), BTreeMap::new(), BTreeMap::new());
+        fleet.set_spare(BTreeSet::from(["spare".to_owned()]));
+        let mut situation = Self {
+            fleet,
+            instances,
+            now: Duration::from_secs(10),
+        };
+        situation.list();
+        situation
+    }
+
+    fn list(&mut self) {
+        self.fleet.list(self.instances.clone(), self.now);
+    }
+
+    /// Reports a pool with `waiting` cores of waiting tasks and `busy` of its instances at work.
+    fn demand(&mut self, pool: &str, waiting: u64, busy: &[&str], vacating: &[&str]) {
+        let loads = self
+            .instances
+            .iter()
+            .filter(|instance| instance.pool == pool && instance.condition == Condition::Up)
+            .map(|instance| Load {
+                worker: format!("w-{}", instance.name),
+                instance: instance.name.clone(),
+                runs: u32::from(busy.contains(&instance.name.as_str())),
+                lasting: 0,
+                cpu: 0,
+                is_sound: true,
+                is_vacating: vacating.contains(&instance.name.as_str()),
+            })
+            .collect();
+        let demand = Demand {
+            pool: pool.to_owned(),
+            waiting: Resources {
+                cpu: waiting * CORE,
+                ..Resources::default()
+            },
+            loads,
+            ..Demand::default()
+        };
+        self.fleet.take_demand(demand, self.now);
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+    }
+
+    fn decide(&mut self) -> Decision {
+        self.fleet.decide(self.now)
+    }
+
+    /// Decides, and lets the platform carry the changes out at once.
+    fn carry_out(&mut self) -> Decision {
+        let decision = self.decide();
+        for change in &decision.changes {
+            self.fleet.note_ordered(change.clone(), self.now);
+            let found = self
+                .instances
+                .iter_mut()
+                .find(|i| i.name == change.instance());
+            let found = found.expect("a known instance");
+            match change {
+                Change::Move { pool, .. } => *found = instance(&found.name, pool, Condition::Up),
+                Change::Maintain { wave, .. } => {
+                    found.condition = Condition::Maintained;
+                    self.fleet.note_maintained(*wave, change.instance());
+                }
+            }
+        }
+        decision
+    }
+
+    fn wave(&mut self, instances: &[&str], cap: u32) {
+        let wave = Wave {
+            number: 1,
+            instances: instances.iter().map(|&name| name.to_owned()).collect(),
+            duration_ms: 30_000,
+            cap,
+        };
+        self.fleet.take_wave(&wave, self.now);
+    }
+}
+
+fn moved_to<'a>(decision: &'a Decision, target: &str) -> Vec<&'a str> {
+    let into = |change: &'a Change| match change {
+        Change::Move { instance, pool } if pool == target => Some(instance.as_str()),
+        _ => None,
+    };
+    decision.changes.iter().filter_map(into).collect()
+}
+
+#[test]
+fn spare_instances_go_where_tasks_wait_and_no_more_than_are_needed() {
+    let mut situation = Situation::new();
+    situation.demand("a", 10, &["a0"], &[]);
+    situation.demand("b", 0, &[], &[]);
+    assert_eq!(moved_to(&situation.decide(), "a").len(), 1);
+}
+
+#[test]
+fn instances_on_their_way_count() {
+    let mut situation = Situation::new();
+    situation.demand("a", 10, &["a0"], &[]);
+    assert_eq!(situation.carry_out().changes.len(), 1);
+    situation.demand("a", 10, &["a0"], &[]);
+    assert!(situation.decide().changes.is_empty());
+}
+
+#[test]
+fn what_stays_idle_beyond_the_pools_own_size_goes_back() {
+    let mut situation = Situation::new();
+    situation.demand("a", 30, &["a0", "a1", "a2", "a3"], &[]);
+    assert_eq!(situation.carry_out().changes.len(), 2);
+    situation.pass(2_000);
+    situation.list();
+    situation.demand("a", 0, &["a0", "a1", "a2", "a3"], &[]);
+    assert!(
+        situation.decide().vacate.is_empty(),
+        "not idle for long enough"
+    );
+    situation.pass(1_100);
+    situation.demand("a", 0, &["a0", "a1", "a2", "a3"], &[]);
+    let decision = situation.decide();
+    assert_eq!(decision.vacate["a"].len(), 2, "emptied first");
+    assert!(decision.changes.is_empty());
+    situation.demand("a", 0, &["a0", "a1", "a2", "a3"], &["s0", "s1"]);
+    assert_eq!(moved_to(&situation.decide(), "spare"), ["s0", "s1"]);
+}
+
+#[test]
+fn no_pool_falls_below_its_own_size() {
+    let mut situation = Situation::new();
+    situation.demand("a", 0, &[], &[]);
+    situation.demand("b", 500, &["b0", "b1", "b2", "b3"], &[]);
+    situation.pass(900);
+    situation.demand("a", 0, &[], &["a0", "a1", "a2", "a3"]);
+    let decision = situation.decide();
+    assert_eq!(moved_to(&decision, "b"), ["s1", "s0"]);
+}
+
+#[test]
+fn an_old_demand_moves_nothing() {
+    let mut situation = Situation::new();
+    situation.demand("a", 100, &["a0"], &[]);
+    situation.pass(1_500);
+    assert!(situation.decide().changes.is_empty());
+}
+
+#[test]
+fn a_wave_keeps_its_cap_and_takes_what_is_switched_off_first() {
+    let mut situation = Situation::new();
+    situation.wave(&["a0", "a1", "b0", "s0", "s1"], 2);
+    situation.demand("a", 0, &[], &[]);
+    situation.demand("b", 0, &[], &[]);
+    let decision = situation.carry_out();
+    let names: Vec<&str> = decision.changes.iter().map(Change::instance).collect();
+    assert_eq!(names, ["s0", "s1"]);
+    situation.demand("a", 0, &[], &["a0", "a1"]);
+    assert!(
+        situation.decide().changes.is_empty(),
+        "two are down already"
+    );
+}
+
+#[test]
+fn a_busy_pools_instance_is_maintained_only_when_time_is_short() {
+    let mut situation = Situation::new();
+    situation.wave(&["a0"], 1);
+    situation.demand("a", 50, &["a0", "a1", "a2", "a3"], &[]);
+    assert!(!situation.decide().vacate.contains_key("a"));
+    situation.pass(25_000);
+    situation.list();
+    situation.demand("a", 50, &["a0", "a1", "a2", "a3"], &[]);
+    assert!(situation.decide().vacate["a"].contains("w-a0"));
+}
+
+#[test]
+fn an_instance_is_maintained_only_once_it_is_empty() {
+    let mut situation = Situation::new();
+    situation.wave(&["a0"], 1);
+    situation.demand("a", 0, &["a0"], &[]);
+    let decision = situation.decide();
+    assert!(decision.vacate["a"].contains("w-a0"));
+    assert!(decision.changes.is_empty());
+    situation.demand("a", 0, &["a0"], &["a0"]);
+    assert!(
+        situation.decide().changes.is_empty(),
+        "it still runs something"
+    );
+    situation.demand("a", 0, &[], &["a0"]);
+    assert_eq!(situation.decide().changes.len(), 1);
+}
--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -4,7 +4,7 @@
 //! and ending the promises are checked.
 
 // Each test file uses its own part of the model.
-#![allow(dead_code, unreachable_pub)]
+#![allow(dead_code, unreachable_pub, unused_imports)]
 
 mod promises;
 mod store;
--- /dev/null
+++ b/crates/hyssop-policy/tests/pace.rs
@@ -0,0 +1,92 @@
+//! Filling tasks are slowed before those that serve are harmed.
+
+mod model;
+
+use hyssop_model::work::{Report, Resources, Running, Step, Submission, Task};
+use hyssop_policy::owner::{Action, Owner};
+use model::World;
+use std::time::Duration;
+
+const ID: &str = "00000000000000aa";
+
+fn submission() -> Submission {
+    let step = |fills: bool| Step {
+        count: 1,
+        need: Resources {
+            cpu: 1_000,
+            memory: 1,
+            accelerators: 0,
+        },
+        lasts: true,
+        tail_ms: if fills { 0 } else { 100 },
+        fills,
+        ..Step::default()
+    };
+    Submission {
+        specification: "lasts".to_owned(),
+        steps: vec![step(false), step(true)],
+        schedule: None,
+    }
+}
+
+/// Reports both tasks at `at_ms`, the serving one with tail `tail_ms`, and returns the speeds that
+/// are ordered.
+fn report(owner: &mut Owner, at_ms: u64, tail_ms: f64) -> Vec<u32> {
+    let key = hyssop_policy::owner::WorkerKey(0);
+    let running = |step: u32, gauge: f64| Running {
+        task: Task {
+            job: ID.to_owned(),
+            occurrence: 0,
+            step,
+            index: 0,
+        },
+        run: 1,
+        checkpoint: String::new(),
+        percent: 100.0,
+        gauge: Some(gauge),
+    };
+    let report = Report {
+        clock_ms: at_ms as i64,
+        incarnation: None,
+        running: vec![running(0, tail_ms), running(1, 900.0)],
+        ended: Vec::new(),
+    };
+    let at = Duration::from_millis(at_ms);
+    owner.report(key, report, at, 0, at);
+    let paces = |action: Action| match action {
+        Action::Pace { percent, .. } => Some(percent),
+        _ => None,
+    };
+    owner
+        .advance(at, at_ms as i64)
+        .into_iter()
+        .filter_map(paces)
+        .collect()
+}
+
+#[test]
+fn filling_tasks_slow_down_near_the_target_and_speed_up_by_little() {
+    let mut world = World::new(1, 1, 8);
+    world.run(200);
+    world.submit(ID, submission());
+    world.run(500);
+    let owner = world.owner();
+    assert!(
+        report(owner, 10_000, 30.0).is_empty(),
+        "far from the target"
+    );
+    assert_eq!(report(owner, 10_500, 80.0), [50]);
+    assert!(
+        report(owner, 10_600, 80.0).is_empty(),
+        "the gauge is as old as the change"
+    );
+    assert_eq!(report(owner, 11_000, 90.0), [25]);
+    assert_eq!(report(owner, 11_500, 90.0), [12]);
+    assert_eq!(report(owner, 12_000, 90.0), [0]);
+    assert!(
+        report(owner, 12_500, 60.0).is_empty(),
+        "between the bounds nothing changes"
+    );
+    assert_eq!(report(owner, 13_500, 20.0), [10]);
+    assert_eq!(report(owner, 14_600, 20.0), [20]);
+}
