--- a/crates/hyssop-edge/src/daemon/life.rs
+++ b/crates/hyssop-edge/src/daemon/life.rs
@@ -90,6 +90,7 @@
         data_centre: settings.zone.clone(),
         share: settings.limits.share(),
         address,
+        advice: settings.advice.as_ref().and_then(|text| text.parse().ok()),
         instances: settings.cloud_api.map(|service| service.address),
         tuning: tuning(settings),
         clock,
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -38,6 +38,8 @@
     /// Where peers reach this process.
     pub(crate) address: SocketAddr,
     pub(crate) instances: Option<SocketAddr>,
+    /// The advice service.
+    pub(crate) advice: Option<SocketAddr>,
     pub(crate) tuning: Tuning,
     pub(crate) clock: Clock,
     pub(crate) dialect: Rc<dyn Dialect>,
--- a/crates/hyssop-edge/src/pool/calls.rs
+++ b/crates/hyssop-edge/src/pool/calls.rs
@@ -7,6 +7,8 @@
 
 /// Workers answer orders within milliseconds; a lost answer is found out by asking again.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The advice service decides one call after the other, some time for each worker named.
+const ADVICE_TIMEOUT: Duration = Duration::from_secs(5);
 /// A report takes this much longer than its wait before it counts as missed.
 const REPORT_SLACK: Duration = Duration::from_millis(600);
 
@@ -108,6 +110,31 @@
         }
     }
 
+    pub(super) async fn seek_advice(self: Rc<Self>, step: TaskKey, workers: Vec<WorkerKey>) {
+        let sent_at = self.node.clock.now();
+        let asked = self.owner.borrow().advice(step, &workers);
+        let answer = match (asked, self.node.advice) {
+            (Some((name, ids)), Some(address)) => {
+                let call = self.node.dialect.advise(&name, &ids);
+                let slot = self.node.client.slot(address, Lane::Order).await;
+                let reply = slot.call(call, ADVICE_TIMEOUT).await.ok();
+                let read = reply.and_then(|reply| self.node.dialect.read_advice(&reply));
+                let good = read.as_ref().map(|(good, _)| good.len());
+                log::info!(
+                    "event=advice step={name} workers={} good={good:?}",
+                    ids.len()
+                );
+                read.map(|(good, valid_ms)| (good, Duration::from_millis(valid_ms)))
+            }
+            _ => None,
+        };
+        let now = self.node.clock.now();
+        self.owner
+            .borrow_mut()
+            .advised(step, &workers, answer, sent_at, now);
+        self.wake.notify_one();
+    }
+
     pub(super) async fn hold_worker(
         self: Rc<Self>,
         worker: WorkerKey,
--- a/crates/hyssop-edge/src/pool/runner.rs
+++ b/crates/hyssop-edge/src/pool/runner.rs
@@ -144,6 +144,9 @@
                 } => {
                     tokio::task::spawn_local(runner.pace_run(worker, task, run, percent));
                 }
+                Action::Advise { step, workers } => {
+                    tokio::task::spawn_local(runner.seek_advice(step, workers));
+                }
                 Action::Hold {
                     worker,
                     wait,
--- a/crates/hyssop-platform/src/dialect/mod.rs
+++ b/crates/hyssop-platform/src/dialect/mod.rs
@@ -38,6 +38,11 @@
     /// Tells whether the answer says that a newer owner has spoken to the worker.
     fn is_fenced(&self, reply: &Reply) -> bool;
 
+    /// Asks the advice service which of `workers` may run `step`.
+    fn advise(&self, step: &str, workers: &[String]) -> Call;
+    /// Reads the good workers with their tickets, and how long these are valid, in milliseconds.
+    fn read_advice(&self, reply: &Reply) -> Option<(Vec<(String, String)>, u64)>;
+
     /// Commits a transaction.
     fn commit(&self, transaction: &Transaction) -> Call;
     /// Reads what became of a transaction.
--- a/crates/hyssop-policy/src/owner/action.rs
+++ b/crates/hyssop-policy/src/owner/action.rs
@@ -33,6 +33,13 @@
         /// 0 to 100.
         percent: u32,
     },
+    /// Asks the advice service which of the workers may run a step.
+    Advise {
+        /// The step, as its first task.
+        step: TaskKey,
+        /// The workers to ask about.
+        workers: Vec<WorkerKey>,
+    },
     /// Extends the lease of all that runs on a worker, acknowledges endings, and asks for a report.
     Hold {
         /// Where.
--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -190,6 +190,7 @@
     /// Keeps of an ended job only what callers may ask, and what tells runs of it apart.
     fn close(&mut self, key: JobKey) {
         self.open.remove(&key);
+        self.permits.retain(|step, _| step.job != key);
         if let Some(job) = self.jobs.get_mut(&key) {
             job.submission.specification = String::new();
         }
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -10,6 +10,7 @@
     pub(super) max_attempts: u32,
     pub(super) stretch: f64,
     pub(super) objective: Duration,
+    pub(super) needs_advice: bool,
 }
 
 impl Rule {
@@ -19,6 +20,7 @@
             max_attempts: queue.max_attempts,
             stretch: queue.stretch,
             objective: queue.objective,
+            needs_advice: queue.needs_advice,
         }
     }
 }
@@ -30,6 +32,7 @@
             max_attempts: 1,
             stretch: 1.0,
             objective: Duration::from_secs(1),
+            needs_advice: false,
         }
     }
 }
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -23,6 +23,7 @@
 mod learning;
 mod order;
 mod pace;
+mod permit;
 mod place;
 mod progress;
 mod recovery;
@@ -81,6 +82,8 @@
     /// Rows of workers that are gone, to be removed.
     departed: BTreeSet<String>,
     learning: Learning,
+    /// What the advice service has said, by step.
+    permits: BTreeMap<TaskKey, permit::Permit>,
     actions: Vec<Action>,
     is_deposed: bool,
     is_placing_due: bool,
@@ -115,6 +118,7 @@
             ended_workers: BTreeSet::new(),
             departed: BTreeSet::new(),
             learning: Learning::default(),
+            permits: BTreeMap::new(),
             actions: Vec::new(),
             is_deposed: false,
             is_placing_due: false,
--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -143,7 +143,10 @@
             until_ms,
             fence: self.term,
             checkpoint: stage.tasks.get(task.index as usize)?.checkpoint.clone(),
-            ticket: None,
+            ticket: self
+                .permits
+                .get(&super::permit::step_of(task))
+                .and_then(|permit| permit.ticket(worker, now).cloned()),
         })
     }
 
--- a/crates/hyssop-policy/src/owner/place.rs
+++ b/crates/hyssop-policy/src/owner/place.rs
@@ -100,8 +100,12 @@
         }
         let mut placed: Vec<(TaskKey, WorkerKey)> = Vec::new();
         let mut per_worker = self.step_spread(first);
+        let needs_advice = self.needs_advice(first);
         for &task in tasks {
             let Some(worker) = self.choose(task, &step, &per_worker, now) else {
+                if needs_advice {
+                    self.seek_advice(first, now);
+                }
                 break;
             };
             *per_worker.entry(worker).or_insert(0) += 1;
@@ -216,9 +220,15 @@
                 }
             }
         }
+        let needs_advice = self.needs_advice(task);
+        let permit = self.permits.get(&super::permit::step_of(task));
+        let may_run = |key: &WorkerKey| {
+            !needs_advice || permit.is_some_and(|permit| permit.ticket(*key, now).is_some())
+        };
         let mut best: Option<(Fit, WorkerKey)> = None;
         for (key, worker) in &self.workers {
-            if !worker.takes_tasks(now)
+            if !may_run(key)
+                || !worker.takes_tasks(now)
                 || !worker.listing.capacity.fits(&worker.used, &need)
                 || worker.runs.contains_key(&task)
             {
--- a/crates/hyssop-policy/src/owner/start.rs
+++ b/crates/hyssop-policy/src/owner/start.rs
@@ -83,6 +83,12 @@
                     self.pool,
                     worker.listing.id
                 );
+                if refusal == Started::NoTicket {
+                    self.drop_ticket(task, key);
+                }
+                let Some(worker) = self.workers.get_mut(&key) else {
+                    return;
+                };
                 let may_exist = worker.runs.get(&task).is_some_and(|held| held.may_exist);
                 if may_exist {
                     // An earlier order of the same run may have been carried out, or may be yet.
--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -26,6 +26,11 @@
 
 use hyssop_model::work::{Resources, Step, Submission};
 
+/// Makes a worker's registration.
+pub fn worker(id: &str) -> hyssop_model::work::Worker {
+    worker::FakeWorker::new(id, 8, 1_000).listing
+}
+
 /// Makes a job of `steps` steps in a row, each of `count` tasks that take `ms`.
 pub fn job(steps: usize, count: u32, ms: u64) -> Submission {
     let step = |number: usize| Step {
--- a/crates/hyssop-policy/tests/model/world.rs
+++ b/crates/hyssop-policy/tests/model/world.rs
@@ -322,7 +322,7 @@
                     self.after(delay, Event::HoldArrives(term, worker, hold, now_ms));
                 }
             }
-            Action::Pace { .. } => {}
+            Action::Pace { .. } | Action::Advise { .. } => {}
         }
     }
 
