--- a/crates/hyssop-edge/src/daemon/life.rs
+++ b/crates/hyssop-edge/src/daemon/life.rs
@@ -2,6 +2,7 @@
 use super::error::{Error, ListenSnafu, RuntimeSnafu};
 use crate::front::{self, Traffic};
 use crate::http::Client;
+use crate::metric::Metrics;
 use crate::node::{Clock, Node, Tuning};
 use crate::ownership::{follow_owners, keep_parts, register, release_all};
 use crate::peer;
@@ -24,6 +25,8 @@
 
 /// The process ends this long before it would be killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(800);
+/// The one way of giving orders that is published.
+const ORDERS_BY_CALL: &str = "call";
 /// The pause between looks at the requests under way during a stop.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -97,6 +100,7 @@
         dialect,
         client,
         store,
+        metrics: Metrics::new(),
         configuration: RefCell::default(),
         waves: RefCell::default(),
         members: RefCell::default(),
@@ -136,6 +140,12 @@
         node.data_centre,
         env!("CARGO_PKG_VERSION")
     );
+    if !settings.orders.is_empty() && settings.orders != ORDERS_BY_CALL {
+        log::error!(
+            "event=orders-unknown orders={} remedy=\"workers are ordered by call only\"",
+            settings.orders
+        );
+    }
     let traffic = Rc::new(Traffic::default());
     spawn_local(follow_operators(node.clone()));
     spawn_local(fetch_on_demand(node.clone()));
--- a/crates/hyssop-edge/src/fleet/holder.rs
+++ b/crates/hyssop-edge/src/fleet/holder.rs
@@ -262,6 +262,8 @@
             "event=transfer change={change:?} term={} outcome={outcome:?}",
             self.term
         );
+        let named = outcome.map_or_else(|| "lost".to_owned(), |outcome| outcome.to_string());
+        self.node.metrics.count_transfer(&named);
         if outcome == Some(dialect::Change::Done) {
             self.tell_ended(change.instance()).await;
         }
--- a/crates/hyssop-edge/src/front/handler.rs
+++ b/crates/hyssop-edge/src/front/handler.rs
@@ -106,12 +106,14 @@
         submission: submission.clone(),
     };
     let answer = ask_owner(node, &queue.pool, until, &ask).await;
+    let waited = node.clock.now().saturating_sub(asked_at);
+    node.metrics.count_submission(name(&answer), waited);
     log::info!(
         "event=submit job={id} queue={} pool={} outcome={} waited_ms={}",
         queue.name,
         queue.pool,
         name(&answer),
-        node.clock.now().saturating_sub(asked_at).as_millis()
+        waited.as_millis()
     );
     match answer {
         Outcome::Answered(Answer::Done) => plain(StatusCode::OK),
--- a/crates/hyssop-edge/src/front/ready.rs
+++ b/crates/hyssop-edge/src/front/ready.rs
@@ -5,8 +5,15 @@
 use hyper::{Request, Response, StatusCode};
 use std::rc::Rc;
 
-/// Answers the balancer's probe: ready once a configuration is in force, until the stop.
-pub(crate) async fn probe(node: Rc<Node>, _request: Request<Incoming>) -> Response<Full<Bytes>> {
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers the balancer's probe: ready once a configuration is in force, until the stop; and shows
+/// the metrics.
+pub(crate) async fn probe(node: Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.uri().path() == METRICS_PATH {
+        node.metrics.show_terms(&node.standing().owned);
+        return Response::new(Full::new(Bytes::from(node.metrics.text())));
+    }
     let is_ready = node.configuration.borrow().version > 0 && !node.is_stopping.get();
     let mut response = Response::new(Full::default());
     if !is_ready {
--- a/crates/hyssop-edge/src/lib.rs
+++ b/crates/hyssop-edge/src/lib.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod front;
 mod http;
+mod metric;
 mod node;
 mod ownership;
 mod peer;
--- /dev/null
+++ b/crates/hyssop-edge/src/metric/registry.rs
@@ -0,0 +1,123 @@
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+use std::time::Duration;
+
+/// Holds the process's metrics.
+pub(crate) struct Metrics {
+    registry: Registry,
+    submissions: IntCounterVec,
+    starts: IntCounterVec,
+    transactions: IntCounterVec,
+    transfers: IntCounterVec,
+    terms: IntGaugeVec,
+    submission_seconds: Histogram,
+    transaction_seconds: Histogram,
+}
+
+const SUBMISSION_BUCKETS: [f64; 8] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
+const TRANSACTION_BUCKETS: [f64; 8] = [0.01, 0.015, 0.025, 0.05, 0.1, 0.25, 1.0, 5.0];
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Panics
+    ///
+    /// Panics when two bear one name, which the list below does not.
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, label: &str| {
+            let counter =
+                IntCounterVec::new(Opts::new(name, help), &[label]).expect("a valid name");
+            let boxed = Box::new(counter.clone());
+            registry.register(boxed).expect("one name each");
+            counter
+        };
+        let histogram = |name: &str, help: &str, buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            let histogram = Histogram::with_opts(options).expect("valid buckets");
+            let boxed = Box::new(histogram.clone());
+            registry.register(boxed).expect("one name each");
+            histogram
+        };
+        let submissions = counter(
+            "hyssop_submissions_total",
+            "Callers' jobs, by outcome",
+            "outcome",
+        );
+        let starts = counter("hyssop_starts_total", "Starts, by outcome", "outcome");
+        let transactions = counter(
+            "hyssop_transactions_total",
+            "Transactions of owned parts, by verdict",
+            "verdict",
+        );
+        let transfers = counter(
+            "hyssop_transfers_total",
+            "Changes of instances, by outcome",
+            "outcome",
+        );
+        let submission_seconds = histogram(
+            "hyssop_submission_seconds",
+            "From a job's arrival to its answer",
+            &SUBMISSION_BUCKETS,
+        );
+        let transaction_seconds = histogram(
+            "hyssop_transaction_seconds",
+            "From a batch's first sending to its verdict",
+            &TRANSACTION_BUCKETS,
+        );
+        let terms = IntGaugeVec::new(
+            Opts::new("hyssop_owner_term", "The term of each part owned here"),
+            &["part"],
+        )
+        .expect("a valid name");
+        registry
+            .register(Box::new(terms.clone()))
+            .expect("one name each");
+        Self {
+            registry,
+            submissions,
+            starts,
+            transactions,
+            transfers,
+            terms,
+            submission_seconds,
+            transaction_seconds,
+        }
+    }
+
+    pub(crate) fn count_submission(&self, outcome: &str, lasted: Duration) {
+        self.submissions.with_label_values(&[outcome]).inc();
+        self.submission_seconds.observe(lasted.as_secs_f64());
+    }
+
+    pub(crate) fn count_start(&self, outcome: &str) {
+        self.starts.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn count_transaction(&self, verdict: &str, lasted: Duration) {
+        self.transactions.with_label_values(&[verdict]).inc();
+        self.transaction_seconds.observe(lasted.as_secs_f64());
+    }
+
+    pub(crate) fn count_transfer(&self, outcome: &str) {
+        self.transfers.with_label_values(&[outcome]).inc();
+    }
+
+    /// Shows the terms of the parts that are owned now.
+    pub(crate) fn show_terms(&self, owned: &[(String, u64)]) {
+        self.terms.reset();
+        for (part, term) in owned {
+            self.terms.with_label_values(&[part]).set(*term as i64);
+        }
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("event=metrics-failed reason={error:?}");
+        }
+        text
+    }
+}
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -1,5 +1,6 @@
 use super::{Clock, Member, Ownership};
 use crate::http::Client;
+use crate::metric::Metrics;
 use crate::peer::{Answer, Ask, Link, Standing};
 use crate::pool::Runner;
 use crate::store::Store;
@@ -45,6 +46,7 @@
     pub(crate) dialect: Rc<dyn Dialect>,
     pub(crate) client: Client,
     pub(crate) store: Store,
+    pub(crate) metrics: Metrics,
     pub(crate) configuration: RefCell<Rc<Configuration>>,
     pub(crate) waves: RefCell<BTreeMap<u64, Wave>>,
     pub(crate) members: RefCell<BTreeMap<String, Member>>,
--- a/crates/hyssop-edge/src/pool/calls.rs
+++ b/crates/hyssop-edge/src/pool/calls.rs
@@ -38,15 +38,16 @@
             Err(Failure::Unsent) => Answer::Unsent,
             Err(Failure::Lost) => Answer::Lost,
         };
+        let outcome = match answer {
+            Answer::Given(started) => started.to_string(),
+            Answer::Unsent => Failure::Unsent.to_string(),
+            Answer::Lost => Failure::Lost.to_string(),
+        };
+        self.node.metrics.count_start(&outcome);
         log::info!(
-            "event=start task={} run={run} worker={} outcome={}",
+            "event=start task={} run={run} worker={} outcome={outcome}",
             order.task,
-            order.worker,
-            match answer {
-                Answer::Given(started) => started.to_string(),
-                Answer::Unsent => Failure::Unsent.to_string(),
-                Answer::Lost => Failure::Lost.to_string(),
-            }
+            order.worker
         );
         let now = self.node.clock.now();
         self.owner
--- a/crates/hyssop-edge/src/pool/questions.rs
+++ b/crates/hyssop-edge/src/pool/questions.rs
@@ -1,14 +1,12 @@
 use super::Runner;
 use crate::peer::{Answer, Ask};
-use hyssop_policy::owner::{Admission, Cancellation};
+use hyssop_policy::owner::{return_after, Admission, Cancellation};
 use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// While a transaction has gone unanswered for longer than this, new jobs are refused at once:
 /// the store is down or too slow for callers to wait for.
 const STORE_PATIENCE: Duration = Duration::from_millis(700);
-/// When to come back after a refusal for the store's sake.
-const RETURN_MS: u64 = 1_000;
 
 impl Runner {
     /// Answers a question to this pool.
@@ -32,7 +30,7 @@
                 let is_known = self.owner.borrow().phase(&id).is_some();
                 let is_waiting = self.accepting.borrow().contains_key(&id);
                 if !is_known && !is_waiting && self.is_store_away() {
-                    return Answer::Refused("the store does not answer".to_owned(), RETURN_MS);
+                    return self.refuse(&id);
                 }
                 let age = Duration::from_millis(age_ms);
                 let wall_ms = self.node.clock.wall_ms();
@@ -42,7 +40,7 @@
                     .submit(&id, &queue, submission, age, now, wall_ms);
                 match admission {
                     Admission::Accepted => Answer::Done,
-                    Admission::Refused(reason) => Answer::Refused(reason, RETURN_MS),
+                    Admission::Refused(reason) => Answer::Refused(reason, 0),
                     Admission::Pending => self.await_acceptance(&id, patience_ms).await,
                 }
             }
@@ -114,17 +112,26 @@
         match tokio::time::timeout(patience, receiver).await {
             Ok(Ok(answer)) => answer,
             // A job that was never sent to the store may still be refused for certain.
-            _ if self.owner.borrow_mut().withdraw(id) => {
-                Answer::Refused("the store does not answer".to_owned(), RETURN_MS)
-            }
+            _ if self.owner.borrow_mut().withdraw(id) => self.refuse(id),
             _ => Answer::Uncertain,
         }
     }
 
-    fn is_store_away(&self) -> bool {
+    /// Returns for how long the transaction under way has gone unanswered.
+    fn outage(&self) -> Duration {
         let now = self.node.clock.now();
         self.unanswered_since
             .get()
-            .is_some_and(|since| now.saturating_sub(since) >= STORE_PATIENCE)
+            .map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
+    fn is_store_away(&self) -> bool {
+        self.outage() >= STORE_PATIENCE
+    }
+
+    fn refuse(&self, id: &str) -> Answer {
+        let after = return_after(self.outage(), id);
+        let reason = "the store does not answer; the job has not run";
+        Answer::Refused(reason.to_owned(), after.as_millis() as u64)
     }
 }
--- a/crates/hyssop-edge/src/pool/writer.rs
+++ b/crates/hyssop-edge/src/pool/writer.rs
@@ -33,6 +33,9 @@
                 self.unanswered_since.set(Some(now));
                 let verdict = committer.commit(transaction, || false).await;
                 self.unanswered_since.set(None);
+                let lasted = self.node.clock.now().saturating_sub(now);
+                let named = verdict.to_string();
+                self.node.metrics.count_transaction(&named, lasted);
                 if verdict != Verdict::Done {
                     self.depose("store");
                     return;
--- a/crates/hyssop-edge/src/store/committer.rs
+++ b/crates/hyssop-edge/src/store/committer.rs
@@ -3,6 +3,7 @@
 use hyssop_platform::rows::{Commit, Key, Row, Transaction};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
+use strum::Display;
 
 /// The table of the rows that chain a part's transactions.
 const HEAD_TABLE: &str = "head";
@@ -24,7 +25,8 @@
 }
 
 /// Says what became of a transaction.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
 pub(crate) enum Verdict {
     /// It took effect, once.
     Done,
--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -66,11 +66,31 @@
 
     /// Tells the process to stop, as the platform does.
     pub fn terminate(&mut self) {
+        self.signal("TERM");
+    }
+
+    /// Sends the process a signal.
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &id]).status();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
         assert!(status.expect("kill runs").success());
     }
 
+    /// Makes a call as a caller does that waits only a few seconds; 0 stands for no answer.
+    pub fn call_briefly(&self, method: &str, path: &str, body: &str) -> i32 {
+        /// Longer than the process holds a request, and short of the test's patience.
+        const SECONDS: u64 = 4;
+        let method = match method {
+            "POST" => minreq::Method::Post,
+            _ => minreq::Method::Delete,
+        };
+        let request = minreq::Request::new(method, format!("http://{}{path}", self.front));
+        let request = request.with_body(body).with_timeout(SECONDS);
+        request.send().map_or(0, |response| response.status_code)
+    }
+
     /// Waits for the process to end by itself and returns whether it ended well.
     pub fn wait(&mut self) -> bool {
         self.child.wait().expect("the process ends").success()
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -26,6 +26,20 @@
     Unknown,
 }
 
+/// Says when a caller should come back whose job was refused because the store has not answered
+/// for `outage`.
+///
+/// An outage that has lasted for some time is expected to last as long again, so callers with few
+/// retries don't spend them all while it lasts; the identifier spreads those that come together.
+pub fn return_after(outage: Duration, id: &str) -> Duration {
+    const LEAST: Duration = Duration::from_millis(800);
+    /// Longer outages are looked at again at this pace, so that their end is noticed.
+    const MOST: Duration = Duration::from_millis(3_500);
+    const SPREAD_MS: u64 = 1_000;
+    let spread = xxhash_rust::xxh3::xxh3_64(id.as_bytes()) % SPREAD_MS;
+    outage.clamp(LEAST, MOST) + Duration::from_millis(spread)
+}
+
 impl Owner {
     /// Takes a job that its caller first asked for `age` ago.
     ///
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -34,7 +34,7 @@
 mod worker;
 
 pub use action::{Action, Told};
-pub use admission::{Admission, Cancellation};
+pub use admission::{return_after, Admission, Cancellation};
 pub use batch::Batch;
 pub use capacity::{Demand, Load};
 pub use job::Job;
--- a/crates/hyssop-policy/tests/owner.rs
+++ b/crates/hyssop-policy/tests/owner.rs
@@ -3,7 +3,7 @@
 mod model;
 
 use hyssop_model::work::Phase;
-use hyssop_policy::owner::Admission;
+use hyssop_policy::owner::{return_after, Admission};
 use model::{job, lasting, Faults, World};
 
 const ID: &str = "00000000000000aa";
@@ -208,3 +208,15 @@
     empty(&mut world, 1);
     assert!(fewest(&mut world, 6_000) >= 4, "two of the step are away");
 }
+
+#[test]
+fn callers_come_back_after_an_outages_likely_end_and_not_all_at_once() {
+    let after = |outage_ms: u64, id: &str| {
+        return_after(std::time::Duration::from_millis(outage_ms), id).as_millis()
+    };
+    let first: Vec<u128> = (0..50).map(|n| after(700, &format!("{n:016x}"))).collect();
+    assert!(first.iter().all(|ms| (800..1_800).contains(ms)));
+    assert!(first.iter().max() > first.iter().min(), "they are spread");
+    assert!(after(2_500, ID) >= 2_500, "as long again as it has lasted");
+    assert!(after(600_000, ID) < 5_000, "but its end is noticed");
+}
