Notice the store's return by quick questions, and ask anew what hung meanwhile

Cause: a transaction sent while the store is silent hangs for 2.5 s, and feeds for 2.4 s, so that acceptance began again long after the store's return. Change: while calls fail, feeds ask without waiting and give up after 700 ms; the first success makes pending transactions be asked anew, whose outcome the head row tells.

--- a/crates/hyssop-edge/src/store/client.rs
+++ b/crates/hyssop-edge/src/store/client.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// A store that is slow sixty times over still answers within this time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -24,6 +25,7 @@
 struct Health {
     answered_at: Cell<Duration>,
     failed_since: Cell<Option<Duration>>,
+    regained: Notify,
 }
 
 impl Store {
@@ -47,6 +49,11 @@
         self.health.answered_at.get()
     }
 
+    /// Waits until a call succeeds after others have failed.
+    pub(super) async fn regained(&self) {
+        self.health.regained.notified().await;
+    }
+
     /// Returns since when every call has failed, `None` while it works.
     pub(crate) fn failed_since(&self) -> Option<Duration> {
         self.health.failed_since.get()
@@ -59,6 +66,7 @@
             if let Some(since) = self.health.failed_since.take() {
                 let lasted = now.saturating_sub(since).as_millis();
                 log::info!("event=dependency-regained dependency=store after_ms={lasted}");
+                self.health.regained.notify_waiters();
             }
         } else if self.health.failed_since.get().is_none() {
             self.health.failed_since.set(Some(now));
--- a/crates/hyssop-edge/src/store/committer.rs
+++ b/crates/hyssop-edge/src/store/committer.rs
@@ -89,7 +89,13 @@
         let mut pause = PAUSE;
         loop {
             transaction.expected = vec![(key.clone(), self.version)];
-            match self.store.commit(&transaction).await {
+            let outcome = tokio::select! {
+                outcome = self.store.commit(&transaction) => outcome,
+                // The call was sent while the store was away and may hang long beyond that. Asking
+                // anew finds out whether it took effect.
+                () = self.store.regained() => Err(Failure::Lost),
+            };
+            match outcome {
                 Ok(Commit::Done(version)) => {
                     self.head = next;
                     self.version = version;
@@ -116,7 +122,10 @@
                 }
                 Err(Failure::Lost) => may_be_done = true,
             }
-            tokio::time::sleep(pause).await;
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.store.regained() => {}
+            }
             pause = (pause * 2).min(PAUSE_MAX);
         }
     }
--- a/crates/hyssop-edge/src/store/feed.rs
+++ b/crates/hyssop-edge/src/store/feed.rs
@@ -8,6 +8,8 @@
 const WAIT: Duration = Duration::from_millis(1_500);
 /// Added to the wait before a feed's answer counts as lost.
 const ANSWER_SLACK: Duration = Duration::from_millis(900);
+/// A question to a store that is away is given up after this time.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// The pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -53,10 +55,17 @@
         let Some((version, _)) = &mut position else {
             continue;
         };
-        let call = store.dialect.feed(table, *version, WAIT.as_millis() as u64);
+        // While the store is away, quick questions show its return soon; one that waits would hang
+        // beyond it.
+        let (wait, timeout) = match store.failed_since() {
+            Some(_) => (Duration::ZERO, PROBE_TIMEOUT),
+            None => (WAIT, WAIT + ANSWER_SLACK),
+        };
+        let wait_ms = wait.as_millis() as u64;
+        let call = store.dialect.feed(table, *version, wait_ms);
         let reply = store
             .client
-            .call(store.address, Lane::Feed, call, WAIT + ANSWER_SLACK)
+            .call(store.address, Lane::Feed, call, timeout)
             .await;
         let Ok(reply) = reply else {
             store.note(false);
