Log each job's end with its waits

Cause: nothing in the logs told when a job ended, so an accepted and late one could not be followed. Change: one line when the end is stored: to the first start, to the end, to the storing, since the caller first asked. Not measured by itself.

--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -77,6 +77,7 @@
             phase: Phase::Queued,
             stored_phase: None,
             is_stored: false,
+            begun_at: None,
             has_started: false,
             is_restored: false,
             occurrences,
--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -157,7 +157,18 @@
             }
             if phase.is_final() && job.stored_phase.is_none() {
                 job.stored_phase = Some(phase);
-                job.ended_at.get_or_insert(now);
+                let ended_at = *job.ended_at.get_or_insert(now);
+                let age = |at: Duration| at.saturating_sub(job.asked_at).as_millis();
+                log::info!(
+                    "event=job-ended job={} queue={} phase={phase} first_start_ms={} ended_ms={} \
+                     stored_ms={} term={}",
+                    job.id,
+                    job.queue,
+                    job.begun_at.map_or(-1, |at| age(at) as i64),
+                    age(ended_at),
+                    age(now),
+                    self.term
+                );
                 if phase == Phase::Cancelled {
                     told.push(Told::Cancelled(job.id.clone()));
                 }
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -56,6 +56,8 @@
     pub(super) stored_phase: Option<Phase>,
     /// Whether the submission is stored, so that the job is accepted.
     pub(super) is_stored: bool,
+    /// When the first task of this term started, on the owner's clock.
+    pub(super) begun_at: Option<Duration>,
     /// Whether any task has started.
     pub(super) has_started: bool,
     /// Whether the job was read back from the store, so that tasks of an earlier term may run.
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -115,6 +115,7 @@
             phase: Phase::Queued,
             stored_phase: None,
             is_stored: true,
+            begun_at: None,
             has_started: stored.as_ref().is_some_and(|stored| stored.has_started),
             is_restored: true,
             next_occurrence: stored
@@ -181,6 +182,7 @@
         phase,
         stored_phase: Some(phase),
         is_stored: true,
+        begun_at: None,
         has_started: true,
         is_restored: false,
         occurrences: BTreeMap::new(),
--- a/crates/hyssop-policy/src/owner/start.rs
+++ b/crates/hyssop-policy/src/owner/start.rs
@@ -55,6 +55,7 @@
                 }
                 if let Some(job) = self.jobs.get_mut(&task.job) {
                     job.has_started = true;
+                    job.begun_at.get_or_insert(now);
                 }
             }
             Answer::Given(Started::Fenced) => {
