Find the best fit in order, forget ended jobs in order; measure the owner's decisions alone

Change: rooms in their order for a pass of placing; ended jobs in the order of their ends; the harness stores all that waits in each step, so that the store's batch size does not bind.

--- a/crates/hyssop-lab/src/command/measure.rs
+++ b/crates/hyssop-lab/src/command/measure.rs
@@ -38,13 +38,14 @@
             Some("rollout") => measure::rollout(&call),
             Some("capacity") => measure::capacity(&call),
             Some("jobs") => measure::jobs(&call),
+            Some("owner") => measure::owner(&call),
             Some("jobs-live") => measure::jobs_live(&call),
             Some("slopes") => measure::slopes(&call),
             Some("storm") => measure::storm(&call),
             Some("all") => measure::all(&call),
             Some("plots") => measure::plots(&call),
             _ => {
-                let message = "no such measure; use overhead, flood, skew, faults, outliers, drain, rollout, capacity, jobs, jobs-live, slopes, storm, all or plots";
+                let message = "no such measure; use overhead, flood, skew, faults, outliers, drain, rollout, capacity, jobs, owner, jobs-live, slopes, storm, all or plots";
                 UsageSnafu { message }.fail()
             }
         }
--- /dev/null
+++ b/crates/hyssop-lab/src/measure/owner.rs
@@ -0,0 +1,231 @@
+use super::Call;
+use crate::error::Error;
+use crate::report::{print_rows, write_json};
+use hyssop_model::work::{
+    Configuration, Ended, Ending, Queue, Report, Resources, Step, Submission, Task, Worker,
+};
+use hyssop_platform::dialect::Started;
+use hyssop_policy::owner::{Action, Answer, Owner, Settings, WorkerKey};
+use rand::Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Is one size of pool.
+#[derive(Debug, Serialize)]
+struct Cost {
+    workers: usize,
+    starts: usize,
+    us_per_start: f64,
+    us_per_job: f64,
+    waiting_at_most: usize,
+}
+
+const CORES: u64 = 16;
+const TASKS: u32 = 6;
+const TASK_MS: u64 = 200;
+const STEP_MS: u64 = 5;
+/// The share of each pool's room that the load asks for.
+const LOAD: f64 = 0.8;
+const SECONDS: u64 = 10;
+/// Targets of docs/MEASUREMENTS.md: a start with its end at 80 workers, and the growth to 400.
+const TARGET_US: f64 = 15.0;
+const TARGET_GROWTH: f64 = 2.0;
+
+/// Measures the processor time of an owner's decisions alone, on a fake clock without sockets.
+pub(crate) fn owner(call: &Call) -> Result<bool, Error> {
+    let costs: Vec<Cost> = [10, 80, 400]
+        .iter()
+        .map(|workers| measure_once(call.seed, *workers))
+        .collect();
+    let rows = costs.iter().map(|cost| {
+        vec![
+            cost.workers.to_string(),
+            cost.starts.to_string(),
+            format!("{:.1}", cost.us_per_start),
+            format!("{:.1}", cost.us_per_job),
+            cost.waiting_at_most.to_string(),
+        ]
+    });
+    let header = [
+        "workers",
+        "starts",
+        "us a start with its end",
+        "us a job",
+        "most waiting",
+    ];
+    print_rows(&header, rows);
+    write_json("owner", &costs)?;
+    let growth = costs[2].us_per_start / costs[1].us_per_start;
+    println!("growth from 80 to 400 workers: {growth:.2}");
+    Ok(costs[1].us_per_start <= TARGET_US && growth <= TARGET_GROWTH)
+}
+
+/// Counts the time that is spent inside the owner.
+struct Meter {
+    spent: Duration,
+}
+
+impl Meter {
+    fn run<T>(&mut self, work: impl FnOnce() -> T) -> T {
+        let begun = Instant::now();
+        let result = work();
+        self.spent += begun.elapsed();
+        result
+    }
+}
+
+fn listing(number: usize) -> Worker {
+    Worker {
+        id: format!("w{number}"),
+        incarnation: 1,
+        pool: "pool".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: "a".to_owned(),
+        labels: vec!["kind".to_owned(), format!("r-{}", number / 12)],
+        capacity: Resources {
+            cpu: CORES * 1_000,
+            memory: 65_536,
+            accelerators: 0,
+        },
+        is_draining: false,
+        remaining_ms: None,
+        instance: format!("m{number}"),
+    }
+}
+
+fn prepared(workers: usize) -> Owner {
+    let mut owner = Owner::new("pool", 1, Settings::default());
+    let queue = Queue {
+        name: "queue".to_owned(),
+        host: String::new(),
+        prefix: "/".to_owned(),
+        pool: "pool".to_owned(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1.6,
+        objective: Duration::from_millis(600),
+        needs_advice: false,
+    };
+    owner.configure(&Configuration {
+        version: 1,
+        queues: BTreeMap::from([("queue".to_owned(), queue)]),
+        ..Configuration::default()
+    });
+    let now = Duration::from_millis(STEP_MS);
+    for number in 0..workers {
+        owner.list_worker(listing(number), now);
+        let report = Report::default();
+        owner.report(WorkerKey(number as u32), report, now, 0, now);
+    }
+    while owner.take_batch(now).is_some() {
+        owner.committed(now);
+    }
+    owner
+}
+
+fn submission(random: &mut ChaCha8Rng) -> Submission {
+    let step = Step {
+        count: TASKS,
+        need: Resources {
+            cpu: random.random_range(700..1_300),
+            memory: 256,
+            accelerators: 0,
+        },
+        estimate_ms: TASK_MS,
+        ..Step::default()
+    };
+    Submission {
+        specification: "x".repeat(200),
+        steps: vec![step],
+        schedule: None,
+    }
+}
+
+fn measure_once(seed: u64, workers: usize) -> Cost {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut owner = prepared(workers);
+    let mut meter = Meter {
+        spent: Duration::ZERO,
+    };
+    let per_step =
+        workers as f64 * CORES as f64 * LOAD * STEP_MS as f64 / (f64::from(TASKS) * TASK_MS as f64);
+    let mut owed = 0.0;
+    let mut jobs = 0_usize;
+    let mut starts = 0_usize;
+    let mut waiting_at_most = 0;
+    // What runs: worker, end, task and run; and each worker's number of endings.
+    let mut running: BTreeMap<(u64, usize), (WorkerKey, String, u64)> = BTreeMap::new();
+    let mut numbers: BTreeMap<WorkerKey, u64> = BTreeMap::new();
+    for step in 2..SECONDS * 1_000 / STEP_MS {
+        let ms = step * STEP_MS;
+        let now = Duration::from_millis(ms);
+        owed += per_step;
+        while owed >= 1.0 {
+            owed -= 1.0;
+            jobs += 1;
+            let id = format!("{jobs:016x}");
+            let submitted = submission(&mut random);
+            meter.run(|| owner.submit(&id, "queue", submitted, Duration::ZERO, now, ms as i64));
+        }
+        // The store is not what is measured: it takes what there is at once.
+        while meter.run(|| owner.take_batch(now)).is_some() {
+            meter.run(|| owner.committed(now));
+        }
+        let mut ended: BTreeMap<WorkerKey, Vec<Ended>> = BTreeMap::new();
+        while let Some(entry) = running.first_entry() {
+            if entry.key().0 > ms {
+                break;
+            }
+            let (worker, task, run) = entry.remove();
+            let number = numbers.entry(worker).or_insert(0);
+            *number += 1;
+            let task: Task = task
+                .parse()
+                .unwrap_or_else(|()| unreachable!("a task's name"));
+            ended.entry(worker).or_default().push(Ended {
+                number: *number,
+                task,
+                run,
+                ending: Ending::Done,
+                checkpoint: String::new(),
+            });
+        }
+        for (worker, ended) in ended {
+            let report = Report {
+                clock_ms: ms as i64,
+                incarnation: Some(1),
+                running: Vec::new(),
+                ended,
+            };
+            let acknowledged = owner.worker(worker).map_or(0, |w| w.acknowledgeable());
+            meter.run(|| owner.report(worker, report, now, acknowledged, now));
+        }
+        let actions = meter.run(|| owner.advance(now, ms as i64));
+        for action in actions {
+            let Action::Start { worker, task, run } = action else {
+                continue;
+            };
+            let order = meter.run(|| owner.order(worker, task, run, now));
+            let Some(order) = order else {
+                continue;
+            };
+            let done = Answer::Given(Started::Done(Some(ms as i64)));
+            meter.run(|| owner.started(worker, task, run, done, now));
+            let lasts = random.random_range(TASK_MS / 2..TASK_MS * 3 / 2);
+            running.insert((ms + lasts, starts), (worker, order.task, run));
+            starts += 1;
+        }
+        waiting_at_most = waiting_at_most.max(owner.waiting("queue"));
+    }
+    let spent_us = meter.spent.as_secs_f64() * 1e6;
+    Cost {
+        workers,
+        starts,
+        us_per_start: spent_us / starts.max(1) as f64,
+        us_per_job: spent_us / jobs.max(1) as f64,
+        waiting_at_most,
+    }
+}
--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -99,16 +99,13 @@
     fn batch_forgotten(&self, now: Duration, batch: &mut Batch, pending: &mut Pending) {
         /// Few at a time: nothing waits for them.
         const MOST: usize = 10;
-        let is_over = |key: &&JobKey| {
-            self.jobs.get(key).is_some_and(|job| {
-                job.stored_phase.is_some()
-                    && job
-                        .ended_at
-                        .is_some_and(|at| now.saturating_sub(at) >= self.settings.remember)
-            })
-        };
-        for key in self.jobs.keys().filter(is_over).take(MOST) {
-            batch.removes.push((PROGRESS, self.jobs[key].id.clone()));
+        for (ended_at, key) in self.remembered.iter().take(MOST) {
+            if now.saturating_sub(*ended_at) < self.settings.remember {
+                return;
+            }
+            if let Some(job) = self.jobs.get(key) {
+                batch.removes.push((PROGRESS, job.id.clone()));
+            }
             pending.forgotten.push(*key);
         }
     }
@@ -190,6 +187,7 @@
         for name in pending.departed {
             self.departed.remove(&name);
         }
+        self.remembered.drain(..pending.forgotten.len());
         for key in pending.forgotten {
             if let Some(job) = self.jobs.remove(&key) {
                 self.names.remove(&job.id);
@@ -201,6 +199,9 @@
     /// Keeps of an ended job only what callers may ask, and what tells runs of it apart.
     fn close(&mut self, key: JobKey) {
         self.open.remove(&key);
+        if let Some(ended_at) = self.jobs.get(&key).and_then(|job| job.ended_at) {
+            self.remembered.push_back((ended_at, key));
+        }
         self.permits.retain(|step, _| step.job != key);
         if let Some(job) = self.jobs.get_mut(&key) {
             job.submission.specification = String::new();
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -28,6 +28,7 @@
 mod progress;
 mod recovery;
 mod report;
+mod rooms;
 mod settings;
 mod start;
 mod watch;
@@ -46,7 +47,7 @@
 
 use hyssop_model::work::Configuration;
 use learning::Learning;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Blocked workers become free by time alone, so placing is tried again after this pause.
@@ -68,6 +69,8 @@
     next_job: u32,
     /// Jobs with work left; the others are only kept to be told about.
     open: BTreeSet<JobKey>,
+    /// Ended jobs that callers may still ask about, in the order in which their ends were stored.
+    remembered: VecDeque<(Duration, JobKey)>,
     workers: BTreeMap<WorkerKey, Worker>,
     next_worker: u32,
     /// Workers of an earlier term that may still run tasks, with the time when their leases are
@@ -109,6 +112,7 @@
             names: BTreeMap::new(),
             next_job: 0,
             open: BTreeSet::new(),
+            remembered: VecDeque::new(),
             workers: BTreeMap::new(),
             next_worker: 0,
             unaccounted: BTreeMap::new(),
--- a/crates/hyssop-policy/src/owner/place.rs
+++ b/crates/hyssop-policy/src/owner/place.rs
@@ -1,4 +1,5 @@
 use super::job::State;
+use super::rooms::Rooms;
 use super::worker::Run;
 use super::{Action, JobKey, Owner, TaskKey, WorkerKey};
 use hyssop_model::work::{Resources, Step};
@@ -25,29 +26,16 @@
 impl Owner {
     /// Gives waiting tasks to workers, job by job in their order.
     pub(super) fn place(&mut self, now: Duration) {
-        let mut largest = self.largest_room(now);
+        let mut rooms = Rooms::of(&self.workers, now);
         for key in self.ranked(now) {
-            if largest.cpu == 0 && largest.memory == 0 {
+            if rooms.is_empty() {
                 return;
             }
-            self.place_job(key, &mut largest, now);
+            self.place_job(key, &mut rooms, now);
         }
     }
 
-    /// Returns, for each resource, the most that any worker has left.
-    fn largest_room(&self, now: Duration) -> Resources {
-        let mut most = Resources::default();
-        for worker in self.workers.values().filter(|w| w.takes_tasks(now)) {
-            let mut room = worker.listing.capacity;
-            room.remove(&worker.used);
-            most.cpu = most.cpu.max(room.cpu);
-            most.memory = most.memory.max(room.memory);
-            most.accelerators = most.accelerators.max(room.accelerators);
-        }
-        most
-    }
-
-    fn place_job(&mut self, key: JobKey, largest: &mut Resources, now: Duration) {
+    fn place_job(&mut self, key: JobKey, rooms: &mut Rooms, now: Duration) {
         let Some(job) = self.jobs.get(&key) else {
             return;
         };
@@ -80,13 +68,13 @@
             let same =
                 |task: &&TaskKey| task.step == first.step && task.occurrence == first.occurrence;
             let until = at + waiting[at..].iter().take_while(same).count();
-            self.place_step(&waiting[at..until], largest, now);
+            self.place_step(&waiting[at..until], rooms, now);
             at = until;
         }
     }
 
     /// Places waiting tasks of one step: a gang whole or not at all, others as far as room goes.
-    fn place_step(&mut self, tasks: &[TaskKey], largest: &mut Resources, now: Duration) {
+    fn place_step(&mut self, tasks: &[TaskKey], rooms: &mut Rooms, now: Duration) {
         let first = tasks[0];
         let Some(job) = self.jobs.get(&first.job) else {
             return;
@@ -95,14 +83,14 @@
             return;
         };
         let need = step.reserved();
-        if need.cpu > largest.cpu || need.memory > largest.memory {
+        if need.cpu > rooms.largest() {
             return;
         }
         let mut placed: Vec<(TaskKey, WorkerKey)> = Vec::new();
         let mut per_worker = self.step_spread(first);
         let needs_advice = self.needs_advice(first);
         for &task in tasks {
-            let Some(worker) = self.choose(task, &step, &per_worker, now) else {
+            let Some(worker) = self.choose(task, &step, &per_worker, rooms, now) else {
                 if needs_advice {
                     self.seek_advice(first, now);
                 }
@@ -110,6 +98,7 @@
             };
             *per_worker.entry(worker).or_insert(0) += 1;
             let number = self.assign(task, worker, need, now);
+            rooms.update(&self.workers, worker);
             placed.push((task, worker));
             if !step.gang {
                 self.actions.push(Action::Start {
@@ -121,8 +110,9 @@
         }
         if step.gang {
             self.finish_gang(tasks, &placed);
-        } else if placed.len() < tasks.len() && step.label.is_none() && step.most_per_worker == 0 {
-            *largest = self.largest_room(now);
+            for (_, worker) in placed {
+                rooms.update(&self.workers, worker);
+            }
         }
     }
 
@@ -198,6 +188,7 @@
         task: TaskKey,
         step: &Step,
         per_worker: &BTreeMap<WorkerKey, u32>,
+        rooms: &Rooms,
         now: Duration,
     ) -> Option<WorkerKey> {
         let job = self.jobs.get(&task.job)?;
@@ -226,9 +217,11 @@
             !needs_advice || permit.is_some_and(|permit| permit.ticket(*key, now).is_some())
         };
         let mut best: Option<(Fit, WorkerKey)> = None;
-        for (key, worker) in &self.workers {
+        for key in rooms.from(need.cpu) {
+            let Some(worker) = self.workers.get(key) else {
+                continue;
+            };
             if !may_run(key)
-                || !worker.takes_tasks(now)
                 || !worker.listing.capacity.fits(&worker.used, &need)
                 || worker.runs.contains_key(&task)
             {
@@ -262,6 +255,10 @@
             if best.is_none_or(|(other, _)| fit < other) {
                 best = Some((fit, *key));
             }
+            // The rooms come in their order, so the first without a fault leaves the least over.
+            if !step.lasts && !fit.is_avoided && !fit.is_slow && !fit.is_far {
+                break;
+            }
         }
         best.map(|(_, key)| key)
     }
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -57,6 +57,7 @@
                 continue;
             };
             let key = self.next_key(id);
+            self.remembered.push_back((now, key));
             self.jobs
                 .insert(key, ended_job(id, &stored.queue, phase, now));
         }
@@ -92,6 +93,7 @@
         let key = self.next_key(&record.key);
         if let Some(phase) = stored.as_ref().and_then(|stored| stored.phase) {
             let job = ended_job(&record.key, &accepted.queue, phase, now);
+            self.remembered.push_back((now, key));
             self.jobs.insert(key, job);
             return;
         }
--- a/crates/hyssop-policy/tests/owner.rs
+++ b/crates/hyssop-policy/tests/owner.rs
@@ -220,3 +220,30 @@
     assert!(after(2_500, ID) >= 2_500, "as long again as it has lasted");
     assert!(after(600_000, ID) < 5_000, "but its end is noticed");
 }
+
+#[test]
+fn ended_jobs_are_told_for_their_time_and_then_forgotten() {
+    let mut world = World::new(13, 2, 8);
+    world.run(200);
+    world.submit(ID, job(1, 1, 100));
+    world.run(2_000);
+    assert_eq!(world.phase(ID), Some(Phase::Done));
+    world.run(120_000);
+    assert_eq!(world.phase(ID), Some(Phase::Done), "for two minutes");
+    world.run(12_000);
+    assert_eq!(world.phase(ID), None);
+}
+
+#[test]
+fn a_successor_forgets_ended_jobs_too() {
+    let mut world = World::new(14, 2, 8);
+    world.run(200);
+    world.submit(ID, job(1, 1, 100));
+    world.run(2_000);
+    world.kill_owner();
+    world.take_over();
+    world.run(1_000);
+    assert_eq!(world.phase(ID), Some(Phase::Done));
+    world.run(132_000);
+    assert_eq!(world.phase(ID), None);
+}
