--- a/crates/hyssop-edge/src/pool/calls.rs
+++ b/crates/hyssop-edge/src/pool/calls.rs
@@ -1,5 +1,6 @@
 use super::Runner;
 use crate::http::{Failure, Lane};
+use hyssop_platform::dialect::{Call, Dialect, Reply};
 use hyssop_policy::owner::{Answer, TaskKey, WorkerKey};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,6 +10,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// The advice service decides one call after the other, some time for each worker named.
 const ADVICE_TIMEOUT: Duration = Duration::from_secs(5);
+/// From this status on a worker has done nothing.
+const STATUS_THROTTLED: u16 = 429;
 /// A report takes this much longer than its wait before it counts as missed.
 const REPORT_SLACK: Duration = Duration::from_millis(600);
 
@@ -56,20 +59,29 @@
         self.wake.notify_one();
     }
 
-    pub(super) async fn stop_run(self: Rc<Self>, worker: WorkerKey, task: String, run: u64) {
-        let Some(address) = self.address(worker) else {
-            return;
-        };
+    /// Sends a worker an order about a run, in the next free slot; `None` where the worker is gone
+    /// or the term is over.
+    async fn signal(
+        &self,
+        worker: WorkerKey,
+        encode: impl FnOnce(&dyn Dialect, &str, u64) -> Call,
+    ) -> Option<Result<Reply, Failure>> {
+        let address = self.address(worker)?;
         let slot = self.node.client.slot(address, Lane::Order).await;
         let call = {
             let owner = self.owner.borrow();
-            let Some(state) = owner.worker(worker).filter(|_| !owner.is_deposed()) else {
-                return;
-            };
-            let id = state.listing.id.clone();
-            self.node.dialect.stop(&id, &task, run, owner.term())
+            let state = owner.worker(worker).filter(|_| !owner.is_deposed())?;
+            encode(&*self.node.dialect, &state.listing.id, owner.term())
+        };
+        Some(slot.call(call, ORDER_TIMEOUT).await)
+    }
+
+    pub(super) async fn stop_run(self: Rc<Self>, worker: WorkerKey, task: String, run: u64) {
+        let encode =
+            |dialect: &dyn Dialect, id: &str, fence: u64| dialect.stop(id, &task, run, fence);
+        let Some(reply) = self.signal(worker, encode).await else {
+            return;
         };
-        let reply = slot.call(call, ORDER_TIMEOUT).await;
         let now = self.node.clock.now();
         let owner = &mut *self.owner.borrow_mut();
         match reply {
@@ -77,7 +89,7 @@
                 owner.lose_worker(worker, now);
             }
             reply => {
-                let is_answered = reply.is_ok_and(|reply| reply.status < 429);
+                let is_answered = reply.is_ok_and(|reply| reply.status < STATUS_THROTTLED);
                 owner.stopped(worker, &task, run, is_answered, now);
             }
         }
@@ -91,21 +103,10 @@
         run: u64,
         percent: u32,
     ) {
-        let Some(address) = self.address(worker) else {
-            return;
-        };
-        let slot = self.node.client.slot(address, Lane::Order).await;
-        let call = {
-            let owner = self.owner.borrow();
-            let Some(state) = owner.worker(worker).filter(|_| !owner.is_deposed()) else {
-                return;
-            };
-            let id = state.listing.id.clone();
-            self.node
-                .dialect
-                .pace(&id, &task, run, percent, owner.term())
+        let encode = |dialect: &dyn Dialect, id: &str, fence: u64| {
+            dialect.pace(id, &task, run, percent, fence)
         };
-        if let Err(failure) = slot.call(call, ORDER_TIMEOUT).await {
+        if let Some(Err(failure)) = self.signal(worker, encode).await {
             log::info!("event=pace-unanswered task={task} run={run} reason={failure}");
             self.owner.borrow_mut().pace_missed(worker, run);
         }
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -29,6 +29,7 @@
 mod recovery;
 mod report;
 mod rooms;
+mod roster;
 mod settings;
 mod start;
 mod watch;
--- a/crates/hyssop-policy/tests/advice.rs
+++ b/crates/hyssop-policy/tests/advice.rs
@@ -2,32 +2,15 @@
 
 mod model;
 
-use hyssop_model::work::{Configuration, Queue};
 use hyssop_policy::owner::{Action, Owner, Settings, TaskKey, Told, WorkerKey};
-use model::job;
-use std::collections::BTreeMap;
+use model::{configuration, job};
 use std::time::Duration;
 
 const ID: &str = "00000000000000aa";
 
 fn owner() -> Owner {
     let mut owner = Owner::new("pool", 1, Settings::default());
-    let queue = Queue {
-        name: "queue".to_owned(),
-        host: String::new(),
-        prefix: "/".to_owned(),
-        pool: "pool".to_owned(),
-        priority: 0,
-        max_attempts: 2,
-        stretch: 1.6,
-        objective: Duration::from_millis(600),
-        needs_advice: true,
-    };
-    owner.configure(&Configuration {
-        version: 1,
-        queues: BTreeMap::from([("queue".to_owned(), queue)]),
-        ..Configuration::default()
-    });
+    owner.configure(&configuration(true));
     owner
 }
 
--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -24,7 +24,29 @@
     submission
 }
 
-use hyssop_model::work::{Resources, Step, Submission};
+use hyssop_model::work::{Configuration, Queue, Resources, Step, Submission};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Makes a configuration of one queue.
+pub fn configuration(needs_advice: bool) -> Configuration {
+    let queue = Queue {
+        name: "queue".to_owned(),
+        host: String::new(),
+        prefix: "/".to_owned(),
+        pool: "pool".to_owned(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1.6,
+        objective: Duration::from_millis(600),
+        needs_advice,
+    };
+    Configuration {
+        version: 1,
+        queues: BTreeMap::from([("queue".to_owned(), queue)]),
+        ..Configuration::default()
+    }
+}
 
 /// Makes a worker's registration.
 pub fn worker(id: &str) -> hyssop_model::work::Worker {
--- a/crates/hyssop-policy/tests/model/world.rs
+++ b/crates/hyssop-policy/tests/model/world.rs
@@ -1,7 +1,8 @@
+use super::configuration;
 use super::promises::Promises;
 use super::store::FakeStore;
 use super::worker::{FakeWorker, Happening};
-use hyssop_model::work::{Configuration, Phase, Queue, Report, Submission};
+use hyssop_model::work::{Phase, Report, Submission};
 use hyssop_platform::dialect::{Hold, Order, Started};
 use hyssop_policy::owner::{
     Action, Admission, Answer, Batch, Owner, Settings, TaskKey, Told, WorkerKey,
@@ -106,22 +107,7 @@
         self.store.term += 1;
         self.trace("", || format!("term {} begins", self.store.term));
         let mut owner = Owner::new("pool", self.store.term, Settings::default());
-        let queue = Queue {
-            name: "queue".to_owned(),
-            host: String::new(),
-            prefix: "/".to_owned(),
-            pool: "pool".to_owned(),
-            priority: 0,
-            max_attempts: 2,
-            stretch: 1.6,
-            objective: Duration::from_millis(600),
-            needs_advice: false,
-        };
-        owner.configure(&Configuration {
-            version: 1,
-            queues: BTreeMap::from([("queue".to_owned(), queue)]),
-            ..Configuration::default()
-        });
+        owner.configure(&configuration(false));
         owner.recover(&self.store.records(), self.now(), self.now_ms);
         for worker in &self.workers {
             owner.list_worker(worker.listing.clone(), self.now());
