--- a/crates/hyssop-edge/tests/path.rs
+++ b/crates/hyssop-edge/tests/path.rs
@@ -216,3 +216,23 @@
         edges[1].state(&format!("/b/{ID}")) == "done"
     });
 }
+
+#[test]
+fn transactions_without_answers_take_effect_once() {
+    let platform = platform();
+    let edge = Edge::start(&platform, "e1");
+    edge.accept(&format!("/a/{ID}"), &job(1, 1, 50));
+    platform.leave_unanswered(3);
+    let paths: Vec<String> = (0..4).map(|n| format!("/a/{n:016x}")).collect();
+    for path in &paths {
+        edge.accept(path, &job(2, 2, 50));
+    }
+    for path in &paths {
+        until("the job is done", || edge.state(path) == "done");
+    }
+    platform.leave_unanswered(0);
+    assert!(platform.overlaps().is_empty());
+    let begun = platform.begun();
+    let once: BTreeSet<&String> = begun.iter().collect();
+    assert_eq!(begun.len(), once.len(), "no task began twice");
+}
