--- a/crates/hyssop-edge/src/daemon/life.rs
+++ b/crates/hyssop-edge/src/daemon/life.rs
@@ -70,7 +70,6 @@
         owner: owner::Settings {
             lease: LEASE.min(longest),
             remember: Duration::from_secs_f64(settings.bounds.status_s) + Duration::from_secs(10),
-            notice: Duration::from_millis(settings.bounds.notice_ms),
             ..owner::Settings::default()
         },
         grace: Duration::from_secs_f64(settings.bounds.grace_period_s),
--- a/crates/hyssop-policy/src/fleet/maintain.rs
+++ b/crates/hyssop-policy/src/fleet/maintain.rs
@@ -38,7 +38,7 @@
                 .filter(|instance| !decision.touches(instance))
                 .collect();
             let is_urgent = self.is_urgent(due.len(), campaign.cap, campaign.deadline, now);
-            let mut emptying = self.away(now);
+            let mut emptying = self.away();
             let mut ranked: Vec<(Cost, &Instance)> = due
                 .into_iter()
                 .filter_map(|instance| Some((self.cost(instance, now)?, instance)))
@@ -94,7 +94,7 @@
     }
 
     /// Counts, for each pool, the instances that are down.
-    fn away(&self, _now: Duration) -> BTreeMap<String, usize> {
+    fn away(&self) -> BTreeMap<String, usize> {
         let mut away = BTreeMap::new();
         for instance in self.instances.values() {
             if !self.is_up(instance) && instance.condition != Condition::Moving {
--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -130,6 +130,15 @@
         self.demands.insert(demand.pool.clone(), (now, demand));
     }
 
+    /// Takes a wave that was first seen at `now`.
+    pub fn take_wave(&mut self, wave: &Wave, now: Duration) {
+        let campaign = self
+            .campaigns
+            .entry(wave.number)
+            .or_insert_with(|| Campaign::new(wave, now));
+        campaign.cap = wave.cap;
+    }
+
     /// Notes that a change was ordered; its effect shows in the list later.
     pub fn note_ordered(&mut self, change: Change, now: Duration) {
         self.idle_since.remove(change.instance());
@@ -221,15 +230,3 @@
             })
     }
 }
-
-/// Takes the waves that operators ask for.
-impl Fleet {
-    /// Takes a wave that was first seen at `now`.
-    pub fn take_wave(&mut self, wave: &Wave, now: Duration) {
-        let campaign = self
-            .campaigns
-            .entry(wave.number)
-            .or_insert_with(|| Campaign::new(wave, now));
-        campaign.cap = wave.cap;
-    }
-}
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -79,7 +79,6 @@
             is_stored: false,
             begun_at: None,
             has_started: false,
-            is_restored: false,
             occurrences,
             finished_occurrences: 0,
             ended_at: None,
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -60,8 +60,6 @@
     pub(super) begun_at: Option<Duration>,
     /// Whether any task has started.
     pub(super) has_started: bool,
-    /// Whether the job was read back from the store, so that tasks of an earlier term may run.
-    pub(super) is_restored: bool,
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
     pub(super) next_occurrence: u32,
     /// Occurrences before `next_occurrence` that have ended.
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -119,7 +119,6 @@
             is_stored: true,
             begun_at: None,
             has_started: stored.as_ref().is_some_and(|stored| stored.has_started),
-            is_restored: true,
             next_occurrence: stored
                 .as_ref()
                 .map_or(u32::from(!is_scheduled), |stored| stored.next_occurrence),
@@ -148,7 +147,6 @@
             let Some(job) = self.jobs.get_mut(&key) else {
                 continue;
             };
-            job.is_restored = false;
             for occurrence in job.occurrences.values_mut() {
                 for task in occurrence.stages.iter_mut().flat_map(|s| &mut s.tasks) {
                     if task.state == State::Unlocated {
@@ -186,7 +184,6 @@
         is_stored: true,
         begun_at: None,
         has_started: true,
-        is_restored: false,
         occurrences: BTreeMap::new(),
         next_occurrence: 0,
         finished_occurrences: 0,
--- a/crates/hyssop-policy/src/owner/settings.rs
+++ b/crates/hyssop-policy/src/owner/settings.rs
@@ -20,8 +20,6 @@
     pub remember: Duration,
     /// How long a worker that refused or failed starts gets no new ones.
     pub quarantine: Duration,
-    /// How long a task of a budget counts as away once it is not at work.
-    pub notice: Duration,
     /// How long after a take-over no task of a budget is interrupted: stops that the earlier owner
     /// ordered take effect meanwhile, and no report shows them before.
     pub interrupt_pause: Duration,
@@ -40,7 +38,6 @@
             retry_pause: Duration::from_millis(250),
             remember: Duration::from_secs(130),
             quarantine: Duration::from_millis(2_500),
-            notice: Duration::from_millis(4_500),
             interrupt_pause: Duration::from_millis(2_500),
             batch_rows: 90,
         }
