Encode rows in one place; drop what nothing calls; refuse for an absent owner in one place

Behaviour stays as it is: rows::encode and decode serve the four places that wrote the same encoder, one function names a new job, the three refusals of a front are one, and is_vacant, next_due_ms and is_recovering, which nothing called, go.

--- a/crates/hyssop-edge/src/fleet/holder.rs
+++ b/crates/hyssop-edge/src/fleet/holder.rs
@@ -5,7 +5,7 @@
 use futures_util::future::join_all;
 use hyssop_model::work::Instance;
 use hyssop_platform::dialect::{self, Transfer};
-use hyssop_platform::rows::{Key, Transaction};
+use hyssop_platform::rows::{encode, Key, Transaction};
 use hyssop_policy::fleet::{Campaign, Change, Decision, Fleet, Settings};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -325,17 +325,6 @@
     }
 }
 
-/// Encodes a row.
-///
-/// # Panics
-///
-/// Panics when the value can't be encoded, which no row of these types can cause.
-fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(value, &mut bytes).expect("rows are plain data");
-    bytes
-}
-
 /// Reads what an earlier holder stored.
 async fn read(node: &Rc<Node>) -> Option<(BTreeMap<String, usize>, BTreeMap<u64, Campaign>)> {
     const PAUSE: Duration = Duration::from_millis(150);
--- a/crates/hyssop-edge/src/front/handler.rs
+++ b/crates/hyssop-edge/src/front/handler.rs
@@ -144,14 +144,7 @@
                 return body(StatusCode::OK, node.dialect.phase_body(phase));
             }
             Outcome::Answered(Answer::Unknown) => {}
-            _ => {
-                return refuse(
-                    node,
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "the owner is away",
-                    RETURN_MS,
-                )
-            }
+            _ => return owner_away(node),
         }
     }
     refuse(node, StatusCode::GONE, "no such job", 0)
@@ -172,14 +165,7 @@
         match answer {
             Outcome::Answered(Answer::Done) => return plain(StatusCode::OK),
             Outcome::Answered(Answer::Unknown) => {}
-            _ => {
-                return refuse(
-                    node,
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "the owner is away",
-                    RETURN_MS,
-                )
-            }
+            _ => return owner_away(node),
         }
     }
     refuse(node, StatusCode::GONE, "no such job", 0)
@@ -194,12 +180,7 @@
         Outcome::Answered(Answer::Waiting(count)) => {
             body(StatusCode::OK, node.dialect.waiting_body(count))
         }
-        _ => refuse(
-            node,
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the owner is away",
-            RETURN_MS,
-        ),
+        _ => owner_away(node),
     }
 }
 
@@ -297,6 +278,12 @@
     response
 }
 
+/// Tells a caller that nobody can answer for the pool now.
+fn owner_away(node: &Node) -> Reply {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    refuse(node, status, "the owner is away", RETURN_MS)
+}
+
 fn refuse(node: &Node, status: StatusCode, reason: &str, return_ms: u64) -> Reply {
     let mut response = body(status, node.dialect.refusal_body(reason));
     if return_ms > 0 {
--- a/crates/hyssop-edge/src/ownership/mod.rs
+++ b/crates/hyssop-edge/src/ownership/mod.rs
@@ -11,14 +11,3 @@
 /// The table of owners, one row a part, and of members in the part without a name.
 const OWNERS: &str = "owner";
 const OWNER_KEY: &str = "owner";
-
-/// Encodes a row.
-///
-/// # Panics
-///
-/// Panics when the value can't be encoded, which no row of these types can cause.
-fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(value, &mut bytes).expect("rows are plain data");
-    bytes
-}
--- a/crates/hyssop-edge/src/ownership/registry.rs
+++ b/crates/hyssop-edge/src/ownership/registry.rs
@@ -1,7 +1,7 @@
-use super::{encode, OWNERS, OWNER_KEY};
+use super::{OWNERS, OWNER_KEY};
 use crate::node::{Member, Node, Ownership};
 use crate::store::{follow, Update};
-use hyssop_platform::rows::{Commit, Key, Row, Transaction};
+use hyssop_platform::rows::{encode, Commit, Key, Row, Transaction};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -1,10 +1,10 @@
-use super::{encode, registry, OWNERS, OWNER_KEY};
+use super::{registry, OWNERS, OWNER_KEY};
 use crate::fleet;
 use crate::http::Failure;
 use crate::node::{Node, Ownership, FLEET};
 use crate::pool::Runner;
 use crate::store::{Committer, Head};
-use hyssop_platform::rows::{Commit, Key, Row, Transaction};
+use hyssop_platform::rows::{encode, Commit, Key, Row, Transaction};
 use hyssop_policy::owner::{Owner, Record};
 use std::rc::Rc;
 use std::time::Duration;
@@ -80,7 +80,7 @@
         expected: vec![(key.clone(), version)],
         writes: vec![
             (key, encode(ownership)),
-            (Committer::key(part), Committer::encode(head)),
+            (Committer::key(part), encode(head)),
         ],
         removes: Vec::new(),
     };
--- a/crates/hyssop-edge/src/store/committer.rs
+++ b/crates/hyssop-edge/src/store/committer.rs
@@ -1,6 +1,6 @@
 use super::Store;
 use crate::http::Failure;
-use hyssop_platform::rows::{Commit, Key, Row, Transaction};
+use hyssop_platform::rows::{encode, Commit, Key, Row, Transaction};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use strum::Display;
@@ -60,17 +60,6 @@
         Key::new(HEAD_TABLE, part, HEAD_KEY)
     }
 
-    /// Encodes a head.
-    ///
-    /// # Panics
-    ///
-    /// Panics when it can't be encoded, which no head can cause.
-    pub(crate) fn encode(head: &Head) -> Vec<u8> {
-        let mut bytes = Vec::new();
-        ciborium::into_writer(head, &mut bytes).expect("a head is plain data");
-        bytes
-    }
-
     /// Commits `transaction`, trying until its outcome is certain.
     ///
     /// `gives_up` is asked between tries that have all been refused without effect.
@@ -84,7 +73,7 @@
             ..self.head.clone()
         };
         let key = Self::key(&self.part);
-        transaction.writes.push((key.clone(), Self::encode(&next)));
+        transaction.writes.push((key.clone(), encode(&next)));
         let mut may_be_done = false;
         let mut pause = PAUSE;
         loop {
--- a/crates/hyssop-platform/src/rows/mod.rs
+++ b/crates/hyssop-platform/src/rows/mod.rs
@@ -1,5 +1,6 @@
 //! Versioned rows in tables and parts, as a shared store keeps them.
 
+mod codec;
 mod commit;
 mod key;
 mod page;
@@ -7,6 +8,7 @@
 mod row;
 mod transaction;
 
+pub use codec::{decode, encode};
 pub use commit::Commit;
 pub use key::Key;
 pub use page::Page;
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -60,8 +60,7 @@
                 Admission::Pending
             };
         }
-        let key = JobKey(self.next_job);
-        self.next_job += 1;
+        let key = self.next_key(id);
         let asked_at = now.saturating_sub(age);
         let mut occurrences = BTreeMap::new();
         if submission.schedule.is_none() {
@@ -83,7 +82,6 @@
             finished_occurrences: 0,
             ended_at: None,
         };
-        self.names.insert(id.to_owned(), key);
         self.jobs.insert(key, job);
         self.open.insert(key);
         self.dirty.insert(key);
--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -1,6 +1,7 @@
-use super::progress::{encode, Accepted, Progress};
+use super::progress::{Accepted, Progress};
 use super::{JobKey, Owner, Told, WorkerKey};
 use hyssop_model::work::Phase;
+use hyssop_platform::rows::encode;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/hyssop-policy/src/owner/budget.rs
+++ b/crates/hyssop-policy/src/owner/budget.rs
@@ -129,14 +129,6 @@
         })
     }
 
-    /// Tells whether a task that is being moved still waits for its budget on `id`.
-    pub fn is_vacant(&self, id: &str) -> bool {
-        self.workers
-            .values()
-            .filter(|worker| worker.listing.id == id)
-            .all(|worker| worker.runs.is_empty())
-    }
-
     /// Counts tasks that wait although their turn has come.
     pub(super) fn waiting_tasks(
         &self,
--- a/crates/hyssop-policy/src/owner/progress.rs
+++ b/crates/hyssop-policy/src/owner/progress.rs
@@ -105,19 +105,3 @@
     }
     progress
 }
-
-/// Encodes a row.
-///
-/// # Panics
-///
-/// Panics when the value can't be encoded, which no value of these types can cause.
-pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(value, &mut bytes).expect("rows are plain data");
-    bytes
-}
-
-/// Decodes a row; `None` where it can't be read.
-pub(super) fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Option<T> {
-    ciborium::from_reader(bytes).ok()
-}
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -1,8 +1,9 @@
 use super::batch::{JOBS, PROGRESS, WORKERS};
 use super::job::{Job, Occurrence, State};
-use super::progress::{decode, Accepted, Progress};
+use super::progress::{Accepted, Progress};
 use super::{JobKey, Owner};
 use hyssop_model::work::{Phase, Submission};
+use hyssop_platform::rows::decode;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -67,7 +68,8 @@
         }
     }
 
-    fn next_key(&mut self, id: &str) -> JobKey {
+    /// Takes the next key and names a job by it.
+    pub(super) fn next_key(&mut self, id: &str) -> JobKey {
         let key = JobKey(self.next_job);
         self.next_job += 1;
         self.names.insert(id.to_owned(), key);
@@ -164,11 +166,6 @@
             self.open.len()
         );
     }
-
-    /// Tells whether tasks of an earlier term are still unaccounted for.
-    pub fn is_recovering(&self) -> bool {
-        self.is_recovering
-    }
 }
 
 /// Makes a job of which only the end is known.
--- a/crates/hyssop-policy/src/owner/watch.rs
+++ b/crates/hyssop-policy/src/owner/watch.rs
@@ -35,18 +35,6 @@
         }
     }
 
-    /// Returns when the next occurrence of a scheduled job is due, in Unix milliseconds.
-    pub fn next_due_ms(&self) -> Option<i64> {
-        self.open
-            .iter()
-            .filter_map(|key| {
-                let job = self.jobs.get(key)?;
-                let schedule = job.submission.schedule?;
-                (job.next_occurrence < schedule.count).then(|| schedule.due_ms(job.next_occurrence))
-            })
-            .min()
-    }
-
     /// Stops runs that stand still, so that they go on elsewhere, and orders lost starts again.
     ///
     /// The load that this answers: tasks on some workers hang while the worker reports as usual.
