Find a job's runs by range; look through a team's waiting jobs once

Cause: perf of scripts/measure owner: 22% in stop_job, which looked through every run of the pool at each job's end, and the spread of each step was counted over all workers although few steps are bound by it. perf of scripts/measure jobs: 36% in a team's turn and in finding its n-th waiting job, each with three lookups by the pool's name; ends of leases compared identifiers. Change: ranges of a job's and a step's tasks (JobKey::tasks, TaskKey::siblings, in place of three copies); one look through a team's line; leases ordered by time and sequence.

--- a/crates/hyssop-policy/src/job/quota.rs
+++ b/crates/hyssop-policy/src/job/quota.rs
@@ -1,6 +1,7 @@
 use hyssop_config::fleet::Team;
 use hyssop_model::job::Size;
 use hyssop_model::prelude::*;
+use std::ops::Range;
 
 hyssop_model::arena_key!(
     /// Names a team within the scheduler.
@@ -101,15 +102,18 @@
 
     /// Returns the teams with waiting jobs in a pool and their turns, the lowest of which is first.
     pub(crate) fn turns(&self, pool: &str, whole: &Size) -> Vec<(u64, Key)> {
-        let teams = self.lines.get(pool).into_iter().flat_map(BTreeMap::keys);
-        teams
-            .filter_map(|team| Some((self.turn(*team, pool, whole)?, *team)))
+        let lines = self.lines.get(pool).into_iter().flatten();
+        lines
+            .filter_map(|(team, line)| Some((self.turn_of(*team, line, whole)?, *team)))
             .collect()
     }
 
     /// Returns a team's turn in a pool, if it has a waiting job there.
     pub(crate) fn turn(&self, team: Key, pool: &str, whole: &Size) -> Option<u64> {
-        let line = self.lines.get(pool)?.get(&team)?;
+        self.turn_of(team, self.lines.get(pool)?.get(&team)?, whole)
+    }
+
+    fn turn_of(&self, team: Key, line: &Line, whole: &Size) -> Option<u64> {
         let (_, (_, size)) = line.first_key_value()?;
         let empty = Account::default();
         let account = self.accounts.get(&team).unwrap_or(&empty);
@@ -118,11 +122,22 @@
         Some((used.dominant_part(whole) / account.weight * STEPS) as u64)
     }
 
-    /// Returns a team's waiting job number `depth` in a pool, from 0, with its size.
-    pub(crate) fn nth_waiting(&self, team: Key, pool: &str, depth: usize) -> Option<(&str, Size)> {
+    /// Returns the first of a team's waiting jobs in a pool that `is_wanted`, among those of
+    /// `numbers`, counted from 0, with its number and its size.
+    pub(crate) fn first_waiting(
+        &self,
+        team: Key,
+        pool: &str,
+        numbers: Range<usize>,
+        is_wanted: impl Fn(&Size) -> bool,
+    ) -> Option<(usize, &str, Size)> {
         let line = self.lines.get(pool)?.get(&team)?;
-        let (job, size) = line.values().nth(depth)?;
-        Some((job, *size))
+        line.values()
+            .enumerate()
+            .take(numbers.end)
+            .skip(numbers.start)
+            .find(|(_, (_, size))| is_wanted(size))
+            .map(|(number, (job, size))| (number, job.as_str(), *size))
     }
 
     /// Returns the urgent jobs that wait, the oldest first.
--- a/crates/hyssop-policy/src/job/scheduler/mod.rs
+++ b/crates/hyssop-policy/src/job/scheduler/mod.rs
@@ -25,8 +25,9 @@
     urgent_needs: BTreeMap<String, (Size, Instant)>,
     /// The pools in which something became free or began to wait.
     dirty: BTreeSet<String>,
-    /// When to look whether a job's lease is over; one entry a job.
-    lapses: BTreeSet<(Instant, String)>,
+    /// When to look whether a job's lease is over; one entry a job, by its sequence, which compares
+    /// faster than its identifier where many leases end together.
+    lapses: BTreeMap<(Instant, u64), String>,
 }
 
 impl Scheduler {
@@ -43,7 +44,7 @@
             sequence: 0,
             urgent_needs: BTreeMap::new(),
             dirty: BTreeSet::new(),
-            lapses: BTreeSet::new(),
+            lapses: BTreeMap::new(),
         }
     }
 
--- a/crates/hyssop-policy/src/job/scheduler/place.rs
+++ b/crates/hyssop-policy/src/job/scheduler/place.rs
@@ -84,13 +84,15 @@
         let mut turns: BinaryHeap<Reverse<(u64, quota::Key)>> =
             turns.into_iter().map(Reverse).collect();
         while let Some(Reverse((_, team))) = turns.pop() {
-            for depth in 0..DEEPEST_LOOK {
-                let Some((id, size)) = self.quota.nth_waiting(team, pool, depth) else {
+            let mut from = 0;
+            loop {
+                let is_wanted = |size: &Size| !too_large.iter().any(|large| size.holds(large));
+                let found = self
+                    .quota
+                    .first_waiting(team, pool, from..DEEPEST_LOOK, is_wanted);
+                let Some((number, id, size)) = found else {
                     break;
                 };
-                if too_large.iter().any(|large| size.holds(large)) {
-                    continue;
-                }
                 let id = id.to_owned();
                 if self.place(now, wall_ms, &id, out) {
                     // The team's turn is a later one now; the other teams' turns are as they were.
@@ -99,6 +101,7 @@
                     break;
                 }
                 too_large.push(size);
+                from = number + 1;
             }
         }
     }
@@ -150,13 +153,14 @@
         task.worker = Some(worker);
         task.reserved = size;
         task.over_at = Some(over_at);
+        let sequence = task.sequence;
         self.inventory.reserve(worker, &size);
         self.quota.charge(task.team, &size);
         self.on_worker
             .entry(worker)
             .or_default()
             .insert(id.to_owned());
-        self.lapses.insert((over_at, id.to_owned()));
+        self.lapses.insert((over_at, sequence), id.to_owned());
         out.push(Action::Start(record.clone()));
         true
     }
--- a/crates/hyssop-policy/src/job/scheduler/queue.rs
+++ b/crates/hyssop-policy/src/job/scheduler/queue.rs
@@ -39,7 +39,7 @@
             // It was placed by an earlier planner; it may run until its lease is over.
             let over_at = now + self.settings.lease + self.settings.lease_slack;
             task.over_at = Some(over_at);
-            self.lapses.insert((over_at, id.clone()));
+            self.lapses.insert((over_at, task.sequence), id.clone());
             self.tasks.insert(id.clone(), task);
             self.hold(&id);
             return;
--- a/crates/hyssop-policy/src/job/scheduler/report.rs
+++ b/crates/hyssop-policy/src/job/scheduler/report.rs
@@ -169,18 +169,19 @@
     /// Decides on jobs whose lease is certainly over without a word of them.
     pub(super) fn end_lapsed(&mut self, now: Instant, out: &mut Vec<Action>) {
         let mut lapsed: Vec<(String, State)> = Vec::new();
-        while let Some((at, id)) = self.lapses.first().cloned() {
+        while let Some(entry) = self.lapses.first_entry() {
+            let (at, sequence) = *entry.key();
             if at > now {
                 break;
             }
-            self.lapses.pop_first();
+            let id = entry.remove();
             let Some(task) = self.tasks.get(&id) else {
                 continue;
             };
             match task.over_at {
                 // The lease was renewed meanwhile.
                 Some(over_at) if over_at > now => {
-                    self.lapses.insert((over_at, id));
+                    self.lapses.insert((over_at, sequence), id);
                 }
                 Some(_) => lapsed.push((id, task.record.state)),
                 None => {}
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -143,8 +143,8 @@
             return;
         };
         for (worker_key, worker) in &mut self.workers {
-            for (task, run) in &mut worker.runs {
-                if task.job == key && run.stopping_at.is_none() {
+            for (task, run) in worker.runs.range_mut(key.tasks()) {
+                if run.stopping_at.is_none() {
                     run.stopping_at = Some(now);
                     self.actions.push(Action::Stop {
                         worker: *worker_key,
--- a/crates/hyssop-policy/src/owner/budget.rs
+++ b/crates/hyssop-policy/src/owner/budget.rs
@@ -81,15 +81,10 @@
 
     /// Tells whether another task of the step has been ordered to stop and has not ended.
     fn is_sibling_stopping(&self, task: TaskKey) -> bool {
-        let first = TaskKey { index: 0, ..task };
-        let last = TaskKey {
-            index: u32::MAX,
-            ..task
-        };
         self.workers.values().any(|worker| {
             worker
                 .runs
-                .range(first..=last)
+                .range(task.siblings())
                 .any(|(other, run)| *other != task && run.stopping_at.is_some())
         })
     }
@@ -111,13 +106,8 @@
         else {
             return false;
         };
-        let first = TaskKey { index: 0, ..task };
-        let last = TaskKey {
-            index: u32::MAX,
-            ..task
-        };
         self.workers.iter().any(|(other, worker)| {
-            let here = worker.runs.range(first..=last).count() as u32;
+            let here = worker.runs.range(task.siblings()).count() as u32;
             *other != key
                 && worker.takes_tasks(now)
                 && worker.listing.capacity.fits(&worker.used, &step.reserved())
--- a/crates/hyssop-policy/src/owner/place.rs
+++ b/crates/hyssop-policy/src/owner/place.rs
@@ -87,7 +87,12 @@
             return;
         }
         let mut placed: Vec<(TaskKey, WorkerKey)> = Vec::new();
-        let mut per_worker = self.step_spread(first);
+        let is_spread_bound = step.lasts || step.one_rack || step.most_per_worker > 0;
+        let mut per_worker = if is_spread_bound {
+            self.step_spread(first)
+        } else {
+            BTreeMap::new()
+        };
         let needs_advice = self.needs_advice(first);
         for &task in tasks {
             let Some(worker) = self.choose(task, &step, &per_worker, rooms, now) else {
@@ -165,12 +170,7 @@
     fn step_spread(&self, of: TaskKey) -> BTreeMap<WorkerKey, u32> {
         let mut spread = BTreeMap::new();
         for (key, worker) in &self.workers {
-            let first = TaskKey { index: 0, ..of };
-            let last = TaskKey {
-                index: u32::MAX,
-                ..of
-            };
-            let count = worker.runs.range(first..=last).count() as u32;
+            let count = worker.runs.range(of.siblings()).count() as u32;
             if count > 0 {
                 spread.insert(*key, count);
             }
