Lend and switch off idle instances, follow rises; a new holder waits only for what was ordered lately

Change: a pool keeps what it needed in the last 1.5 s with a margin, half of its own size, and one more than its lasting tasks stand on; idle instances beyond that are lent after 0.7 s, switched off after 1.5 s. A rise of need is followed 1 s ahead. Instances ordered lately are a row; only those are barred for a successor. What is expendable is maintained 1.5 s before a wave's end; instances that left are not due; a refused change rests 0.5 s.

--- a/crates/hyssop-edge/src/daemon/configuration.rs
+++ b/crates/hyssop-edge/src/daemon/configuration.rs
@@ -1,4 +1,4 @@
-use crate::node::Node;
+use crate::node::{Node, Notice};
 use crate::store::{follow, Update};
 use hyssop_platform::rows::Row;
 use std::collections::BTreeSet;
@@ -11,9 +11,8 @@
     let parts = || BTreeSet::from([String::new()]);
     let accept = |update| {
         match update {
-            Update::Whole(rows) | Update::Changed(rows) => {
-                rows.iter().for_each(|row| take(&node, row));
-            }
+            Update::Whole(rows) => rows.iter().for_each(|row| take(&node, row, false)),
+            Update::Changed(rows) => rows.iter().for_each(|row| take(&node, row, true)),
         }
         true
     };
@@ -27,12 +26,13 @@
         node.configuration_wanted.notified().await;
         if let Some(page) = node.store.read(table, "").await {
             let rows = page.rows.iter().filter(|row| row.key.key == key);
-            rows.for_each(|row| take(&node, row));
+            rows.for_each(|row| take(&node, row, false));
         }
     }
 }
 
-fn take(node: &Node, row: &Row) {
+/// Takes a row; `is_new` tells that it was written just now.
+fn take(node: &Node, row: &Row, is_new: bool) {
     let (_, key) = node.dialect.configuration_row();
     if row.is_removed {
         return;
@@ -50,6 +50,14 @@
             wave.duration_ms,
             wave.cap
         );
-        node.waves.borrow_mut().insert(wave.number, wave);
+        let duration = Duration::from_millis(wave.duration_ms);
+        let deadline = is_new.then(|| node.clock.now() + duration);
+        let waves = &mut *node.waves.borrow_mut();
+        let known = waves.get(&wave.number).and_then(|notice| notice.deadline);
+        let notice = Notice {
+            deadline: known.or(deadline),
+            wave,
+        };
+        waves.insert(notice.wave.number, notice);
     }
 }
--- a/crates/hyssop-edge/src/fleet/holder.rs
+++ b/crates/hyssop-edge/src/fleet/holder.rs
@@ -15,6 +15,8 @@
 /// The table of the holder's rows.
 const TABLE: &str = "holder";
 const BASE_KEY: &str = "base";
+/// The row of the instances that were ordered to change lately.
+const RECENT_KEY: &str = "recent";
 const CAMPAIGN_PREFIX: &str = "campaign/";
 /// The pause between decisions.
 const TICK: Duration = Duration::from_millis(100);
@@ -36,6 +38,8 @@
     /// The workers that each pool was last told to empty.
     vacating: BTreeMap<String, BTreeSet<String>>,
     stored_base: bool,
+    /// Instances that were ordered to change within the gap between two holders, and when.
+    recent: BTreeMap<String, Duration>,
     stored: BTreeMap<u64, Campaign>,
     reported: BTreeMap<u64, bool>,
 }
@@ -45,20 +49,28 @@
     pub(crate) fn start(node: Rc<Node>, term: u64, committer: Committer) {
         tokio::task::spawn_local(async move {
             let taken_at = node.clock.now();
-            let Some((base, campaigns)) = read(&node).await else {
+            let Some(Stored {
+                base,
+                campaigns,
+                recent,
+            }) = read(&node).await
+            else {
                 return;
             };
             let mut holder = Self {
                 stored_base: !base.is_empty(),
                 stored: campaigns.clone(),
                 fleet: RefCell::new(Fleet::new(Settings::default(), base, campaigns)),
+                recent: BTreeMap::new(),
                 node,
                 term,
                 committer,
                 vacating: BTreeMap::new(),
                 reported: BTreeMap::new(),
             };
-            holder.run(taken_at).await;
+            let until = taken_at + holder.gap();
+            holder.fleet.borrow_mut().bar(recent, until);
+            holder.run().await;
         });
     }
 
@@ -71,17 +83,15 @@
             && !self.node.is_stopping.get()
     }
 
-    async fn run(&mut self, taken_at: Duration) {
-        // The earlier holder's orders and this one's keep the platform's distance.
-        let gap = if self.term > 1 {
-            self.node.tuning.holder_gap + GAP_SLACK
-        } else {
-            Duration::ZERO
-        };
+    /// Returns the least time between the orders of two holders to one instance.
+    fn gap(&self) -> Duration {
+        self.node.tuning.holder_gap + GAP_SLACK
+    }
+
+    async fn run(&mut self) {
         while self.is_current() {
             tokio::time::sleep(TICK).await;
-            let now = self.node.clock.now();
-            if !self.look().await || now < taken_at + gap {
+            if !self.look().await {
                 continue;
             }
             let decision = {
@@ -115,8 +125,8 @@
             let fleet = &mut *self.fleet.borrow_mut();
             fleet.set_spare(spare);
             fleet.list(instances, asked_at);
-            for wave in self.node.waves.borrow().values() {
-                fleet.take_wave(wave, asked_at);
+            for notice in self.node.waves.borrow().values() {
+                fleet.take_wave(&notice.wave, notice.deadline);
             }
         }
         let asked = configuration
@@ -213,6 +223,16 @@
             transaction.writes.push((key, value));
         }
         let asked_at = self.node.clock.now();
+        let gap = self.gap();
+        self.recent
+            .retain(|_, ordered_at| asked_at.saturating_sub(*ordered_at) < gap);
+        // An order may leave this much later than it is announced here.
+        let latest = asked_at + CALL_TIMEOUT;
+        let announced = changes.iter().map(|change| change.instance().to_owned());
+        self.recent.extend(announced.map(|name| (name, latest)));
+        let names: BTreeSet<&String> = self.recent.keys().collect();
+        let key = Key::new(TABLE, FLEET, RECENT_KEY);
+        transaction.writes.push((key, encode(&names)));
         let until = asked_at + CALL_TIMEOUT;
         let clock = self.node.clock.clone();
         let gives_up = move || clock.now() >= until;
@@ -274,7 +294,7 @@
             }
             // Without an answer it may be under way; the list will show.
             (Some(dialect::Change::Done) | None, _) => {}
-            (Some(_), _) => fleet.note_refused(change.instance()),
+            (Some(_), _) => fleet.note_refused(change.instance(), self.node.clock.now()),
         }
     }
 
@@ -292,21 +312,14 @@
     /// Stores how far waves have come, and tells the operators.
     async fn report_waves(&mut self) {
         let campaigns = self.fleet.borrow().campaigns().clone();
-        if campaigns == self.stored {
-            return;
-        }
-        let mut transaction = Transaction::default();
-        for (number, campaign) in &campaigns {
-            if self.stored.get(number) != Some(campaign) {
-                let key = Key::new(TABLE, FLEET, &format!("{CAMPAIGN_PREFIX}{number}"));
-                transaction.writes.push((key, encode(campaign)));
-            }
-        }
-        if self.committer.commit(transaction, || false).await != Verdict::Done {
+        if campaigns != self.stored && !self.store_campaigns(&campaigns).await {
             return;
         }
-        for (number, campaign) in &campaigns {
-            let is_done = campaign.is_done();
+        for number in campaigns.keys() {
+            let is_done = {
+                let now = self.node.clock.now();
+                self.fleet.borrow().is_over(*number, now)
+            };
             if self.reported.get(number) == Some(&is_done) {
                 continue;
             }
@@ -321,12 +334,35 @@
                 self.reported.insert(*number, is_done);
             }
         }
-        self.stored = campaigns;
     }
+
+    /// Stores how far waves have come; returns whether the store has it.
+    async fn store_campaigns(&mut self, campaigns: &BTreeMap<u64, Campaign>) -> bool {
+        let mut transaction = Transaction::default();
+        for (number, campaign) in campaigns {
+            if self.stored.get(number) != Some(campaign) {
+                let key = Key::new(TABLE, FLEET, &format!("{CAMPAIGN_PREFIX}{number}"));
+                transaction.writes.push((key, encode(campaign)));
+            }
+        }
+        let is_stored = self.committer.commit(transaction, || false).await == Verdict::Done;
+        if is_stored {
+            self.stored.clone_from(campaigns);
+        }
+        is_stored
+    }
+}
+
+/// Is what an earlier holder stored.
+#[derive(Default)]
+struct Stored {
+    base: BTreeMap<String, usize>,
+    campaigns: BTreeMap<u64, Campaign>,
+    recent: BTreeSet<String>,
 }
 
 /// Reads what an earlier holder stored.
-async fn read(node: &Rc<Node>) -> Option<(BTreeMap<String, usize>, BTreeMap<u64, Campaign>)> {
+async fn read(node: &Rc<Node>) -> Option<Stored> {
     const PAUSE: Duration = Duration::from_millis(150);
     let page = loop {
         if node.is_stopping.get() {
@@ -337,17 +373,18 @@
             None => tokio::time::sleep(PAUSE).await,
         }
     };
-    let mut base = BTreeMap::new();
-    let mut campaigns = BTreeMap::new();
+    let mut stored = Stored::default();
     for row in page.rows {
         if row.key.key == BASE_KEY {
-            base = ciborium::from_reader(row.value.as_slice()).unwrap_or_default();
+            stored.base = ciborium::from_reader(row.value.as_slice()).unwrap_or_default();
+        } else if row.key.key == RECENT_KEY {
+            stored.recent = ciborium::from_reader(row.value.as_slice()).unwrap_or_default();
         } else if let Some(number) = row.key.key.strip_prefix(CAMPAIGN_PREFIX) {
             let campaign = ciborium::from_reader(row.value.as_slice());
             if let (Ok(number), Ok(campaign)) = (number.parse(), campaign) {
-                campaigns.insert(number, campaign);
+                stored.campaigns.insert(number, campaign);
             }
         }
     }
-    Some((base, campaigns))
+    Some(stored)
 }
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -1,10 +1,10 @@
-use super::{Clock, Member, Ownership};
+use super::{Clock, Member, Notice, Ownership};
 use crate::http::Client;
 use crate::metric::Metrics;
 use crate::peer::{Answer, Ask, Link, Standing};
 use crate::pool::Runner;
 use crate::store::Store;
-use hyssop_model::work::{Configuration, Wave};
+use hyssop_model::work::Configuration;
 use hyssop_platform::dialect::Dialect;
 use hyssop_policy::owner::Settings;
 use std::cell::{Cell, RefCell};
@@ -48,7 +48,7 @@
     pub(crate) store: Store,
     pub(crate) metrics: Metrics,
     pub(crate) configuration: RefCell<Rc<Configuration>>,
-    pub(crate) waves: RefCell<BTreeMap<u64, Wave>>,
+    pub(crate) waves: RefCell<BTreeMap<u64, Notice>>,
     pub(crate) members: RefCell<BTreeMap<String, Member>>,
     pub(crate) owners: RefCell<BTreeMap<String, Ownership>>,
     pub(crate) runners: RefCell<BTreeMap<String, Rc<Runner>>>,
--- a/crates/hyssop-edge/src/node/mod.rs
+++ b/crates/hyssop-edge/src/node/mod.rs
@@ -2,8 +2,10 @@
 
 mod clock;
 mod context;
+mod notice;
 mod owner;
 
 pub(crate) use clock::Clock;
 pub(crate) use context::{Node, Tuning, FLEET};
+pub(crate) use notice::Notice;
 pub(crate) use owner::{Member, Ownership};
--- a/crates/hyssop-policy/src/fleet/maintain.rs
+++ b/crates/hyssop-policy/src/fleet/maintain.rs
@@ -1,4 +1,4 @@
-use super::{Change, Decision, Fleet};
+use super::{Campaign, Change, Decision, Fleet};
 use hyssop_model::work::{Condition, Instance};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -37,7 +37,7 @@
                 .filter(|instance| self.is_up(instance))
                 .filter(|instance| !decision.touches(instance))
                 .collect();
-            let is_urgent = self.is_urgent(due.len(), campaign.cap, campaign.deadline, now);
+            let is_urgent = self.is_urgent(due.len(), campaign, now);
             let mut emptying = self.away();
             let mut ranked: Vec<(Cost, &Instance)> = due
                 .into_iter()
@@ -63,7 +63,12 @@
                 *away += 1;
                 free -= 1;
                 decision.empty(instance);
-                if self.is_empty(instance, now) {
+                let is_last = campaign
+                    .deadline
+                    .is_some_and(|deadline| now + self.settings.last >= deadline);
+                let is_ready =
+                    self.is_empty(instance, now) || (is_last && self.is_expendable(instance, now));
+                if is_ready && self.may_change(instance, now) {
                     decision.changes.push(Change::Maintain {
                         instance: instance.name.clone(),
                         wave: number,
@@ -105,8 +110,13 @@
     }
 
     /// Tells whether the wave's time is short for what is left of it.
-    fn is_urgent(&self, left: usize, cap: u32, deadline: Duration, now: Duration) -> bool {
-        let rounds = left.div_ceil(cap.max(1) as usize) as u32;
+    ///
+    /// A wave of unknown age is.
+    fn is_urgent(&self, left: usize, campaign: &Campaign, now: Duration) -> bool {
+        let Some(deadline) = campaign.deadline else {
+            return true;
+        };
+        let rounds = left.div_ceil(campaign.cap.max(1) as usize) as u32;
         let need = self.settings.turn * rounds + self.settings.reserve;
         now + need >= deadline
     }
@@ -126,6 +136,13 @@
         })
     }
 
+    /// Tells whether what runs on an instance that is being emptied is only delayed by losing it:
+    /// its tasks start again elsewhere, and none of them lasts.
+    fn is_expendable(&self, instance: &Instance, now: Duration) -> bool {
+        self.load(instance, now)
+            .is_some_and(|load| load.is_vacating && load.lasting == 0)
+    }
+
     /// Tells whether nothing runs on an instance and nothing new is given to it.
     pub(super) fn is_empty(&self, instance: &Instance, now: Duration) -> bool {
         if self.spare.contains(&instance.pool) || instance.worker.is_none() {
--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! no call and reads no clock.
 
 mod maintain;
+mod need;
 mod settings;
 mod supply;
 mod tracking;
@@ -52,12 +53,20 @@
     /// The pools whose instances are switched off.
     spare: BTreeSet<String>,
     instances: BTreeMap<String, Instance>,
-    /// The size that each pool has by itself; it is never moved below.
+    /// The size that each pool has by itself.
     base: BTreeMap<String, usize>,
     demands: BTreeMap<String, (Duration, Demand)>,
+    needs: BTreeMap<String, need::Need>,
     campaigns: BTreeMap<u64, Campaign>,
     /// Changes that were ordered and do not show in the list yet, with the time of the order.
     ordered: BTreeMap<String, (Duration, Change)>,
+    /// Instances of waves that the platform's list does not name, and since when.
+    absent: BTreeMap<String, Duration>,
+    /// Until when instances are not ordered again whose changes the platform refused.
+    refused: BTreeMap<String, Duration>,
+    /// Instances that an earlier holder may have ordered to change lately, with the time until when
+    /// they are left alone.
+    barred: BTreeMap<String, Duration>,
     /// Instances without work, with the time since when.
     idle_since: BTreeMap<String, Duration>,
 }
@@ -75,8 +84,12 @@
             instances: BTreeMap::new(),
             base,
             demands: BTreeMap::new(),
+            needs: BTreeMap::new(),
             campaigns,
             ordered: BTreeMap::new(),
+            absent: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            barred: BTreeMap::new(),
             idle_since: BTreeMap::new(),
         }
     }
@@ -91,6 +104,13 @@
         &self.campaigns
     }
 
+    /// Leaves instances alone until `until`: the orders of two holders to one instance keep the
+    /// platform's distance.
+    pub fn bar(&mut self, instances: impl IntoIterator<Item = String>, until: Duration) {
+        let barred = instances.into_iter().map(|instance| (instance, until));
+        self.barred.extend(barred);
+    }
+
     /// Names the spare pools.
     pub fn set_spare(&mut self, spare: BTreeSet<String>) {
         self.spare = spare;
@@ -107,6 +127,13 @@
                 *self.base.entry(instance.pool.clone()).or_insert(0) += 1;
             }
         }
+        for name in self.campaigns.values().flat_map(|wave| &wave.instances) {
+            if self.instances.contains_key(name) {
+                self.absent.remove(name);
+            } else {
+                self.absent.entry(name.clone()).or_insert(asked_at);
+            }
+        }
         // An order shows in a list that was asked for well after it.
         let show = self.settings.show;
         let instances = &self.instances;
@@ -127,16 +154,22 @@
                 self.idle_since.remove(&load.instance);
             }
         }
+        self.needs
+            .entry(demand.pool.clone())
+            .or_default()
+            .note(now, demand.waiting.cpu + demand.running.cpu);
         self.demands.insert(demand.pool.clone(), (now, demand));
     }
 
-    /// Takes a wave that was first seen at `now`.
-    pub fn take_wave(&mut self, wave: &Wave, now: Duration) {
+    /// Takes a wave, with the time by which the maintenance of all must have begun, where it is
+    /// known.
+    pub fn take_wave(&mut self, wave: &Wave, deadline: Option<Duration>) {
         let campaign = self
             .campaigns
             .entry(wave.number)
-            .or_insert_with(|| Campaign::new(wave, now));
+            .or_insert_with(|| Campaign::new(wave));
         campaign.cap = wave.cap;
+        campaign.deadline = deadline.or(campaign.deadline);
     }
 
     /// Notes that a change was ordered; its effect shows in the list later.
@@ -147,8 +180,23 @@
     }
 
     /// Notes that the platform will not carry a change out now.
-    pub fn note_refused(&mut self, instance: &str) {
+    pub fn note_refused(&mut self, instance: &str, now: Duration) {
         self.ordered.remove(instance);
+        let until = now + self.settings.retry_pause;
+        self.refused.insert(instance.to_owned(), until);
+    }
+
+    /// Tells whether a wave is over: the maintenance of each of its instances has begun, or the
+    /// instance has left the fleet.
+    pub fn is_over(&self, wave: u64, now: Duration) -> bool {
+        let has_left = |name: &String| {
+            self.absent
+                .get(name)
+                .is_some_and(|since| now.saturating_sub(*since) >= self.settings.left)
+        };
+        self.campaigns
+            .get(&wave)
+            .is_some_and(|campaign| campaign.due().all(has_left))
     }
 
     /// Returns the pool and the worker of an instance, where it has a worker in a pool at work.
@@ -184,6 +232,13 @@
             .find(|load| load.instance == instance.name)
     }
 
+    /// Tells whether this holder may order an instance to change.
+    fn may_change(&self, instance: &Instance, now: Duration) -> bool {
+        [&self.barred, &self.refused]
+            .iter()
+            .all(|held| held.get(&instance.name).is_none_or(|until| now >= *until))
+    }
+
     fn is_up(&self, instance: &Instance) -> bool {
         instance.condition == Condition::Up && !self.ordered.contains_key(&instance.name)
     }
--- a/crates/hyssop-policy/src/fleet/supply.rs
+++ b/crates/hyssop-policy/src/fleet/supply.rs
@@ -14,6 +14,7 @@
             .instances
             .values()
             .filter(|instance| self.spare.contains(&instance.pool) && self.is_up(instance))
+            .filter(|instance| self.may_change(instance, now))
             .filter(|instance| !decision.touches(instance))
             .collect();
         let surplus = self.surplus(now, decision);
@@ -29,7 +30,12 @@
                 });
             }
         }
-        for (instance, idle) in surplus {
+        for (instance, idle, is_own) in surplus {
+            let rest = if is_own {
+                self.settings.rest
+            } else {
+                self.settings.idle
+            };
             let target = wanted
                 .iter_mut()
                 .find(|(pool, count)| *count > 0 && *pool != instance.pool);
@@ -38,14 +44,14 @@
                     *count -= 1;
                     pool.clone()
                 }
-                None if idle >= self.settings.idle => match self.spare.first() {
+                None if idle >= rest => match self.spare.first() {
                     Some(spare) => spare.clone(),
                     None => continue,
                 },
                 None => continue,
             };
             decision.empty(instance);
-            if self.is_empty(instance, now) {
+            if self.is_empty(instance, now) && self.may_change(instance, now) {
                 decision.changes.push(Change::Move {
                     instance: instance.name.clone(),
                     pool,
@@ -61,15 +67,12 @@
             .keys()
             .filter_map(|pool| {
                 let demand = self.demand(pool, now)?;
-                let one = self
-                    .instances
-                    .values()
-                    .find(|instance| instance.pool == *pool)
-                    .map_or(0, |instance| instance.capacity.cpu)
-                    .max(1);
-                let incoming = self.incoming(pool);
-                let count = demand.waiting.cpu.div_ceil(one) as usize;
-                Some((pool.clone(), count.saturating_sub(incoming)))
+                let one = self.one(pool);
+                let waiting = demand.waiting.cpu.div_ceil(one) as usize;
+                let need = self.needs.get(pool)?.forecast(self.settings.ahead);
+                let rising = need.saturating_sub(self.capacity(pool, now)).div_ceil(one) as usize;
+                let count = waiting.saturating_sub(self.incoming(pool)).max(rising);
+                Some((pool.clone(), count))
             })
             .filter(|(_, count)| *count > 0)
             .collect();
@@ -77,6 +80,48 @@
         wanted
     }
 
+    /// Returns what one instance of a pool holds, in thousandths of a core.
+    fn one(&self, pool: &str) -> u64 {
+        self.instances
+            .values()
+            .find(|instance| instance.pool == pool)
+            .map_or(0, |instance| instance.capacity.cpu)
+            .max(1)
+    }
+
+    /// Returns what the instances that are in a pool, or on their way there, hold; those that are
+    /// down or do not answer do not count.
+    fn capacity(&self, pool: &str, now: Duration) -> u64 {
+        self.instances
+            .values()
+            .filter(|instance| match self.ordered.get(&instance.name) {
+                Some((_, Change::Move { pool: target, .. })) => target == pool,
+                Some((_, Change::Maintain { .. })) => false,
+                None => {
+                    instance.pool == pool
+                        && matches!(instance.condition, Condition::Up | Condition::Moving)
+                        && self.load(instance, now).is_none_or(|load| load.is_sound)
+                }
+            })
+            .map(|instance| instance.capacity.cpu)
+            .sum()
+    }
+
+    /// Returns how many instances a pool keeps for what it has asked for lately and for its
+    /// lasting tasks.
+    fn kept(&self, pool: &str, now: Duration) -> usize {
+        let since = now.saturating_sub(self.settings.rest);
+        let need = self
+            .needs
+            .get(pool)
+            .map_or(0, |need| need.most_since(since));
+        let for_need = (need as f64 * self.settings.margin / self.one(pool) as f64).ceil() as usize;
+        let spread = self.demand(pool, now).map_or(0, |demand| demand.spread) as usize;
+        let own = self.base.get(pool).copied().unwrap_or(0);
+        let least = ((own as f64 * self.settings.kept).ceil() as usize).max(spread + 1);
+        for_need.max(least)
+    }
+
     /// Counts the instances on their way into a pool.
     fn incoming(&self, pool: &str) -> usize {
         self.instances
@@ -90,7 +135,7 @@
 
     /// Returns instances beyond their pools' own sizes that have no work, and since when; as many
     /// of a pool as it is over.
-    fn surplus(&self, now: Duration, decision: &Decision) -> Vec<(&Instance, Duration)> {
+    fn surplus(&self, now: Duration, decision: &Decision) -> Vec<(&Instance, Duration, bool)> {
         let mut surplus = Vec::new();
         for (pool, base) in &self.base {
             if self.spare.contains(pool) {
@@ -102,7 +147,9 @@
             if demand.waiting.cpu > 0 {
                 continue;
             }
-            let over = self.size(pool).saturating_sub(*base);
+            let size = self.size(pool);
+            let over = size.saturating_sub(self.kept(pool, now).min(*base));
+            let beyond = size.saturating_sub(*base);
             let mut idle: Vec<(&Instance, Duration)> = self
                 .instances
                 .values()
@@ -116,7 +163,12 @@
                 })
                 .collect();
             idle.sort_by(|(a, x), (b, y)| y.cmp(x).then(a.name.cmp(&b.name)));
-            surplus.extend(idle.into_iter().take(over));
+            surplus.extend(idle.into_iter().take(over).enumerate().filter_map(
+                |(number, (instance, idle))| {
+                    let is_own = number >= beyond;
+                    (!is_own || idle >= self.settings.lend).then_some((instance, idle, is_own))
+                },
+            ));
         }
         surplus
     }
--- a/crates/hyssop-policy/src/fleet/tracking.rs
+++ b/crates/hyssop-policy/src/fleet/tracking.rs
@@ -12,18 +12,19 @@
     pub cap: u32,
     /// Those whose maintenance has begun.
     pub begun: BTreeSet<String>,
-    /// When all must have been maintained, on the holder's clock; not stored.
+    /// When the maintenance of all must have begun, on the holder's clock; `None` where it is not
+    /// known, since this process started after the wave came. Not stored.
     #[serde(skip)]
-    pub deadline: Duration,
+    pub deadline: Option<Duration>,
 }
 
 impl Campaign {
-    pub(super) fn new(wave: &Wave, now: Duration) -> Self {
+    pub(super) fn new(wave: &Wave) -> Self {
         Self {
             instances: wave.instances.iter().cloned().collect(),
             cap: wave.cap,
             begun: BTreeSet::new(),
-            deadline: now + Duration::from_millis(wave.duration_ms),
+            deadline: None,
         }
     }
 
@@ -31,9 +32,4 @@
     pub fn due(&self) -> impl Iterator<Item = &String> {
         self.instances.difference(&self.begun)
     }
-
-    /// Tells whether the maintenance of every instance has begun.
-    pub fn is_done(&self) -> bool {
-        self.due().next().is_none()
-    }
 }
--- a/crates/hyssop-policy/src/owner/capacity.rs
+++ b/crates/hyssop-policy/src/owner/capacity.rs
@@ -16,6 +16,8 @@
     pub running: Resources,
     /// What the workers that take tasks hold in all.
     pub room: Resources,
+    /// The most workers that the lasting tasks of one step have to stand on.
+    pub spread: u32,
     /// The workers.
     pub loads: Vec<Load>,
 }
@@ -50,6 +52,7 @@
         for (_, step) in self.waiting_tasks() {
             demand.waiting.add(&step.reserved());
         }
+        demand.spread = self.spread();
         for worker in self.workers.values().filter(|worker| worker.is_listed) {
             demand.running.add(&worker.used);
             if worker.takes_tasks(now) {
@@ -77,4 +80,17 @@
         }
         demand
     }
+
+    /// Returns the most workers that the lasting tasks of one step of an open job have to stand on.
+    fn spread(&self) -> u32 {
+        self.open
+            .iter()
+            .filter_map(|key| self.jobs.get(key))
+            .filter(|job| !job.phase.is_final())
+            .flat_map(|job| &job.submission.steps)
+            .filter(|step| step.lasts && step.most_per_worker > 0)
+            .map(|step| step.count.div_ceil(step.most_per_worker))
+            .max()
+            .unwrap_or(0)
+    }
 }
