--- a/crates/hyssop-policy/src/owner/budget.rs
+++ b/crates/hyssop-policy/src/owner/budget.rs
@@ -1,5 +1,6 @@
 use super::job::State;
 use super::{Owner, TaskKey, WorkerKey};
+use hyssop_model::work::Step;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -71,10 +72,18 @@
                 }
                 continue;
             }
+            for &task in &tasks {
+                if self.is_beyond_budget(task, &tasks)
+                    && self.may_interrupt(task, None, now)
+                    && self.has_room_beside(key, task, now)
+                {
+                    self.stop_task(key, task, now);
+                }
+            }
             let may_clear = !tasks.is_empty()
                 && tasks.iter().all(|task| {
                     self.lasts(*task)
-                        && self.may_interrupt(*task, key, now)
+                        && self.may_interrupt(*task, Some(key), now)
                         && self.has_room_beside(key, *task, now)
                 });
             if let Some(worker) = self.workers.get_mut(&key).filter(|_| may_clear) {
@@ -90,6 +99,20 @@
         }
     }
 
+    /// Returns the steps of lasting tasks that are to leave their workers and that no other worker
+    /// has room for.
+    pub(super) fn unmovable(&self, now: Duration) -> impl Iterator<Item = &Step> {
+        self.workers
+            .iter()
+            .filter(move |(_, worker)| worker.is_vacating(now))
+            .flat_map(|(key, worker)| worker.runs.keys().map(|task| (*key, *task)))
+            .filter(move |(key, task)| self.lasts(*task) && !self.has_room_beside(*key, *task, now))
+            .filter_map(|(_, task)| {
+                let steps = &self.jobs.get(&task.job)?.submission.steps;
+                steps.get(task.step as usize)
+            })
+    }
+
     fn lasts(&self, task: TaskKey) -> bool {
         self.jobs
             .get(&task.job)
@@ -97,9 +120,24 @@
             .is_some_and(|step| step.lasts)
     }
 
-    /// Tells whether a lasting task may be interrupted with all others of its step on `key`: they
-    /// and those that are away are no more than the budget allows.
-    fn may_interrupt(&self, task: TaskKey, key: WorkerKey, now: Duration) -> bool {
+    /// Tells whether more lasting tasks of a step are among `tasks`, which run on one worker, than
+    /// may be away at a time, so that they can't be interrupted together.
+    fn is_beyond_budget(&self, task: TaskKey, tasks: &[TaskKey]) -> bool {
+        let step = self
+            .jobs
+            .get(&task.job)
+            .and_then(|job| job.submission.steps.get(task.step as usize))
+            .filter(|step| step.lasts);
+        let here = tasks
+            .iter()
+            .filter(|other| task.siblings().contains(other))
+            .count();
+        step.is_some_and(|step| here > step.may_miss.unwrap_or(1) as usize)
+    }
+
+    /// Tells whether a lasting task may be interrupted, with all others of its step on the worker
+    /// `with`: they and those that are away are no more than the budget allows.
+    fn may_interrupt(&self, task: TaskKey, with: Option<WorkerKey>, now: Duration) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
@@ -111,7 +149,10 @@
         };
         let away = (0..stage.tasks.len() as u32)
             .map(|index| TaskKey { index, ..task })
-            .filter(|&other| self.holder(other) == Some(key) || !self.is_serving(other, now))
+            .filter(|&other| {
+                let is_with = with.is_some() && self.holder(other) == with;
+                other == task || is_with || !self.is_serving(other, now)
+            })
             .count() as u32;
         away <= step.may_miss.unwrap_or(1)
     }
--- a/crates/hyssop-policy/src/owner/capacity.rs
+++ b/crates/hyssop-policy/src/owner/capacity.rs
@@ -10,7 +10,8 @@
     pub pool: String,
     /// The owner's term.
     pub term: u64,
-    /// What tasks need whose turn has come and that no worker has room for.
+    /// What tasks need whose turn has come and that no worker has room for, and lasting tasks that
+    /// are to move and can't.
     pub waiting: Resources,
     /// What runs reserve.
     pub running: Resources,
@@ -56,6 +57,9 @@
         for (_, step) in self.waiting_tasks() {
             demand.waiting.add(&step.reserved());
         }
+        for step in self.unmovable(now) {
+            demand.waiting.add(&step.reserved());
+        }
         (demand.spread, demand.movable) = self.lasting_bounds();
         for worker in self.workers.values().filter(|worker| worker.is_listed) {
             demand.running.add(&worker.used);
