--- a/crates/hyssop-edge/src/fleet/holder.rs
+++ b/crates/hyssop-edge/src/fleet/holder.rs
@@ -1,3 +1,5 @@
+use super::stored::{read, Stored};
+use super::{BASE_KEY, RECENT_KEY, TABLE};
 use crate::http::Lane;
 use crate::node::{Node, FLEET};
 use crate::peer::{Answer, Ask};
@@ -12,12 +14,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The table of the holder's rows.
-const TABLE: &str = "holder";
-const BASE_KEY: &str = "base";
-/// The row of the instances that were ordered to change lately.
-const RECENT_KEY: &str = "recent";
-const CAMPAIGN_PREFIX: &str = "campaign/";
 /// The pause between decisions.
 const TICK: Duration = Duration::from_millis(100);
 /// Beyond the platform's gap between two holders: clocks differ by less.
@@ -35,12 +31,12 @@
 
 /// Moves and maintains instances during one term.
 pub(crate) struct Holder {
-    node: Rc<Node>,
+    pub(super) node: Rc<Node>,
     term: u64,
-    fleet: RefCell<Fleet>,
+    pub(super) fleet: RefCell<Fleet>,
     /// When the pools were last asked.
     looked_at: Duration,
-    committer: Committer,
+    pub(super) committer: Committer,
     /// The workers that each pool was last told to empty.
     vacating: BTreeMap<String, BTreeSet<String>>,
     /// The workers that each pool was last told are due for maintenance, and when.
@@ -48,8 +44,8 @@
     stored_base: bool,
     /// Instances that were ordered to change within the gap between two holders, and when.
     recent: BTreeMap<String, Duration>,
-    stored: BTreeMap<u64, Campaign>,
-    reported: BTreeMap<u64, bool>,
+    pub(super) stored: BTreeMap<u64, Campaign>,
+    pub(super) reported: BTreeMap<u64, bool>,
 }
 
 impl Holder {
@@ -351,83 +347,4 @@
             let _ = self.ask(Ask::Ended { part, workers }).await;
         }
     }
-
-    /// Stores how far waves have come, and tells the operators.
-    async fn report_waves(&mut self) {
-        let campaigns = self.fleet.borrow().campaigns().clone();
-        if campaigns != self.stored && !self.store_campaigns(&campaigns).await {
-            return;
-        }
-        for number in campaigns.keys() {
-            let is_done = {
-                let now = self.node.clock.now();
-                self.fleet.borrow().is_over(*number, now)
-            };
-            if self.reported.get(number) == Some(&is_done) {
-                continue;
-            }
-            let (key, value) = self.node.dialect.wave_status(*number, is_done);
-            let table = self.node.dialect.status_table();
-            let status = Transaction {
-                writes: vec![(Key::new(table, "", &key), value)],
-                ..Transaction::default()
-            };
-            if self.node.store.commit(&status).await.is_ok() {
-                log::info!("event=wave-reported wave={number} done={is_done}");
-                self.reported.insert(*number, is_done);
-            }
-        }
-    }
-
-    /// Stores how far waves have come; returns whether the store has it.
-    async fn store_campaigns(&mut self, campaigns: &BTreeMap<u64, Campaign>) -> bool {
-        let mut transaction = Transaction::default();
-        for (number, campaign) in campaigns {
-            if self.stored.get(number) != Some(campaign) {
-                let key = Key::new(TABLE, FLEET, &format!("{CAMPAIGN_PREFIX}{number}"));
-                transaction.writes.push((key, encode(campaign)));
-            }
-        }
-        let is_stored = self.committer.commit(transaction, || false).await == Verdict::Done;
-        if is_stored {
-            self.stored.clone_from(campaigns);
-        }
-        is_stored
-    }
-}
-
-/// Is what an earlier holder stored.
-#[derive(Default)]
-struct Stored {
-    base: BTreeMap<String, usize>,
-    campaigns: BTreeMap<u64, Campaign>,
-    recent: BTreeSet<String>,
-}
-
-/// Reads what an earlier holder stored.
-async fn read(node: &Rc<Node>) -> Option<Stored> {
-    const PAUSE: Duration = Duration::from_millis(150);
-    let page = loop {
-        if node.is_stopping.get() {
-            return None;
-        }
-        match node.store.read(TABLE, FLEET).await {
-            Some(page) => break page,
-            None => tokio::time::sleep(PAUSE).await,
-        }
-    };
-    let mut stored = Stored::default();
-    for row in page.rows {
-        if row.key.key == BASE_KEY {
-            stored.base = ciborium::from_reader(row.value.as_slice()).unwrap_or_default();
-        } else if row.key.key == RECENT_KEY {
-            stored.recent = ciborium::from_reader(row.value.as_slice()).unwrap_or_default();
-        } else if let Some(number) = row.key.key.strip_prefix(CAMPAIGN_PREFIX) {
-            let campaign = ciborium::from_reader(row.value.as_slice());
-            if let (Ok(number), Ok(campaign)) = (number.parse(), campaign) {
-                stored.campaigns.insert(number, campaign);
-            }
-        }
-    }
-    Some(stored)
 }
--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! waves, each with the time; it returns the workers to empty and the changes to order. It makes
 //! no call and reads no clock.
 
+mod heard;
 mod maintain;
 mod need;
 mod settings;
@@ -55,7 +56,7 @@
     instances: BTreeMap<String, Instance>,
     /// The size that each pool has by itself.
     base: BTreeMap<String, usize>,
-    demands: BTreeMap<String, (Duration, Demand)>,
+    heard: BTreeMap<String, heard::Heard>,
     needs: BTreeMap<String, need::Need>,
     campaigns: BTreeMap<u64, Campaign>,
     /// Changes that were ordered and do not show in the list yet, with the time of the order.
@@ -83,7 +84,7 @@
             spare: BTreeSet::new(),
             instances: BTreeMap::new(),
             base,
-            demands: BTreeMap::new(),
+            heard: BTreeMap::new(),
             needs: BTreeMap::new(),
             campaigns,
             ordered: BTreeMap::new(),
@@ -158,7 +159,8 @@
             .entry(demand.pool.clone())
             .or_default()
             .note(now, demand.waiting.cpu + demand.running.cpu);
-        self.demands.insert(demand.pool.clone(), (now, demand));
+        self.heard
+            .insert(demand.pool.clone(), heard::Heard::new(demand, now));
     }
 
     /// Takes a wave, with the time by which the maintenance of all must have begun, where it is
@@ -216,20 +218,20 @@
         decision
     }
 
-    /// Returns a pool's demand while it is fresh enough to act on.
-    fn demand(&self, pool: &str, now: Duration) -> Option<&Demand> {
-        self.demands
+    /// Returns what a pool said last while it is fresh enough to act on.
+    fn fresh(&self, pool: &str, now: Duration) -> Option<&heard::Heard> {
+        self.heard
             .get(pool)
-            .filter(|(at, _)| now.saturating_sub(*at) <= self.settings.fresh)
-            .map(|(_, demand)| demand)
+            .filter(|heard| now.saturating_sub(heard.at) <= self.settings.fresh)
+    }
+
+    fn demand(&self, pool: &str, now: Duration) -> Option<&Demand> {
+        self.fresh(pool, now).map(|heard| &heard.demand)
     }
 
     /// Returns what the worker on an instance is doing.
     fn load(&self, instance: &Instance, now: Duration) -> Option<&Load> {
-        self.demand(&instance.pool, now)?
-            .loads
-            .iter()
-            .find(|load| load.instance == instance.name)
+        self.fresh(&instance.pool, now)?.loads.get(&instance.name)
     }
 
     /// Tells whether this holder may order an instance to change.
--- a/crates/hyssop-policy/src/fleet/supply.rs
+++ b/crates/hyssop-policy/src/fleet/supply.rs
@@ -2,12 +2,20 @@
 use hyssop_model::work::{Condition, Instance};
 use std::time::Duration;
 
+/// Is an idle instance that its pool can do without.
+struct Surplus<'a> {
+    instance: &'a Instance,
+    /// Whether it has been idle for so long that it is switched off.
+    is_rested: bool,
+}
+
 impl Fleet {
     /// Moves instances where callers wait, and sends back what stays idle.
     ///
     /// The load that this answers: each queue in turn asks several times what its pool holds.
-    /// The spare instances follow whoever waits; no pool is moved below its own size, since
-    /// instances that go to and fro between pools cost more than they bring.
+    /// Spare instances and those that idle pools can do without follow whoever waits or is about to;
+    /// what nobody wants is switched off. A pool keeps what it needed lately, so that instances do
+    /// not go to and fro with every job.
     pub(super) fn supply(&self, now: Duration, decision: &mut Decision) {
         let mut wanted = self.wanted(now);
         let mut free: Vec<&Instance> = self
@@ -30,12 +38,11 @@
                 });
             }
         }
-        for (instance, idle, is_own) in surplus {
-            let rest = if is_own {
-                self.settings.rest
-            } else {
-                self.settings.idle
-            };
+        for Surplus {
+            instance,
+            is_rested,
+        } in surplus
+        {
             let target = wanted
                 .iter_mut()
                 .find(|(pool, count)| *count > 0 && *pool != instance.pool);
@@ -44,7 +51,7 @@
                     *count -= 1;
                     pool.clone()
                 }
-                None if idle >= rest => match self.spare.first() {
+                None if is_rested => match self.spare.first() {
                     Some(spare) => spare.clone(),
                     None => continue,
                 },
@@ -63,7 +70,7 @@
     /// Returns how many more instances each pool could use, the most in want first.
     fn wanted(&self, now: Duration) -> Vec<(String, usize)> {
         let mut wanted: Vec<(String, usize)> = self
-            .demands
+            .heard
             .keys()
             .filter_map(|pool| {
                 let demand = self.demand(pool, now)?;
@@ -133,9 +140,9 @@
             .count()
     }
 
-    /// Returns instances beyond their pools' own sizes that have no work, and since when; as many
-    /// of a pool as it is over.
-    fn surplus(&self, now: Duration, decision: &Decision) -> Vec<(&Instance, Duration, bool)> {
+    /// Returns instances without work that their pools can do without, those beyond a pool's own
+    /// size first.
+    fn surplus(&self, now: Duration, decision: &Decision) -> Vec<Surplus<'_>> {
         let mut surplus = Vec::new();
         for (pool, base) in &self.base {
             if self.spare.contains(pool) {
@@ -166,7 +173,16 @@
             surplus.extend(idle.into_iter().take(over).enumerate().filter_map(
                 |(number, (instance, idle))| {
                     let is_own = number >= beyond;
-                    (!is_own || idle >= self.settings.lend).then_some((instance, idle, is_own))
+                    let rest = if is_own {
+                        self.settings.rest
+                    } else {
+                        self.settings.idle
+                    };
+                    let is_lent = !is_own || idle >= self.settings.lend;
+                    is_lent.then_some(Surplus {
+                        instance,
+                        is_rested: idle >= rest,
+                    })
                 },
             ));
         }
--- a/crates/hyssop-policy/src/owner/budget.rs
+++ b/crates/hyssop-policy/src/owner/budget.rs
@@ -1,7 +1,7 @@
 use super::job::State;
-use super::{Owner, TaskKey, WorkerKey};
+use super::{Job, JobKey, Owner, TaskKey, WorkerKey};
 use hyssop_model::work::Step;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// How long the holder may end a cleared worker. It is no longer than a successor's pause before
@@ -11,6 +11,13 @@
 /// the most.
 pub(super) const CLEARED_LEAST: Duration = Duration::from_millis(2_000);
 
+/// Tells whether a task is of a lasting step.
+pub(super) fn lasts(jobs: &BTreeMap<JobKey, Job>, task: TaskKey) -> bool {
+    jobs.get(&task.job)
+        .and_then(|job| job.submission.steps.get(task.step as usize))
+        .is_some_and(|step| step.lasts)
+}
+
 impl Owner {
     /// Empties a worker until `until`: nothing new is placed there, lasting tasks move as their
     /// budgets allow.
@@ -114,10 +121,7 @@
     }
 
     fn lasts(&self, task: TaskKey) -> bool {
-        self.jobs
-            .get(&task.job)
-            .and_then(|job| job.submission.steps.get(task.step as usize))
-            .is_some_and(|step| step.lasts)
+        lasts(&self.jobs, task)
     }
 
     /// Tells whether more lasting tasks of a step are among `tasks`, which run on one worker, than
--- a/crates/hyssop-policy/src/owner/capacity.rs
+++ b/crates/hyssop-policy/src/owner/capacity.rs
@@ -1,3 +1,4 @@
+use super::budget::{lasts, CLEARED_LEAST};
 use super::Owner;
 use hyssop_model::work::Resources;
 use serde::{Deserialize, Serialize};
@@ -69,12 +70,7 @@
             let lasting = worker
                 .runs
                 .keys()
-                .filter(|task| {
-                    self.jobs
-                        .get(&task.job)
-                        .and_then(|job| job.submission.steps.get(task.step as usize))
-                        .is_some_and(|step| step.lasts)
-                })
+                .filter(|task| lasts(&self.jobs, **task))
                 .count() as u32;
             demand.loads.push(Load {
                 worker: worker.listing.id.clone(),
@@ -84,7 +80,7 @@
                 cpu: worker.used.cpu,
                 is_sound: worker.is_known && worker.silent_since.is_none(),
                 is_vacating: worker.is_vacating(now),
-                is_cleared: worker.is_cleared(now + super::budget::CLEARED_LEAST),
+                is_cleared: worker.is_cleared(now + CLEARED_LEAST),
             });
         }
         demand
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -1,3 +1,4 @@
+use super::budget::lasts;
 use super::job::State;
 use super::worker::Run;
 use super::{Action, Owner, TaskKey, WorkerKey};
@@ -184,15 +185,9 @@
                 continue;
             }
             worker.is_polling = true;
-            let is_starting = worker.runs.keys().any(|task| {
-                let run = &worker.runs[task];
-                run.is_confirmed && run.serving_since.is_none() && {
-                    let step = self.jobs.get(&task.job).and_then(|job| {
-                        let steps = &job.submission.steps;
-                        steps.get(task.step as usize)
-                    });
-                    step.is_some_and(|step| step.lasts)
-                }
+            let jobs = &self.jobs;
+            let is_starting = worker.runs.iter().any(|(task, run)| {
+                run.is_confirmed && run.serving_since.is_none() && lasts(jobs, *task)
             });
             let wait = if extends && worker.is_known && !is_silent {
                 // Others of a lasting task's step may have to wait until it is at work.
