Count recent orders of an earlier holder towards a wave's cap; believe a change when the list shows it

Cause, found on reading: without the gap between holders the successor's list may not show the earlier holder's orders yet, so more than the cap could be down; and the platform says yes to maintenance that was done before, after which a cleared worker's tasks would have been started again while they ran on. Change: barred instances count as down; a worker counts as ended by a change once the list shows its instance moving, being maintained or with another worker. Each has a test that failed first (the cap's) or fails without it.

--- a/crates/hyssop-edge/src/fleet/holder.rs
+++ b/crates/hyssop-edge/src/fleet/holder.rs
@@ -135,6 +135,7 @@
                 fleet.take_wave(&notice.wave, notice.deadline);
             }
         }
+        self.tell_ended().await;
         self.looked_at = self.node.clock.now();
         let asked = configuration
             .pools
@@ -154,6 +155,18 @@
         true
     }
 
+    /// Tells the pools which workers ended with their instances' changes, long before the registry
+    /// does.
+    async fn tell_ended(&self) {
+        let ended = self.fleet.borrow_mut().take_ended();
+        let words = ended.into_iter().map(|(part, worker)| {
+            let workers = vec![worker];
+            self.ask(Ask::Ended { part, workers })
+        });
+        // The registry tells the same later, so a lost word costs a failed start at most.
+        join_all(words).await;
+    }
+
     async fn list(&self) -> Option<Vec<Instance>> {
         let address = self.node.instances?;
         let mut all = Vec::new();
@@ -323,28 +336,18 @@
         );
         let named = outcome.map_or_else(|| "lost".to_owned(), |outcome| outcome.to_string());
         self.node.metrics.count_transfer(&named);
+        let now = self.node.clock.now();
+        let fleet = &mut *self.fleet.borrow_mut();
         if outcome == Some(dialect::Change::Done) {
-            self.tell_ended(change.instance()).await;
+            fleet.note_done(change.instance(), now);
         }
-        let fleet = &mut *self.fleet.borrow_mut();
         match (outcome, &change) {
             (Some(dialect::Change::Done), Change::Maintain { instance, wave }) => {
                 fleet.note_maintained(*wave, instance);
             }
             // Without an answer it may be under way; the list will show.
             (Some(dialect::Change::Done) | None, _) => {}
-            (Some(_), _) => fleet.note_refused(change.instance(), self.node.clock.now()),
-        }
-    }
-
-    /// Tells the pool that the worker on a changed instance has ended, long before the registry
-    /// does.
-    async fn tell_ended(&self, instance: &str) {
-        let found = self.fleet.borrow().worker_on(instance);
-        if let Some((part, worker)) = found {
-            let workers = vec![worker];
-            // The registry tells the same later, so a lost word costs a failed start at most.
-            let _ = self.ask(Ask::Ended { part, workers }).await;
+            (Some(_), _) => fleet.note_refused(change.instance(), now),
         }
     }
 }
--- a/crates/hyssop-policy/src/fleet/maintain.rs
+++ b/crates/hyssop-policy/src/fleet/maintain.rs
@@ -36,7 +36,7 @@
     /// the wave's time.
     pub(super) fn maintain(&self, now: Duration, decision: &mut Decision) {
         for (&number, campaign) in &self.campaigns {
-            let mut free = (campaign.cap as usize).saturating_sub(self.down(number));
+            let mut free = (campaign.cap as usize).saturating_sub(self.down(number, now));
             let due: Vec<&Instance> = campaign
                 .due()
                 .filter_map(|name| self.instances.get(name))
@@ -95,7 +95,9 @@
     }
 
     /// Counts the instances that are, or may be, down for a wave.
-    fn down(&self, wave: u64) -> usize {
+    ///
+    /// What an earlier holder ordered lately may be, though the list does not show it yet.
+    fn down(&self, wave: u64, now: Duration) -> usize {
         let Some(campaign) = self.campaigns.get(&wave) else {
             return 0;
         };
@@ -109,7 +111,8 @@
                     .instances
                     .get(*name)
                     .is_some_and(|instance| instance.condition == Condition::Maintained);
-                is_ordered || is_down
+                let is_barred = self.barred.get(*name).is_some_and(|until| now < *until);
+                is_ordered || is_down || is_barred
             })
             .count()
     }
--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -47,6 +47,14 @@
     }
 }
 
+/// Is a worker whose instance is said to change.
+#[derive(Clone, Debug)]
+struct Ending {
+    pool: String,
+    worker: String,
+    ordered_at: Duration,
+}
+
 /// Decides for the fleet's instances during one term.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -65,6 +73,10 @@
     absent: BTreeMap<String, Duration>,
     /// Until when instances are not ordered again whose changes the platform refused.
     refused: BTreeMap<String, Duration>,
+    /// Workers whose instances are said to change, by instance.
+    ending: BTreeMap<String, Ending>,
+    /// The pools and workers that have ended by that.
+    ended: Vec<(String, String)>,
     /// Instances that an earlier holder may have ordered to change lately, with the time until when
     /// they are left alone.
     barred: BTreeMap<String, Duration>,
@@ -90,6 +102,8 @@
             ordered: BTreeMap::new(),
             absent: BTreeMap::new(),
             refused: BTreeMap::new(),
+            ending: BTreeMap::new(),
+            ended: Vec::new(),
             barred: BTreeMap::new(),
             idle_since: BTreeMap::new(),
         }
@@ -128,6 +142,7 @@
                 *self.base.entry(instance.pool.clone()).or_insert(0) += 1;
             }
         }
+        self.settle_endings(asked_at);
         for name in self.campaigns.values().flat_map(|wave| &wave.instances) {
             if self.instances.contains_key(name) {
                 self.absent.remove(name);
@@ -201,13 +216,53 @@
             .is_some_and(|campaign| campaign.due().all(has_left))
     }
 
-    /// Returns the pool and the worker of an instance, where it has a worker in a pool at work.
-    pub fn worker_on(&self, instance: &str) -> Option<(String, String)> {
-        let instance = self.instances.get(instance)?;
-        if self.spare.contains(&instance.pool) {
-            return None;
+    /// Notes that the platform says that a change is under way or was made before: which of the two
+    /// shows in the next lists.
+    pub fn note_done(&mut self, instance: &str, now: Duration) {
+        let Some(held) = self.instances.get(instance) else {
+            return;
+        };
+        if let (false, Some(worker)) = (self.spare.contains(&held.pool), &held.worker) {
+            let ending = Ending {
+                pool: held.pool.clone(),
+                worker: worker.clone(),
+                ordered_at: now,
+            };
+            self.ending.insert(instance.to_owned(), ending);
         }
-        Some((instance.pool.clone(), instance.worker.clone()?))
+    }
+
+    /// Returns the pools and workers that changes of their instances have certainly ended.
+    pub fn take_ended(&mut self) -> Vec<(String, String)> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Finds out from a list asked for at `asked_at` which workers have ended.
+    ///
+    /// A worker whose instance is up as before was not ended: the platform says yes to a change
+    /// that was made earlier, too, and what runs there must not start elsewhere.
+    fn settle_endings(&mut self, asked_at: Duration) {
+        let show = self.settings.show;
+        let instances = &self.instances;
+        let ended = &mut self.ended;
+        self.ending.retain(|name, ending| {
+            let is_changed = instances
+                .get(name)
+                .is_some_and(|instance| match instance.condition {
+                    Condition::Moving | Condition::Maintained => true,
+                    Condition::Up => instance
+                        .worker
+                        .as_ref()
+                        .is_some_and(|worker| *worker != ending.worker),
+                    // Its tasks may go on unseen until their lease is over.
+                    Condition::Down => false,
+                });
+            if is_changed && asked_at >= ending.ordered_at {
+                ended.push((ending.pool.clone(), ending.worker.clone()));
+                return false;
+            }
+            asked_at < ending.ordered_at + show
+        });
     }
 
     /// Decides what to empty and what to change.
--- a/crates/hyssop-policy/tests/fleet.rs
+++ b/crates/hyssop-policy/tests/fleet.rs
@@ -438,3 +438,66 @@
     assert_eq!(due["a"].len(), 2);
     assert!(!due.contains_key("spare"));
 }
+
+/// The earlier holder's orders may be under way and not in the list yet.
+#[test]
+fn what_an_earlier_holder_ordered_lately_counts_towards_a_waves_cap() {
+    let mut situation = Situation::new();
+    let until = situation.now + Duration::from_millis(3_500);
+    situation.fleet.bar(["a0".to_owned()], until);
+    situation.wave(&["a0", "s0", "s1"], 2);
+    situation.demand("a", 0, &[], &[]);
+    assert_eq!(
+        situation.decide().changes.len(),
+        1,
+        "a0 may be down already"
+    );
+    situation.pass(3_500);
+    situation.demand("a", 0, &[], &[]);
+    assert_eq!(situation.decide().changes.len(), 2);
+}
+
+#[test]
+fn a_worker_has_ended_once_the_list_shows_its_instance_changed() {
+    let mut situation = Situation::new();
+    situation.fleet.note_done("a0", situation.now);
+    situation.pass(100);
+    situation.list();
+    assert!(
+        situation.fleet.take_ended().is_empty(),
+        "it is up as before"
+    );
+    situation.instances[0].condition = Condition::Maintained;
+    situation.pass(100);
+    situation.list();
+    let ended = situation.fleet.take_ended();
+    assert_eq!(ended, [("a".to_owned(), "w-a0".to_owned())]);
+    situation.list();
+    assert!(situation.fleet.take_ended().is_empty(), "told once");
+}
+
+/// The platform says yes to maintenance that was done before, and the instance's tasks go on.
+#[test]
+fn a_change_that_was_made_before_ends_no_worker() {
+    let mut situation = Situation::new();
+    situation.fleet.note_done("a0", situation.now);
+    situation.pass(500);
+    situation.list();
+    situation.instances[0].condition = Condition::Moving;
+    situation.pass(100);
+    situation.list();
+    assert!(
+        situation.fleet.take_ended().is_empty(),
+        "that is a later change"
+    );
+}
+
+#[test]
+fn an_instance_that_goes_down_ends_no_worker_for_certain() {
+    let mut situation = Situation::new();
+    situation.fleet.note_done("a0", situation.now);
+    situation.instances[0].condition = Condition::Down;
+    situation.pass(100);
+    situation.list();
+    assert!(situation.fleet.take_ended().is_empty(), "its lease tells");
+}
