Tell callers nothing certain when an owner is deposed while their job's batch is under way

An owner that is deposed or gives its pool up told all who waited that it was not the owner, which a front takes as never asked; but a batch that was sent may be stored, and the successor ran the job. Change: only what was never in a batch is answered so; the rest is uncertain, and a front asks the successor with it, also where the owner is in its own process. The test is of the owner's part; the front's has none yet.

--- a/crates/hyssop-edge/src/front/handler.rs
+++ b/crates/hyssop-edge/src/front/handler.rs
@@ -239,6 +239,7 @@
             let answered = tokio::time::timeout(left, node.answer(ask(now))).await;
             match answered {
                 Ok(Answer::NotOwner) => {}
+                Ok(Answer::Uncertain) => was_asked = true,
                 Ok(answer) => return Outcome::Answered(answer),
                 Err(_) => was_asked = true,
             }
--- a/crates/hyssop-edge/src/pool/runner.rs
+++ b/crates/hyssop-edge/src/pool/runner.rs
@@ -96,10 +96,16 @@
             owner.term()
         );
         // Those who wait ask the next owner.
-        for (_, waiters) in std::mem::take(&mut *self.accepting.borrow_mut()) {
+        for (id, waiters) in std::mem::take(&mut *self.accepting.borrow_mut()) {
+            // What was sent to the store may be there, whatever came back.
+            let told = if owner.withdraw(&id) {
+                Answer::NotOwner
+            } else {
+                Answer::Uncertain
+            };
             waiters
                 .into_iter()
-                .for_each(|waiter| answer(waiter, Answer::NotOwner));
+                .for_each(|waiter| answer(waiter, told.clone()));
         }
         for (_, waiters) in std::mem::take(&mut *self.cancelling.borrow_mut()) {
             waiters
--- a/crates/hyssop-policy/tests/owner.rs
+++ b/crates/hyssop-policy/tests/owner.rs
@@ -57,6 +57,22 @@
     assert!(!world.withdraw(ID), "its batch is on its way");
 }
 
+/// Seen on nyp-lahore with deploy/days/rolling-with-cancels.toml --vary --seed 629769409784 (REFUSED):
+/// an owner was deposed while a job's batch was under way, and its caller was told that the job had
+/// not run.
+#[test]
+fn a_deposed_owner_is_certain_only_of_what_was_never_sent() {
+    let mut world = World::new(21, 2, 8);
+    world.run(200);
+    world.is_store_up = false;
+    world.submit(ID, job(1, 2, 300));
+    world.run(50);
+    world.submit("0000000000000002", job(1, 1, 100));
+    world.owner().depose();
+    assert!(!world.owner().withdraw(ID), "its batch is on its way");
+    assert!(world.owner().withdraw("0000000000000002"));
+}
+
 #[test]
 fn a_cancelled_job_ends_and_its_runs_are_stopped() {
     let mut world = World::new(5, 2, 8);
