--- a/crates/hyssop-edge/tests/path.rs
+++ b/crates/hyssop-edge/tests/path.rs
@@ -212,7 +212,9 @@
     };
     until("a spare machine has moved", || spare() < 2);
     // Idle pools switch machines of their own off too, so there may be more than at the start.
-    until("as many machines as at the start are switched off", || spare() >= 2);
+    until("as many machines as at the start are switched off", || {
+        spare() >= 2
+    });
     until("the job is done", || {
         edges[1].state(&format!("/b/{ID}")) == "done"
     });
