Name a step, a budget and an owner's place once; one type for an instance's change

Found on reading the whole change again; behaviour stays as it is. fleet::Change was dialect::Transfer written again and copied field by field; ten places looked a step up by its number, three spelled the budget of a step without one; the front and the holder each chose between the owner here and a link; waiting for the store stood twice; two names held one time in an order; one closure tested two maps of held instances. watch_budgets did three things in one loop. The demand's term and room, which nobody read, are no longer counted ten times a second and sent.

--- a/crates/hyssop-edge/src/fleet/holder.rs
+++ b/crates/hyssop-edge/src/fleet/holder.rs
@@ -1,14 +1,14 @@
 use super::stored::{read, Stored};
 use super::{BASE_KEY, RECENT_KEY, TABLE};
 use crate::http::Lane;
-use crate::node::{Node, FLEET};
+use crate::node::{Node, Reach, FLEET};
 use crate::peer::{Answer, Ask};
 use crate::store::{Committer, Verdict};
 use futures_util::future::join_all;
 use hyssop_model::work::Instance;
 use hyssop_platform::dialect::{self, Transfer};
 use hyssop_platform::rows::{encode, Key, Transaction};
-use hyssop_policy::fleet::{Campaign, Change, Decision, Fleet, Settings};
+use hyssop_policy::fleet::{Campaign, Decision, Fleet, Settings};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -189,20 +189,10 @@
     }
 
     async fn ask(&self, ask: Ask) -> Option<Answer> {
-        let part = ask.part().to_owned();
-        if self
-            .node
-            .runner(&part)
-            .is_some_and(|runner| !runner.is_over())
-        {
-            return Some(self.node.answer(ask).await);
-        }
-        let owner = self.node.owners.borrow().get(&part)?.node.clone();
-        let link = self.node.links.borrow().get(&owner)?.clone();
-        if !link.is_open() {
-            return None;
+        match self.node.reach(ask.part())? {
+            Reach::Here => Some(self.node.answer(ask).await),
+            Reach::Link(link) => link.ask(ask, ASK_TIMEOUT).await,
         }
-        link.ask(ask, ASK_TIMEOUT).await
     }
 
     /// Tells the pools which of their workers are due for maintenance, when that changes and now
@@ -265,7 +255,7 @@
     }
 
     /// Orders changes, once the store has confirmed that the term goes on.
-    async fn order(&mut self, changes: Vec<Change>) -> bool {
+    async fn order(&mut self, changes: Vec<Transfer>) -> bool {
         let mut transaction = Transaction::default();
         if !self.stored_base {
             let value = encode(self.fleet.borrow().base());
@@ -276,14 +266,13 @@
         let gap = self.gap();
         self.recent
             .retain(|_, ordered_at| asked_at.saturating_sub(*ordered_at) < gap);
-        // An order may leave this much later than it is announced here.
-        let latest = asked_at + CALL_TIMEOUT;
+        // The commit is given up then, so an order leaves no later than that.
+        let until = asked_at + CALL_TIMEOUT;
         let announced = changes.iter().map(|change| change.instance().to_owned());
-        self.recent.extend(announced.map(|name| (name, latest)));
+        self.recent.extend(announced.map(|name| (name, until)));
         let names: BTreeSet<&String> = self.recent.keys().collect();
         let key = Key::new(TABLE, FLEET, RECENT_KEY);
         transaction.writes.push((key, encode(&names)));
-        let until = asked_at + CALL_TIMEOUT;
         let clock = self.node.clock.clone();
         let gives_up = move || clock.now() >= until;
         match self.committer.commit(transaction, gives_up).await {
@@ -304,24 +293,14 @@
         true
     }
 
-    async fn transfer(&self, change: Change) {
+    async fn transfer(&self, change: Transfer) {
         let Some(address) = self.node.instances else {
             return;
         };
-        let transfer = match &change {
-            Change::Move { instance, pool } => Transfer::Move {
-                instance: instance.clone(),
-                pool: pool.clone(),
-            },
-            Change::Maintain { instance, wave } => Transfer::Maintain {
-                instance: instance.clone(),
-                wave: *wave,
-            },
-        };
         let call = self
             .node
             .dialect
-            .transfer(&transfer, &self.node.name, self.term);
+            .transfer(&change, &self.node.name, self.term);
         let reply = self
             .node
             .client
@@ -342,7 +321,7 @@
             fleet.note_done(change.instance(), now);
         }
         match (outcome, &change) {
-            (Some(dialect::Change::Done), Change::Maintain { instance, wave }) => {
+            (Some(dialect::Change::Done), Transfer::Maintain { instance, wave }) => {
                 fleet.note_maintained(*wave, instance);
             }
             // Without an answer it may be under way; the list will show.
--- a/crates/hyssop-edge/src/front/handler.rs
+++ b/crates/hyssop-edge/src/front/handler.rs
@@ -1,4 +1,4 @@
-use crate::node::Node;
+use crate::node::{Node, Reach};
 use crate::peer::{Answer, Ask};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -235,29 +235,15 @@
         }
         changes.mark_unchanged();
         let left = until.saturating_sub(now);
-        if node.runner(part).is_some_and(|runner| !runner.is_over()) {
-            let answered = tokio::time::timeout(left, node.answer(ask(now))).await;
-            match answered {
-                Ok(Answer::NotOwner) => {}
-                Ok(Answer::Uncertain) => was_asked = true,
-                Ok(answer) => return Outcome::Answered(answer),
-                Err(_) => was_asked = true,
-            }
-        } else {
-            let owner = node
-                .owners
-                .borrow()
-                .get(part)
-                .map(|owner| owner.node.clone());
-            let link = owner.and_then(|owner| node.links.borrow().get(&owner).cloned());
-            if let Some(link) = link.filter(|link| link.is_open()) {
-                match link.ask(ask(now), left.min(ASK_TIMEOUT)).await {
-                    Some(Answer::NotOwner) => {}
-                    Some(Answer::Uncertain) => was_asked = true,
-                    Some(answer) => return Outcome::Answered(answer),
-                    None => was_asked = true,
-                }
-            }
+        let answer = match node.reach(part) {
+            None => Some(Answer::NotOwner),
+            Some(Reach::Here) => tokio::time::timeout(left, node.answer(ask(now))).await.ok(),
+            Some(Reach::Link(link)) => link.ask(ask(now), left.min(ASK_TIMEOUT)).await,
+        };
+        match answer {
+            Some(Answer::NotOwner) => {}
+            Some(Answer::Uncertain) | None => was_asked = true,
+            Some(answer) => return Outcome::Answered(answer),
         }
         /// An owner's row comes a little after its link; the pause bounds the asking meanwhile.
         const PAUSE: Duration = Duration::from_millis(60);
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -1,4 +1,4 @@
-use super::{Clock, Member, Notice, Ownership};
+use super::{Clock, Member, Notice, Ownership, Reach};
 use crate::http::Client;
 use crate::metric::Metrics;
 use crate::peer::{Answer, Ask, Link, Standing};
@@ -191,6 +191,16 @@
         self.runners.borrow().get(part).cloned()
     }
 
+    /// Tells where a part's owner is, if it can be asked.
+    pub(crate) fn reach(&self, part: &str) -> Option<Reach> {
+        if self.runner(part).is_some_and(|runner| !runner.is_over()) {
+            return Some(Reach::Here);
+        }
+        let owner = self.owners.borrow().get(part)?.node.clone();
+        let link = self.links.borrow().get(&owner)?.clone();
+        link.is_open().then_some(Reach::Link(link))
+    }
+
     /// Answers a question to a part that this process owns.
     pub(crate) async fn answer(&self, ask: Ask) -> Answer {
         match self.runner(ask.part()) {
--- a/crates/hyssop-edge/src/pool/mod.rs
+++ b/crates/hyssop-edge/src/pool/mod.rs
@@ -6,3 +6,4 @@
 mod writer;
 
 pub(crate) use runner::Runner;
+use runner::Waiters;
--- a/crates/hyssop-edge/src/pool/questions.rs
+++ b/crates/hyssop-edge/src/pool/questions.rs
@@ -1,6 +1,7 @@
-use super::Runner;
+use super::{Runner, Waiters};
 use crate::peer::{Answer, Ask};
 use hyssop_policy::owner::{return_after, Admission, Cancellation};
+use std::cell::RefCell;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -61,18 +62,8 @@
                     Cancellation::Done => Answer::Done,
                     Cancellation::Unknown => Answer::Unknown,
                     Cancellation::Pending => {
-                        let (sender, receiver) = oneshot::channel();
-                        self.cancelling
-                            .borrow_mut()
-                            .entry(id)
-                            .or_default()
-                            .push(sender);
-                        self.store_wake.notify_one();
-                        let patience = Duration::from_millis(patience_ms);
-                        match tokio::time::timeout(patience, receiver).await {
-                            Ok(Ok(answer)) => answer,
-                            _ => Answer::Uncertain,
-                        }
+                        let stored = self.await_storing(&self.cancelling, &id, patience_ms);
+                        stored.await.unwrap_or(Answer::Uncertain)
                     }
                 }
             }
@@ -110,20 +101,31 @@
     }
 
     async fn await_acceptance(&self, id: &str, patience_ms: u64) -> Answer {
+        match self.await_storing(&self.accepting, id, patience_ms).await {
+            Some(answer) => answer,
+            // A job that was never sent to the store may still be refused for certain.
+            None if self.owner.borrow_mut().withdraw(id) => self.refuse(id),
+            None => Answer::Uncertain,
+        }
+    }
+
+    /// Waits among `waiting` until the store has what was done with a job; `None` where that takes
+    /// too long.
+    async fn await_storing(
+        &self,
+        waiting: &RefCell<Waiters>,
+        id: &str,
+        patience_ms: u64,
+    ) -> Option<Answer> {
         let (sender, receiver) = oneshot::channel();
-        self.accepting
+        waiting
             .borrow_mut()
             .entry(id.to_owned())
             .or_default()
             .push(sender);
         self.store_wake.notify_one();
         let patience = Duration::from_millis(patience_ms);
-        match tokio::time::timeout(patience, receiver).await {
-            Ok(Ok(answer)) => answer,
-            // A job that was never sent to the store may still be refused for certain.
-            _ if self.owner.borrow_mut().withdraw(id) => self.refuse(id),
-            _ => Answer::Uncertain,
-        }
+        tokio::time::timeout(patience, receiver).await.ok()?.ok()
     }
 
     /// Returns for how long the transaction under way has gone unanswered.
--- a/crates/hyssop-edge/src/pool/runner.rs
+++ b/crates/hyssop-edge/src/pool/runner.rs
@@ -17,14 +17,17 @@
 /// is noticed this much later, well within the 2 s after which a leaving one gets nothing new.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(120);
 
+/// Holds those who wait until the store has what was done with a job, by its identifier.
+pub(super) type Waiters = BTreeMap<String, Vec<oneshot::Sender<Answer>>>;
+
 /// Drives the owner of one pool.
 pub(crate) struct Runner {
     pub(super) node: Rc<Node>,
     pub(super) owner: RefCell<Owner>,
     pub(super) wake: Notify,
     pub(super) store_wake: Notify,
-    pub(super) accepting: RefCell<BTreeMap<String, Vec<oneshot::Sender<Answer>>>>,
-    pub(super) cancelling: RefCell<BTreeMap<String, Vec<oneshot::Sender<Answer>>>>,
+    pub(super) accepting: RefCell<Waiters>,
+    pub(super) cancelling: RefCell<Waiters>,
     /// Since when the batch under way has gone unanswered, `None` while the store works.
     pub(super) unanswered_since: Cell<Option<Duration>>,
     /// Whether the pool is being given up: nothing new is accepted or started.
--- a/crates/hyssop-model/src/work/step.rs
+++ b/crates/hyssop-model/src/work/step.rs
@@ -39,6 +39,12 @@
 }
 
 impl Step {
+    /// Returns how many lasting tasks may be away at once through the system's own actions; one at
+    /// a time where there is no budget.
+    pub fn budget(&self) -> u32 {
+        self.may_miss.unwrap_or(1)
+    }
+
     /// Returns what a task reserves on a worker.
     pub fn reserved(&self) -> Resources {
         if self.fills {
--- a/crates/hyssop-platform/src/dialect/transfer.rs
+++ b/crates/hyssop-platform/src/dialect/transfer.rs
@@ -1,5 +1,5 @@
 /// Describes a change of an instance that ends what runs on it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Transfer {
     /// It joins another pool.
     Move {
@@ -16,3 +16,12 @@
         wave: u64,
     },
 }
+
+impl Transfer {
+    /// Returns the instance that changes.
+    pub fn instance(&self) -> &str {
+        match self {
+            Self::Move { instance, .. } | Self::Maintain { instance, .. } => instance,
+        }
+    }
+}
--- a/crates/hyssop-policy/src/fleet/maintain.rs
+++ b/crates/hyssop-policy/src/fleet/maintain.rs
@@ -1,5 +1,6 @@
-use super::{Campaign, Change, Decision, Fleet};
+use super::{is_held, Campaign, Decision, Fleet};
 use hyssop_model::work::{Condition, Instance};
+use hyssop_platform::dialect::Transfer;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -85,7 +86,7 @@
                     || self.is_cleared(instance, now)
                     || (is_last && self.is_expendable(instance, now));
                 if is_ready && self.may_change(instance, now) {
-                    decision.changes.push(Change::Maintain {
+                    decision.changes.push(Transfer::Maintain {
                         instance: instance.name.clone(),
                         wave: number,
                     });
@@ -105,14 +106,15 @@
             .instances
             .iter()
             .filter(|name| {
-                let is_ordered =
-                    matches!(self.ordered.get(*name), Some((_, Change::Maintain { .. })));
+                let is_ordered = matches!(
+                    self.ordered.get(*name),
+                    Some((_, Transfer::Maintain { .. }))
+                );
                 let is_down = self
                     .instances
                     .get(*name)
                     .is_some_and(|instance| instance.condition == Condition::Maintained);
-                let is_barred = self.barred.get(*name).is_some_and(|until| now < *until);
-                is_ordered || is_down || is_barred
+                is_ordered || is_down || is_held(&self.barred, name, now)
             })
             .count()
     }
--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -16,37 +16,10 @@
 
 use crate::owner::{Demand, Load};
 use hyssop_model::work::{Condition, Instance, Wave};
+use hyssop_platform::dialect::Transfer;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Is a change of an instance that is due now.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Change {
-    /// It joins another pool.
-    Move {
-        /// The instance.
-        instance: String,
-        /// The pool that it joins.
-        pool: String,
-    },
-    /// It is maintained for a wave.
-    Maintain {
-        /// The instance.
-        instance: String,
-        /// The wave.
-        wave: u64,
-    },
-}
-
-impl Change {
-    /// Returns the instance that changes.
-    pub fn instance(&self) -> &str {
-        match self {
-            Self::Move { instance, .. } | Self::Maintain { instance, .. } => instance,
-        }
-    }
-}
-
 /// Is a worker whose instance is said to change.
 #[derive(Clone, Debug)]
 struct Ending {
@@ -68,7 +41,7 @@
     needs: BTreeMap<String, need::Need>,
     campaigns: BTreeMap<u64, Campaign>,
     /// Changes that were ordered and do not show in the list yet, with the time of the order.
-    ordered: BTreeMap<String, (Duration, Change)>,
+    ordered: BTreeMap<String, (Duration, Transfer)>,
     /// Instances of waves that the platform's list does not name, and since when.
     absent: BTreeMap<String, Duration>,
     /// Until when instances are not ordered again whose changes the platform refused.
@@ -190,7 +163,7 @@
     }
 
     /// Notes that a change was ordered; its effect shows in the list later.
-    pub fn note_ordered(&mut self, change: Change, now: Duration) {
+    pub fn note_ordered(&mut self, change: Transfer, now: Duration) {
         self.idle_since.remove(change.instance());
         self.ordered
             .insert(change.instance().to_owned(), (now, change));
@@ -291,9 +264,7 @@
 
     /// Tells whether this holder may order an instance to change.
     fn may_change(&self, instance: &Instance, now: Duration) -> bool {
-        [&self.barred, &self.refused]
-            .iter()
-            .all(|held| held.get(&instance.name).is_none_or(|until| now >= *until))
+        !is_held(&self.barred, &instance.name, now) && !is_held(&self.refused, &instance.name, now)
     }
 
     fn is_up(&self, instance: &Instance) -> bool {
@@ -305,7 +276,7 @@
         self.instances
             .values()
             .filter(|instance| match self.ordered.get(&instance.name) {
-                Some((_, Change::Move { pool: target, .. })) => target == pool,
+                Some((_, Transfer::Move { pool: target, .. })) => target == pool,
                 _ => instance.pool == pool,
             })
             .count()
@@ -320,7 +291,7 @@
     /// The workers on instances that are due for maintenance, by pool.
     pub due: BTreeMap<String, BTreeSet<String>>,
     /// The changes to order, in their order.
-    pub changes: Vec<Change>,
+    pub changes: Vec<Transfer>,
 }
 
 impl Decision {
@@ -344,6 +315,11 @@
     }
 }
 
+/// Tells whether an instance is left alone at `now`.
+fn is_held(held: &BTreeMap<String, Duration>, instance: &str, now: Duration) -> bool {
+    held.get(instance).is_some_and(|until| now < *until)
+}
+
 fn add(workers: &mut BTreeMap<String, BTreeSet<String>>, instance: &Instance) {
     if let Some(worker) = &instance.worker {
         workers
--- a/crates/hyssop-policy/src/fleet/supply.rs
+++ b/crates/hyssop-policy/src/fleet/supply.rs
@@ -1,5 +1,6 @@
-use super::{Change, Decision, Fleet};
+use super::{Decision, Fleet};
 use hyssop_model::work::{Condition, Instance};
+use hyssop_platform::dialect::Transfer;
 use std::time::Duration;
 
 /// Is an idle instance that its pool can do without.
@@ -32,7 +33,7 @@
                     break;
                 };
                 *count -= 1;
-                decision.changes.push(Change::Move {
+                decision.changes.push(Transfer::Move {
                     instance: instance.name.clone(),
                     pool: pool.clone(),
                 });
@@ -59,7 +60,7 @@
             };
             decision.empty(instance);
             if self.is_empty(instance, now) && self.may_change(instance, now) {
-                decision.changes.push(Change::Move {
+                decision.changes.push(Transfer::Move {
                     instance: instance.name.clone(),
                     pool,
                 });
@@ -102,8 +103,8 @@
         self.instances
             .values()
             .filter(|instance| match self.ordered.get(&instance.name) {
-                Some((_, Change::Move { pool: target, .. })) => target == pool,
-                Some((_, Change::Maintain { .. })) => false,
+                Some((_, Transfer::Move { pool: target, .. })) => target == pool,
+                Some((_, Transfer::Maintain { .. })) => false,
                 None => {
                     instance.pool == pool
                         && matches!(instance.condition, Condition::Up | Condition::Moving)
@@ -134,7 +135,7 @@
         self.instances
             .values()
             .filter(|instance| match self.ordered.get(&instance.name) {
-                Some((_, Change::Move { pool: target, .. })) => target == pool,
+                Some((_, Transfer::Move { pool: target, .. })) => target == pool,
                 _ => instance.pool == pool && instance.condition == Condition::Moving,
             })
             .count()
--- a/crates/hyssop-policy/src/owner/budget.rs
+++ b/crates/hyssop-policy/src/owner/budget.rs
@@ -14,7 +14,7 @@
 /// Tells whether a task is of a lasting step.
 pub(super) fn lasts(jobs: &BTreeMap<JobKey, Job>, task: TaskKey) -> bool {
     jobs.get(&task.job)
-        .and_then(|job| job.submission.steps.get(task.step as usize))
+        .and_then(|job| job.step(task.step))
         .is_some_and(|step| step.lasts)
 }
 
@@ -67,45 +67,65 @@
             .collect();
         for (key, tasks) in leaving {
             if self.workers[&key].listing.is_draining {
-                for task in tasks {
-                    // The worker ends its tasks anyway, so their own budget is not at stake; but
-                    // one of the step that is being stopped under that budget ends first.
-                    if self.lasts(task)
-                        && !self.is_sibling_stopping(task)
-                        && self.has_room_beside(key, task, now)
-                    {
-                        self.stop_task(key, task, now);
-                    }
-                }
-                continue;
+                self.stop_lasting(key, &tasks, now);
+            } else {
+                self.thin_out(key, &tasks, now);
+                self.clear(key, &tasks, now);
             }
-            for &task in &tasks {
-                if self.is_beyond_budget(task, &tasks)
-                    && self.may_interrupt(task, None, now)
-                    && self.has_room_beside(key, task, now)
-                {
-                    self.stop_task(key, task, now);
-                }
+        }
+    }
+
+    /// Stops the lasting tasks on a worker that is leaving.
+    ///
+    /// The worker ends them anyway, so their own budget is not at stake; but one of the step that is
+    /// being stopped under that budget ends first.
+    fn stop_lasting(&mut self, key: WorkerKey, tasks: &[TaskKey], now: Duration) {
+        for &task in tasks {
+            if self.lasts(task)
+                && !self.is_sibling_stopping(task)
+                && self.has_room_beside(key, task, now)
+            {
+                self.stop_task(key, task, now);
             }
-            let may_clear = !tasks.is_empty()
-                && tasks.iter().all(|task| {
-                    self.lasts(*task)
-                        && self.may_interrupt(*task, Some(key), now)
-                        && self.has_room_beside(key, *task, now)
-                });
-            if let Some(worker) = self.workers.get_mut(&key).filter(|_| may_clear) {
-                worker.cleared_until = Some(now + CLEARED);
-                log::info!(
-                    "event=worker-cleared pool={} worker={} lasting={} for_ms={}",
-                    self.pool,
-                    worker.listing.id,
-                    tasks.len(),
-                    CLEARED.as_millis()
-                );
+        }
+    }
+
+    /// Stops lasting tasks of which a worker holds more than may be away together.
+    fn thin_out(&mut self, key: WorkerKey, tasks: &[TaskKey], now: Duration) {
+        for &task in tasks {
+            if self.is_beyond_budget(task, tasks)
+                && self.may_interrupt(task, None, now)
+                && self.has_room_beside(key, task, now)
+            {
+                self.stop_task(key, task, now);
             }
         }
     }
 
+    /// Lets the holder end a worker on which only lasting tasks are left, all within their budgets.
+    fn clear(&mut self, key: WorkerKey, tasks: &[TaskKey], now: Duration) {
+        let may_clear = !tasks.is_empty()
+            && tasks.iter().all(|task| {
+                self.lasts(*task)
+                    && self.may_interrupt(*task, Some(key), now)
+                    && self.has_room_beside(key, *task, now)
+            });
+        if !may_clear {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
+        worker.cleared_until = Some(now + CLEARED);
+        log::info!(
+            "event=worker-cleared pool={} worker={} lasting={} for_ms={}",
+            self.pool,
+            worker.listing.id,
+            tasks.len(),
+            CLEARED.as_millis()
+        );
+    }
+
     /// Returns the steps of lasting tasks that are to leave their workers and that no other worker
     /// has room for.
     pub(super) fn unmovable(&self, now: Duration) -> impl Iterator<Item = &Step> {
@@ -114,10 +134,11 @@
             .filter(move |(_, worker)| worker.is_vacating(now))
             .flat_map(|(key, worker)| worker.runs.keys().map(|task| (*key, *task)))
             .filter(move |(key, task)| self.lasts(*task) && !self.has_room_beside(*key, *task, now))
-            .filter_map(|(_, task)| {
-                let steps = &self.jobs.get(&task.job)?.submission.steps;
-                steps.get(task.step as usize)
-            })
+            .filter_map(|(_, task)| self.step(task))
+    }
+
+    fn step(&self, task: TaskKey) -> Option<&Step> {
+        self.jobs.get(&task.job)?.step(task.step)
     }
 
     fn lasts(&self, task: TaskKey) -> bool {
@@ -127,16 +148,12 @@
     /// Tells whether more lasting tasks of a step are among `tasks`, which run on one worker, than
     /// may be away at a time, so that they can't be interrupted together.
     fn is_beyond_budget(&self, task: TaskKey, tasks: &[TaskKey]) -> bool {
-        let step = self
-            .jobs
-            .get(&task.job)
-            .and_then(|job| job.submission.steps.get(task.step as usize))
-            .filter(|step| step.lasts);
+        let step = self.step(task).filter(|step| step.lasts);
         let here = tasks
             .iter()
             .filter(|other| task.siblings().contains(other))
             .count();
-        step.is_some_and(|step| here > step.may_miss.unwrap_or(1) as usize)
+        step.is_some_and(|step| here > step.budget() as usize)
     }
 
     /// Tells whether a lasting task may be interrupted, with all others of its step on the worker
@@ -145,7 +162,7 @@
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
-        let Some(step) = job.submission.steps.get(task.step as usize) else {
+        let Some(step) = job.step(task.step) else {
             return false;
         };
         let Some(stage) = job.stage(task.occurrence, task.step) else {
@@ -158,7 +175,7 @@
                 other == task || is_with || !self.is_serving(other, now)
             })
             .count() as u32;
-        away <= step.may_miss.unwrap_or(1)
+        away <= step.budget()
     }
 
     /// Tells whether another task of the step has been ordered to stop and has not ended.
@@ -182,11 +199,7 @@
 
     /// Tells whether another worker could take a task at once.
     fn has_room_beside(&self, key: WorkerKey, task: TaskKey, now: Duration) -> bool {
-        let Some(step) = self
-            .jobs
-            .get(&task.job)
-            .and_then(|job| job.submission.steps.get(task.step as usize))
-        else {
+        let Some(step) = self.step(task) else {
             return false;
         };
         self.workers.iter().any(|(other, worker)| {
@@ -203,9 +216,7 @@
     }
 
     /// Counts tasks that wait although their turn has come.
-    pub(super) fn waiting_tasks(
-        &self,
-    ) -> impl Iterator<Item = (TaskKey, &hyssop_model::work::Step)> {
+    pub(super) fn waiting_tasks(&self) -> impl Iterator<Item = (TaskKey, &Step)> {
         self.open
             .iter()
             .filter_map(|key| Some((*key, self.jobs.get(key)?)))
--- a/crates/hyssop-policy/src/owner/capacity.rs
+++ b/crates/hyssop-policy/src/owner/capacity.rs
@@ -9,15 +9,11 @@
 pub struct Demand {
     /// The pool.
     pub pool: String,
-    /// The owner's term.
-    pub term: u64,
     /// What tasks need whose turn has come and that no worker has room for, and lasting tasks that
     /// are to move and can't.
     pub waiting: Resources,
     /// What runs reserve.
     pub running: Resources,
-    /// What the workers that take tasks hold in all.
-    pub room: Resources,
     /// The most workers that the lasting tasks of one step have to stand on.
     pub spread: u32,
     /// How many lasting tasks may be moved at a time, over all steps.
@@ -52,7 +48,6 @@
     pub fn demand(&self, now: Duration) -> Demand {
         let mut demand = Demand {
             pool: self.pool.clone(),
-            term: self.term,
             ..Demand::default()
         };
         for (_, step) in self.waiting_tasks() {
@@ -64,9 +59,6 @@
         (demand.spread, demand.movable) = self.lasting_bounds();
         for worker in self.workers.values().filter(|worker| worker.is_listed) {
             demand.running.add(&worker.used);
-            if worker.takes_tasks(now) {
-                demand.room.add(&worker.listing.capacity);
-            }
             let lasting = worker
                 .runs
                 .keys()
@@ -101,8 +93,7 @@
                 0 => 0,
                 most => step.count.div_ceil(most),
             };
-            let moves = step.may_miss.unwrap_or(1);
-            (spread.max(stands_on), movable + moves)
+            (spread.max(stands_on), movable + step.budget())
         })
     }
 }
--- a/crates/hyssop-policy/src/owner/ending.rs
+++ b/crates/hyssop-policy/src/owner/ending.rs
@@ -38,7 +38,7 @@
         {
             ordered_at = worker.release(task).map(|run| run.ordered_at);
         }
-        let Some(step) = job.submission.steps.get(task.step as usize).cloned() else {
+        let Some(step) = job.step(task.step).cloned() else {
             return;
         };
         let queue = job.queue.clone();
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -1,5 +1,5 @@
 use super::WorkerKey;
-use hyssop_model::work::{Phase, Queue, Submission};
+use hyssop_model::work::{Phase, Queue, Step, Submission};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Returns a step by its number.
+    pub(super) fn step(&self, number: u32) -> Option<&Step> {
+        self.submission.steps.get(number as usize)
+    }
+
     pub(super) fn stage(&self, occurrence: u32, step: u32) -> Option<&Stage> {
         self.occurrences.get(&occurrence)?.stages.get(step as usize)
     }
@@ -105,7 +110,7 @@
 
 impl Occurrence {
     pub(super) fn new(submission: &Submission, due_at: Duration, initial: State) -> Self {
-        let stage = |step: &hyssop_model::work::Step| Stage {
+        let stage = |step: &Step| Stage {
             tasks: vec![
                 Task {
                     state: initial,
--- a/crates/hyssop-policy/src/owner/pace.rs
+++ b/crates/hyssop-policy/src/owner/pace.rs
@@ -31,7 +31,7 @@
             let step = self
                 .jobs
                 .get(&job_key)
-                .and_then(|job| job.submission.steps.get(entry.task.step as usize));
+                .and_then(|job| job.step(entry.task.step));
             let Some(step) = step else {
                 continue;
             };
--- a/crates/hyssop-policy/src/owner/place.rs
+++ b/crates/hyssop-policy/src/owner/place.rs
@@ -81,7 +81,7 @@
         let Some(job) = self.jobs.get(&first.job) else {
             return;
         };
-        let Some(step) = job.submission.steps.get(first.step as usize).cloned() else {
+        let Some(step) = job.step(first.step).cloned() else {
             return;
         };
         let need = step.reserved();
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -122,7 +122,7 @@
             }
         }
         let is_final = job.phase.is_final();
-        let step = job.submission.steps.get(task.step as usize).cloned();
+        let step = job.step(task.step).cloned();
         job.has_started = true;
         let held = job
             .stage_mut(task.occurrence, task.step)
--- a/crates/hyssop-policy/src/owner/watch.rs
+++ b/crates/hyssop-policy/src/owner/watch.rs
@@ -50,7 +50,7 @@
                 let Some(job) = self.jobs.get(&task.job) else {
                     continue;
                 };
-                let Some(step) = job.submission.steps.get(task.step as usize) else {
+                let Some(step) = job.step(task.step) else {
                     continue;
                 };
                 if step.lasts || step.gang || !run.is_confirmed || run.stopping_at.is_some() {
--- a/crates/hyssop-policy/tests/fleet.rs
+++ b/crates/hyssop-policy/tests/fleet.rs
@@ -1,7 +1,8 @@
 //! Where instances go and when they are maintained.
 
 use hyssop_model::work::{Condition, Instance, Resources, Wave};
-use hyssop_policy::fleet::{Change, Decision, Fleet, Settings};
+use hyssop_platform::dialect::Transfer;
+use hyssop_policy::fleet::{Decision, Fleet, Settings};
 use hyssop_policy::owner::{Demand, Load};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -121,8 +122,8 @@
                 .find(|i| i.name == change.instance());
             let found = found.expect("a known instance");
             match change {
-                Change::Move { pool, .. } => *found = instance(&found.name, pool, Condition::Up),
-                Change::Maintain { wave, .. } => {
+                Transfer::Move { pool, .. } => *found = instance(&found.name, pool, Condition::Up),
+                Transfer::Maintain { wave, .. } => {
                     found.condition = Condition::Maintained;
                     self.fleet.note_maintained(*wave, change.instance());
                 }
@@ -144,8 +145,8 @@
 }
 
 fn moved_to<'a>(decision: &'a Decision, target: &str) -> Vec<&'a str> {
-    let into = |change: &'a Change| match change {
-        Change::Move { instance, pool } if pool == target => Some(instance.as_str()),
+    let into = |change: &'a Transfer| match change {
+        Transfer::Move { instance, pool } if pool == target => Some(instance.as_str()),
         _ => None,
     };
     decision.changes.iter().filter_map(into).collect()
@@ -306,7 +307,7 @@
     situation.demand("a", 0, &[], &[]);
     situation.demand("b", 0, &[], &[]);
     let decision = situation.carry_out();
-    let names: Vec<&str> = decision.changes.iter().map(Change::instance).collect();
+    let names: Vec<&str> = decision.changes.iter().map(Transfer::instance).collect();
     assert_eq!(names, ["s0", "s1"]);
     situation.demand("a", 0, &[], &["a0", "a1"]);
     assert!(
