Start the programs in one place, and the log in one place

What is printed, where, and the exit codes stay as they are: usage and unreadable files were tried by hand on edge, entry and the stand-in server.

--- a/crates/hyssop-edge/src/daemon/error.rs
+++ b/crates/hyssop-edge/src/daemon/error.rs
@@ -22,9 +22,9 @@
         source: std::io::Error,
     },
     /// The log can't be set up.
-    #[snafu(display("the log can't be set up: {reason}"))]
+    #[snafu(display("{source}"))]
     Log {
-        /// What the library said.
-        reason: String,
+        /// What is wrong with it.
+        source: hyssop_event::log::Error,
     },
 }
--- a/crates/hyssop-edge/src/daemon/life.rs
+++ b/crates/hyssop-edge/src/daemon/life.rs
@@ -1,5 +1,5 @@
 use super::configuration::{fetch_on_demand, follow_operators};
-use super::error::{Error, ListenSnafu, RuntimeSnafu};
+use super::error::{Error, ListenSnafu, LogSnafu, RuntimeSnafu};
 use crate::front::{self, Traffic};
 use crate::http::Client;
 use crate::metric::Metrics;
@@ -9,9 +9,6 @@
 use crate::store::Store;
 use hyssop_platform::dialect::Dialect;
 use hyssop_policy::owner;
-use log4rs::append::console::ConsoleAppender;
-use log4rs::config::{Appender, Config, Root};
-use log4rs::encode::pattern::PatternEncoder;
 use platform::settings::Settings;
 use snafu::ResultExt;
 use std::cell::{Cell, RefCell};
@@ -36,7 +33,7 @@
 ///
 /// Fails when an address can't be listened on.
 pub fn run(settings: Settings, dialect: Box<dyn Dialect>) -> Result<(), Error> {
-    set_up_log()?;
+    hyssop_event::log::start_unstamped().context(LogSnafu)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -44,24 +41,6 @@
     LocalSet::new().block_on(&runtime, live(settings, dialect.into()))
 }
 
-fn set_up_log() -> Result<(), Error> {
-    let failed = |reason: String| Error::Log { reason };
-    let encoder = PatternEncoder::new("level={l} {m}{n}");
-    let console = ConsoleAppender::builder()
-        .encoder(Box::new(encoder))
-        .build();
-    let config = Config::builder()
-        .appender(Appender::builder().build("console", Box::new(console)))
-        .build(
-            Root::builder()
-                .appender("console")
-                .build(log::LevelFilter::Info),
-        )
-        .map_err(|error| failed(error.to_string()))?;
-    log4rs::init_config(config).map_err(|error| failed(error.to_string()))?;
-    Ok(())
-}
-
 fn tuning(settings: &Settings) -> Tuning {
     /// The bound on a lease of our own choice: a dark worker's tasks run elsewhere after it.
     const LEASE: Duration = Duration::from_millis(3_500);
--- a/crates/hyssop-edge/src/main.rs
+++ b/crates/hyssop-edge/src/main.rs
@@ -1,6 +1,7 @@
 //! Starts the edge daemon on the users' platform.
 
 use gumdrop::Options;
+use hyssop_program::Start;
 use std::process::ExitCode;
 
 /// Takes callers' jobs, owns pools and maintains the fleet, on one edge instance.
@@ -19,8 +20,6 @@
     settings: Option<String>,
 }
 
-const EXIT_USAGE: u8 = 2;
-
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     if arguments.version {
@@ -28,26 +27,14 @@
         return ExitCode::SUCCESS;
     }
     let variable = platform::settings::PATH_VARIABLE;
-    let Some(path) = arguments.settings.or_else(|| std::env::var(variable).ok()) else {
-        eprintln!("hyssop-edge: no settings file; name one, or set {variable}");
-        return ExitCode::from(EXIT_USAGE);
-    };
-    let settings = match platform::settings::read(&path) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("hyssop-edge: {error}");
-            return ExitCode::from(EXIT_USAGE);
-        }
+    let path = arguments.settings.or_else(|| std::env::var(variable).ok());
+    let start = Start {
+        name: "hyssop-edge",
+        path: path.as_deref(),
+        missing: &format!("no settings file; name one, or set {variable}"),
+        is_check: arguments.check,
     };
-    if arguments.check {
-        println!("{path}: the settings are good");
-        return ExitCode::SUCCESS;
-    }
-    match hyssop_edge::daemon::run(settings, Box::new(platform::Users)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("hyssop-edge: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    start.run(platform::settings::read, |settings| {
+        hyssop_edge::daemon::run(settings, Box::new(platform::Users))
+    })
 }
--- a/crates/hyssop-entry/src/main.rs
+++ b/crates/hyssop-entry/src/main.rs
@@ -2,6 +2,7 @@
 
 use gumdrop::Options;
 use hyssop_config::settings::Entry;
+use hyssop_program::Start;
 use std::process::ExitCode;
 
 /// Serves callers' requests on the instances of a fleet.
@@ -17,34 +18,17 @@
     settings: Option<String>,
 }
 
-const EXIT_USAGE: u8 = 2;
-
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     if arguments.version {
         println!("hyssop-entry {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let Some(path) = arguments.settings else {
-        eprintln!("hyssop-entry: no settings file; call it as `hyssop-entry FILE`");
-        return ExitCode::from(EXIT_USAGE);
-    };
-    let settings = match Entry::read(&path) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("hyssop-entry: {error}");
-            return ExitCode::from(EXIT_USAGE);
-        }
+    let start = Start {
+        name: "hyssop-entry",
+        path: arguments.settings.as_deref(),
+        missing: "no settings file; call it as `hyssop-entry FILE`",
+        is_check: arguments.check,
     };
-    if arguments.check {
-        println!("{path}: the settings are good");
-        return ExitCode::SUCCESS;
-    }
-    match hyssop_entry::daemon::run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("hyssop-entry: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    start.run(Entry::read, hyssop_entry::daemon::run)
 }
--- a/crates/hyssop-event/src/log/mod.rs
+++ b/crates/hyssop-event/src/log/mod.rs
@@ -1,4 +1,4 @@
-//! Set-up of the log: one line of key=value pairs for each event, on standard error.
+//! Set-up of the log: one line of key=value pairs for each event.
 
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Config, Root};
@@ -24,7 +24,7 @@
     },
 }
 
-/// Starts logging for `process` at `level`.
+/// Starts logging on standard error for `process` at `level`.
 ///
 /// # Errors
 ///
@@ -33,9 +33,23 @@
     let level = level.parse().context(LevelSnafu { level })?;
     let pattern =
         format!("time={{d(%Y-%m-%dT%H:%M:%S%.6f)(utc)}} level={{l}} process={process} {{m}}{{n}}");
+    set_up(Target::Stderr, &pattern, level)
+}
+
+/// Starts logging on standard output at level `info`, for a platform that stamps each line with its
+/// time and process itself.
+///
+/// # Errors
+///
+/// Fails when logging was started before.
+pub fn start_unstamped() -> Result<(), Error> {
+    set_up(Target::Stdout, "level={l} {m}{n}", log::LevelFilter::Info)
+}
+
+fn set_up(target: Target, pattern: &str, level: log::LevelFilter) -> Result<(), Error> {
     let console = ConsoleAppender::builder()
-        .target(Target::Stderr)
-        .encoder(Box::new(PatternEncoder::new(&pattern)))
+        .target(target)
+        .encoder(Box::new(PatternEncoder::new(pattern)))
         .build();
     let appender = Appender::builder().build("console", Box::new(console));
     let root = Root::builder().appender("console").build(level);
--- a/crates/hyssop-standin/src/bin/standin_platform.rs
+++ b/crates/hyssop-standin/src/bin/standin_platform.rs
@@ -1,6 +1,7 @@
 //! Starts the stand-in for the platform's services.
 
 use gumdrop::Options;
+use hyssop_program::finish;
 use hyssop_standin::platform;
 use std::process::ExitCode;
 
@@ -53,11 +54,5 @@
             .map(str::to_owned)
             .collect(),
     };
-    match platform::run(options) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("standin-platform: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    finish("standin-platform", platform::run(options))
 }
--- a/crates/hyssop-standin/src/bin/standin_server.rs
+++ b/crates/hyssop-standin/src/bin/standin_server.rs
@@ -2,6 +2,7 @@
 
 use gumdrop::Options;
 use hyssop_config::settings::Machines;
+use hyssop_program::Start;
 use hyssop_standin::server;
 use std::process::ExitCode;
 
@@ -35,39 +36,26 @@
     machines: Option<String>,
 }
 
-const EXIT_USAGE: u8 = 2;
-
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     if arguments.version {
         println!("standin-server {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let Some(path) = arguments.machines else {
-        eprintln!(
-            "standin-server: no machines file; call it as `standin-server --platform URL FILE`"
-        );
-        return ExitCode::from(EXIT_USAGE);
-    };
-    let machines = match Machines::read(&path) {
-        Ok(machines) => machines,
-        Err(error) => {
-            eprintln!("standin-server: {error}");
-            return ExitCode::from(EXIT_USAGE);
-        }
+    let start = Start {
+        name: "standin-server",
+        path: arguments.machines.as_deref(),
+        missing: "no machines file; call it as `standin-server --platform URL FILE`",
+        is_check: false,
     };
-    let options = server::Options {
-        machines,
-        platform: arguments.platform,
-        listen: arguments.listen,
-        reboot_ms: arguments.reboot_ms,
-        threads: arguments.threads.max(1),
+    let run = |machines| {
+        server::run(server::Options {
+            machines,
+            platform: arguments.platform,
+            listen: arguments.listen,
+            reboot_ms: arguments.reboot_ms,
+            threads: arguments.threads.max(1),
+        })
     };
-    match server::run(options) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("standin-server: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    start.run(Machines::read, run)
 }
