Replace the mesh of links by links on demand and a few watchers

Cause: every process kept a link to every other and pinged it four times a second: 9,312 links and some 37,000 pings a second at 97 instances, with 256 KiB of buffers a link. It is the one cost that grows with the square.

Change: a link is opened when an owner is needed and closed after 30 s without use. Three candidates watch each owner and each other; one of them takes over after 0.7 s of silence that nobody else contradicts. Whoever needs an owner and does not reach it reports it to further candidates, so a failover does not depend on the watchers. Candidates alternate between data centres. The fleet's owner removes the rows of members that are gone.

--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -4,8 +4,10 @@
 use crate::http::Client;
 use crate::metric::Metrics;
 use crate::node::{Clock, Node, Timing};
-use crate::ownership::{follow_owners, monitor_shards, register, release_all};
-use crate::peer;
+use crate::ownership::{
+    follow_owners, monitor_shards, register, release_all, remove_lost_members, Suspects,
+};
+use crate::peer::{self, Links};
 use crate::store::Store;
 use hyssop_platform::dialect::Dialect;
 use hyssop_policy::owner;
@@ -89,10 +91,13 @@
         owners: RefCell::default(),
         drivers: RefCell::default(),
         fleet_term: Cell::new(None),
-        links: RefCell::default(),
+        topology: Cell::new(0),
+        suspects: Suspects::default(),
+        links: Links::default(),
         changes: watch::channel(0).0,
         configuration_outdated: Notify::new(),
         is_stopping: Cell::new(false),
+        fleet_seen_at: Cell::new(Duration::ZERO),
         peer_last_seen_at: Cell::new(Duration::ZERO),
     })
 }
@@ -136,8 +141,8 @@
     spawn_local(follow_owners(node.clone()));
     spawn_local(register(node.clone(), false));
     spawn_local(peer::listen(node.clone(), peers));
-    spawn_local(peer::keep_links(node.clone()));
     spawn_local(monitor_shards(node.clone()));
+    spawn_local(remove_lost_members(node.clone()));
     spawn_local(front::serve(
         node.clone(),
         ready,
--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -2,6 +2,7 @@
 use super::{BASE_KEY, RECENT_KEY, TABLE};
 use crate::http::Lane;
 use crate::node::{Node, Route, FLEET};
+use crate::ownership::report_owner;
 use crate::peer::{Answer, Operation};
 use crate::store::{Committer, Outcome};
 use futures_util::future::join_all;
@@ -24,6 +25,10 @@
 const OBSERVATION_TTL: Duration = Duration::from_millis(1_000);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
+/// A pool's owner without an answer for this long is reported to further candidates.
+const REPORT_AFTER: Duration = Duration::from_millis(300);
+/// The timeout of a request for a pool's demand, so that a lost owner is reported in time.
+const DEMAND_TIMEOUT: Duration = Duration::from_millis(300);
 /// The interval at which unchanged lists of workers due for maintenance are sent to pools again.
 const DUE_PAUSE: Duration = Duration::from_secs(2);
 /// How long an evacuation lasts unless it is requested again.
@@ -37,6 +42,8 @@
     /// When the pools' demand was last requested.
     observed_at: Duration,
     pub(super) committer: Committer,
+    /// Since when each pool's owner has not answered.
+    unanswered_since: BTreeMap<String, Duration>,
     /// The workers that each pool was last requested to evacuate.
     evacuating: BTreeMap<String, BTreeSet<String>>,
     /// The workers due for maintenance as last acknowledged by each pool, and when.
@@ -69,6 +76,7 @@
                 stored: progress.clone(),
                 fleet: RefCell::new(Fleet::new(Settings::default(), base, progress)),
                 observed_at: Duration::ZERO,
+                unanswered_since: BTreeMap::new(),
                 recent: BTreeMap::new(),
                 node,
                 term,
@@ -147,20 +155,39 @@
             .pools
             .values()
             .filter(|pool| !pool.is_spare)
-            .map(|pool| {
-                self.request(Operation::Demand {
+            .map(|pool| async {
+                let operation = Operation::Demand {
                     part: pool.name.clone(),
-                })
+                };
+                let answer = tokio::time::timeout(DEMAND_TIMEOUT, self.request(operation)).await;
+                (pool.name.clone(), answer.ok().flatten())
             });
-        for answer in join_all(requests).await {
-            if let Some(Answer::Demand(demand)) = answer {
-                let now = self.node.clock.now();
-                self.fleet.borrow_mut().on_demand_report(demand, now);
+        let answers = join_all(requests).await;
+        for (pool, answer) in answers {
+            let now = self.node.clock.now();
+            match answer {
+                Some(Answer::Demand(demand)) => {
+                    self.unanswered_since.remove(&pool);
+                    self.fleet.borrow_mut().on_demand_report(demand, now);
+                }
+                _ => self.on_unanswered_demand(pool),
             }
         }
         true
     }
 
+    /// Reports the owner of a pool that has not answered for some time.
+    fn on_unanswered_demand(&mut self, pool: String) {
+        let now = self.node.clock.now();
+        let since = *self
+            .unanswered_since
+            .entry(pool.clone())
+            .or_insert(self.observed_at);
+        if now.saturating_sub(since) >= REPORT_AFTER {
+            report_owner(&self.node, &pool);
+        }
+    }
+
     /// Notifies the pools of workers that stopped because their instances changed, long before the
     /// registry shows it.
     async fn notify_stopped_workers(&self) {
--- a/crates/hyssop-edge/src/front/handler.rs
+++ b/crates/hyssop-edge/src/front/handler.rs
@@ -1,4 +1,5 @@
-use crate::node::{Node, Route};
+use crate::node::{Endpoint, Node, Route};
+use crate::ownership::{locate_owner, report_owner};
 use crate::peer::{Answer, Operation};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -235,6 +236,7 @@
     let started_at = node.clock.now();
     let mut was_sent = false;
     loop {
+        seek_owner(node, shard, started_at);
         let now = node.clock.now();
         if now >= deadline || (!was_sent && now.saturating_sub(started_at) >= OWNER_WAIT) {
             return if was_sent {
@@ -250,7 +252,13 @@
             Some(Route::Local) => tokio::time::timeout(left, node.perform(operation(now)))
                 .await
                 .ok(),
-            Some(Route::Link(link)) => link.request(operation(now), left.min(OWNER_TIMEOUT)).await,
+            Some(Route::Link(link)) => {
+                let request = link.request(operation(now), left.min(OWNER_TIMEOUT));
+                tokio::select! {
+                    answer = request => answer,
+                    () = owner_replaced(node, shard, &link.peer) => None,
+                }
+            }
         };
         match answer {
             Some(Answer::NotOwner) => {}
@@ -264,6 +272,38 @@
     }
 }
 
+/// Looks for the shard's owner if a request has waited for it since `started_at` without success.
+fn seek_owner(node: &Rc<Node>, shard: &str, started_at: Duration) {
+    /// The watchers of an owner have replaced it by then, or are lost too.
+    const REPORT_AFTER: Duration = Duration::from_millis(900);
+    let waited = node.clock.now().saturating_sub(started_at);
+    if waited.is_zero() {
+        return;
+    }
+    // The store tells of a new owner within milliseconds, if it answers at all.
+    if node.store.failed_since().is_some() || waited >= REPORT_AFTER {
+        locate_owner(node, shard);
+    }
+    if waited >= REPORT_AFTER {
+        report_owner(node, shard);
+    }
+}
+
+/// Waits until another process than `owner` owns the shard.
+async fn owner_replaced(node: &Rc<Node>, shard: &str, owner: &Endpoint) {
+    let mut changes = node.changes.subscribe();
+    loop {
+        let is_owner = node
+            .owners
+            .borrow()
+            .get(shard)
+            .is_some_and(|current| current.process == owner.process);
+        if !is_owner || changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 fn empty_response(status: StatusCode) -> Reply {
     json_response(status, b"{}".to_vec())
 }
--- a/crates/hyssop-edge/src/front/ready.rs
+++ b/crates/hyssop-edge/src/front/ready.rs
@@ -13,6 +13,7 @@
 pub(crate) async fn probe(node: Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     if request.uri().path() == METRICS_PATH {
         node.metrics.set_terms(&node.status().owned);
+        node.metrics.set_links(node.links.count());
         return Response::new(Full::new(Bytes::from(node.metrics.text())));
     }
     let is_ready = node.configuration.borrow().version > 0 && !node.is_stopping.get();
--- a/crates/hyssop-edge/src/metric/registry.rs
+++ b/crates/hyssop-edge/src/metric/registry.rs
@@ -1,5 +1,6 @@
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
     transactions: IntCounterVec,
     transfers: IntCounterVec,
     terms: IntGaugeVec,
+    links: IntGauge,
     submission_seconds: Histogram,
     transaction_seconds: Histogram,
 }
@@ -81,6 +83,11 @@
         registry
             .register(Box::new(terms.clone()))
             .expect("a unique name");
+        let links = IntGauge::new("hyssop_peer_links", "Links of this process to peers")
+            .expect("a valid name");
+        registry
+            .register(Box::new(links.clone()))
+            .expect("a unique name");
         Self {
             registry,
             submissions,
@@ -88,6 +95,7 @@
             transactions,
             transfers,
             terms,
+            links,
             submission_seconds,
             transaction_seconds,
         }
@@ -119,6 +127,10 @@
         }
     }
 
+    pub(crate) fn set_links(&self, count: usize) {
+        self.links.set(count as i64);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -1,7 +1,8 @@
-use super::{Clock, Member, Ownership, Route, TrackedWave};
+use super::{Clock, Endpoint, Member, Ownership, Route, TrackedWave};
 use crate::http::Client;
 use crate::metric::Metrics;
-use crate::peer::{Answer, Link, Operation, Status};
+use crate::ownership::Suspects;
+use crate::peer::{self, Answer, Inquiry, Link, Links, Operation, Status};
 use crate::pool::Driver;
 use crate::store::Store;
 use hyssop_model::work::Configuration;
@@ -17,6 +18,12 @@
 /// The shard whose owner manages the fleet's instances; no pool may have this name.
 pub(crate) const FLEET: &str = "fleet/";
 
+/// The timeout of a question to a peer about the ownership of shards.
+pub(crate) const INQUIRY_TIMEOUT: Duration = Duration::from_millis(450);
+/// How long another process is tried on behalf of one that does not reach it; shorter than
+/// [`INQUIRY_TIMEOUT`], so that the answer is in time.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Timing parameters derived from the platform's settings.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Timing {
@@ -55,12 +62,17 @@
     pub(crate) drivers: RefCell<BTreeMap<String, Rc<Driver>>>,
     /// The term in which this process owns the fleet shard.
     pub(crate) fleet_term: Cell<Option<u64>>,
-    pub(crate) links: RefCell<BTreeMap<String, Rc<Link>>>,
+    /// Incremented on each change of a member or an owner.
+    pub(crate) topology: Cell<u64>,
+    pub(crate) suspects: Suspects,
+    pub(crate) links: Links,
     /// Incremented on each change of an owner or a link, to wake its subscribers.
     pub(crate) changes: watch::Sender<u64>,
     /// Triggers a read of the configuration when a peer has a newer version.
     pub(crate) configuration_outdated: Notify,
     pub(crate) is_stopping: Cell<bool>,
+    /// When the fleet's owner last asked a pool of this process for its demand.
+    pub(crate) fleet_seen_at: Cell<Duration>,
     /// When the last frame of any peer arrived.
     pub(crate) peer_last_seen_at: Cell<Duration>,
 }
@@ -168,26 +180,44 @@
         }
         owners.insert(shard.to_owned(), ownership);
         drop(owners);
+        self.on_topology_change();
+    }
+
+    /// Notifies subscribers that a member or an owner has changed.
+    pub(crate) fn on_topology_change(&self) {
+        self.topology.set(self.topology.get() + 1);
         self.notify_changed();
     }
 
-    /// Records a shard's owner from a peer's heartbeat, which also arrives while the store is
-    /// unavailable.
-    pub(crate) fn record_announced_owner(&self, shard: &str, term: u64, peer: &Member) {
-        let is_newer = self
-            .owners
-            .borrow()
-            .get(shard)
-            .is_none_or(|known| known.term < term);
-        if is_newer {
-            let ownership = Ownership {
-                term,
-                node: peer.node.clone(),
-                process: peer.process.clone(),
-                address: peer.address,
-                is_released: false,
-            };
-            self.record_owner(shard, ownership);
+    /// Records the owners that a peer's heartbeat announces, which also arrives while the store is
+    /// unavailable, and tells the peer of its terms that have ended.
+    pub(crate) fn record_announced_owners(self: &Rc<Self>, status: &Status, link: &Rc<Link>) {
+        for (shard, term) in &status.owned {
+            let known = self.owners.borrow().get(shard).cloned();
+            match known {
+                Some(known) if known.term == *term => {}
+                Some(known) if known.term > *term => {
+                    let operation = Operation::Inquire(Inquiry::Superseded {
+                        part: shard.clone(),
+                        ownership: known,
+                    });
+                    let link = link.clone();
+                    tokio::task::spawn_local(async move {
+                        // Repeated with the next heartbeat if it is lost.
+                        let _ = link.request(operation, INQUIRY_TIMEOUT).await;
+                    });
+                }
+                _ => self.record_owner(
+                    shard,
+                    Ownership {
+                        term: *term,
+                        node: link.peer.node.clone(),
+                        process: link.peer.process.clone(),
+                        address: link.peer.address,
+                        is_released: false,
+                    },
+                ),
+            }
         }
     }
 
@@ -196,21 +226,67 @@
         self.drivers.borrow().get(shard).cloned()
     }
 
-    /// Returns the route to a shard's owner, or `None` if the owner is unknown or unreachable.
-    pub(crate) fn route_to(&self, shard: &str) -> Option<Route> {
+    /// Returns the route to a shard's owner, or `None` if the owner is unknown or not connected
+    /// yet. A link to it is opened then, and subscribers are notified once it is open.
+    pub(crate) fn route_to(self: &Rc<Self>, shard: &str) -> Option<Route> {
         if self.driver(shard).is_some_and(|driver| !driver.is_over()) {
             return Some(Route::Local);
         }
-        let owner = self.owners.borrow().get(shard)?.node.clone();
-        let link = self.links.borrow().get(&owner)?.clone();
+        let owner = self.owners.borrow().get(shard)?.endpoint();
+        if owner.node == self.name {
+            return None;
+        }
+        let link = self.links.open(self, &owner, peer::MAX_IDLE);
         link.is_open().then_some(Route::Link(link))
     }
 
-    /// Performs an operation on a pool that this process owns.
-    pub(crate) async fn perform(&self, operation: Operation) -> Answer {
+    /// Performs an operation on a pool that this process owns, or answers an inquiry.
+    pub(crate) async fn perform(self: &Rc<Self>, operation: Operation) -> Answer {
+        if let Operation::Inquire(inquiry) = operation {
+            return self.answer(inquiry).await;
+        }
         match self.driver(operation.shard()) {
             Some(driver) => driver.perform(operation).await,
             None => Answer::NotOwner,
         }
     }
+
+    async fn answer(self: &Rc<Self>, inquiry: Inquiry) -> Answer {
+        match inquiry {
+            Inquiry::Locate { part } => Answer::Owner(self.owners.borrow().get(&part).cloned()),
+            Inquiry::Superseded { part, ownership } => {
+                self.record_owner(&part, ownership);
+                Answer::Done
+            }
+            Inquiry::Suspect { part, term } => {
+                self.on_suspicion(&part, term);
+                Answer::Done
+            }
+            Inquiry::Probe {
+                node,
+                process,
+                address,
+            } => {
+                let peer = Endpoint {
+                    node,
+                    process,
+                    address,
+                };
+                Answer::Reached(peer::reach(self, &peer, PROBE_TIMEOUT).await)
+            }
+        }
+    }
+
+    /// Watches a shard's owner for a while because another process reports it.
+    fn on_suspicion(&self, shard: &str, term: u64) {
+        let is_current = self
+            .owners
+            .borrow()
+            .get(shard)
+            .is_some_and(|owner| owner.term == term && owner.node != self.name);
+        if is_current {
+            self.suspects.on_report(shard, self.clock.now());
+            self.on_topology_change();
+        }
+    }
 }
--- a/crates/hyssop-edge/src/node/mod.rs
+++ b/crates/hyssop-edge/src/node/mod.rs
@@ -2,12 +2,14 @@
 
 mod clock;
 mod context;
+mod endpoint;
 mod owner;
 mod route;
 mod wave;
 
 pub(crate) use clock::Clock;
-pub(crate) use context::{Node, Timing, FLEET};
+pub(crate) use context::{Node, Timing, FLEET, INQUIRY_TIMEOUT};
+pub(crate) use endpoint::Endpoint;
 pub(crate) use owner::{Member, Ownership};
 pub(crate) use route::Route;
 pub(crate) use wave::TrackedWave;
--- a/crates/hyssop-edge/src/node/owner.rs
+++ b/crates/hyssop-edge/src/node/owner.rs
@@ -1,3 +1,4 @@
+use super::Endpoint;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -16,6 +17,17 @@
     pub(crate) is_released: bool,
 }
 
+impl Ownership {
+    /// Returns the owner's process.
+    pub(crate) fn endpoint(&self) -> Endpoint {
+        Endpoint {
+            node: self.node.clone(),
+            process: self.process.clone(),
+            address: self.address,
+        }
+    }
+}
+
 /// The stored row that registers a process with its peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Member {
@@ -25,8 +37,22 @@
     pub(crate) process: String,
     /// The address for links from peers.
     pub(crate) address: SocketAddr,
+    /// The data centre of its instance; empty in the rows of versions that did not store it.
+    #[serde(default)]
+    pub(crate) data_centre: String,
     /// The CPU share of its instance, in thousandths of a core.
     pub(crate) share: u64,
     /// Whether the process is stopping and must not take over shards.
     pub(crate) is_leaving: bool,
 }
+
+impl Member {
+    /// Returns the member's process.
+    pub(crate) fn endpoint(&self) -> Endpoint {
+        Endpoint {
+            node: self.node.clone(),
+            process: self.process.clone(),
+            address: self.address,
+        }
+    }
+}
--- a/crates/hyssop-edge/src/ownership/mod.rs
+++ b/crates/hyssop-edge/src/ownership/mod.rs
@@ -1,11 +1,16 @@
-//! Ownership of shards: the owners' rows, failover and release.
+//! Ownership of shards: the owners' rows, failure detection, failover and release.
 
+mod candidates;
 mod monitor;
 mod registry;
+mod removal;
+mod suspects;
 mod takeover;
 
 pub(crate) use monitor::monitor_shards;
 pub(crate) use registry::{follow_owners, register};
+pub(crate) use removal::remove_lost_members;
+pub(crate) use suspects::{locate_owner, report_owner, Suspects};
 pub(crate) use takeover::release_all;
 
 /// The table with one owner row for each shard; the shard with an empty name has the members.
--- a/crates/hyssop-edge/src/ownership/monitor.rs
+++ b/crates/hyssop-edge/src/ownership/monitor.rs
@@ -1,120 +1,362 @@
+use super::candidates::{rank, successors, window};
+use super::suspects::report_owner;
 use super::takeover;
-use crate::node::Node;
-use hyssop_policy::failover::{self, Candidate};
+use crate::node::{Endpoint, Node, FLEET, INQUIRY_TIMEOUT};
+use crate::peer::{request_from, Answer, Inquiry, Link, Operation, MAX_IDLE};
+use hyssop_policy::failover::{Verdict, Watch, WATCHER_COUNT};
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The interval between checks of the shards' owners.
+/// The interval between checks while this process watches others.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The interval between checks of a process that watches nobody; a changed row or a report of
+/// another process wakes it earlier.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval between computations of whom to watch; each takes time for every member.
+const SELECTION_INTERVAL: Duration = Duration::from_millis(150);
 /// All processes start within a third of a second; a longer delay lets each of them register before
 /// shards are taken over, which spreads the shards.
 const STARTUP_DELAY: Duration = Duration::from_millis(600);
-/// An owner without a heartbeat for this long counts as lost; nearly three heartbeat intervals.
-const OWNER_TIMEOUT: Duration = Duration::from_millis(700);
 /// An owner that can't reach the store for this long, while this process can, is replaced.
 const STORE_OUTAGE_LIMIT: Duration = Duration::from_millis(1_000);
-/// The additional pause for each candidate with a higher rank, which gets the first attempt.
+/// The additional pause for each live candidate with a higher rank, which gets the first attempt.
 const RANK_PAUSE: Duration = Duration::from_millis(250);
-/// The additional pause of a process without contact to any peer, which may itself be partitioned
-/// from the network.
-const ISOLATION_PAUSE: Duration = Duration::from_secs(3);
+/// The fleet's owner is reported by a pool's owner that it has not asked for this long.
+const FLEET_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How many other processes are asked at a time whether they reach a suspect owner.
+const PROBE_COUNT: usize = 4;
+
+/// A process that this one watches.
+struct Watched {
+    endpoint: Endpoint,
+    link: Rc<Link>,
+    watch: Watch,
+    /// The shards that it owns; none for a fellow candidate.
+    shards: Vec<String>,
+    /// How many times others were asked whether they reach it.
+    probe_rounds: usize,
+}
+
+/// The failure detector of one process: it watches the owners that it may have to replace, and the
+/// candidates that come before it or after it.
+struct Monitor {
+    node: Rc<Node>,
+    watched: RefCell<BTreeMap<String, Watched>>,
+    vacant_since: RefCell<BTreeMap<String, Duration>>,
+    /// The topology for which the watched processes were selected, and when.
+    selected: Cell<(u64, Duration)>,
+}
 
 /// Takes over shards whose owners are lost.
 pub(crate) async fn monitor_shards(node: Rc<Node>) {
     tokio::time::sleep(STARTUP_DELAY).await;
-    let mut vacant_since: BTreeMap<String, Duration> = BTreeMap::new();
-    loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
-        if node.is_stopping.get() {
-            return;
+    let mut changes = node.changes.subscribe();
+    let monitor = Rc::new(Monitor {
+        node: node.clone(),
+        watched: RefCell::default(),
+        vacant_since: RefCell::default(),
+        selected: Cell::new((0, Duration::ZERO)),
+    });
+    while !node.is_stopping.get() {
+        monitor.check().await;
+        let interval = if monitor.is_busy() {
+            CHECK_INTERVAL
+        } else {
+            IDLE_INTERVAL
+        };
+        changes.mark_unchanged();
+        // Both a change and the end of the interval lead to the same check.
+        let _ = tokio::time::timeout(interval, changes.changed()).await;
+        if monitor.is_busy() {
+            // Changes of links come in quick succession.
+            tokio::time::sleep(CHECK_INTERVAL / 5).await;
         }
-        let now = node.clock.now();
-        let vacant: Vec<String> = node
+    }
+    monitor.release();
+}
+
+impl Monitor {
+    /// Returns whether there is anything to check at short intervals.
+    fn is_busy(&self) -> bool {
+        let now = self.node.clock.now();
+        !self.node.drivers.borrow().is_empty()
+            || !self.watched.borrow().is_empty()
+            || !self.vacant_since.borrow().is_empty()
+            || self.node.suspects.has_reports(now)
+            || self.selected.get().0 != self.node.topology.get()
+    }
+
+    /// Updates the watches and takes over vacant shards whose turn has come.
+    async fn check(self: &Rc<Self>) {
+        let now = self.node.clock.now();
+        self.select(now);
+        self.update_watches(now);
+        self.report_own_outage(now);
+        self.report_silent_fleet_owner(now);
+        let vacant: Vec<String> = self
+            .node
             .shards()
             .into_iter()
-            .filter(|shard| is_vacant(&node, shard, now))
+            .filter(|shard| self.is_vacant(shard, now))
             .collect();
-        vacant_since.retain(|shard, _| vacant.contains(shard));
-        for shard in &vacant {
-            vacant_since.entry(shard.clone()).or_insert(now);
+        {
+            let mut vacant_since = self.vacant_since.borrow_mut();
+            vacant_since.retain(|shard, _| vacant.contains(shard));
+            for shard in &vacant {
+                vacant_since.entry(shard.clone()).or_insert(now);
+            }
         }
         if vacant.is_empty() {
-            continue;
+            return;
         }
-        let rankings = failover::rank(&vacant, &candidates(&node, &vacant));
+        let orders = rank(&self.node, &vacant);
         for shard in vacant {
-            let Some(rank) = rankings[&shard].iter().position(|name| *name == node.name) else {
+            let Some(position) = self.position(&orders[&shard], now) else {
                 continue;
             };
-            let mut pause = RANK_PAUSE * rank as u32;
-            if is_isolated(&node, now) {
-                pause += ISOLATION_PAUSE;
-            }
-            if now.saturating_sub(vacant_since[&shard]) >= pause {
-                takeover::acquire(&node, &shard).await;
-                vacant_since.remove(&shard);
+            let since = self.vacant_since.borrow()[&shard];
+            if now.saturating_sub(since) >= RANK_PAUSE * position as u32 {
+                takeover::acquire(&self.node, &shard).await;
+                self.vacant_since.borrow_mut().remove(&shard);
             }
         }
     }
-}
 
-/// Returns whether a shard has no live owner with access to the store.
-fn is_vacant(node: &Node, shard: &str, now: Duration) -> bool {
-    let owners = node.owners.borrow();
-    let Some(owner) = owners.get(shard) else {
-        return true;
-    };
-    if owner.is_released {
-        return true;
+    /// Returns how many candidates that may be alive come before this process, `None` if it is no
+    /// candidate.
+    fn position(&self, order: &[String], now: Duration) -> Option<usize> {
+        let watched = self.watched.borrow();
+        let is_lost = |name: &&String| {
+            watched
+                .get(*name)
+                .is_some_and(|watched| watched.watch.is_silent(now))
+        };
+        order
+            .iter()
+            .filter(|name| **name == self.node.name || !is_lost(name))
+            .position(|name| *name == self.node.name)
+    }
+
+    /// Selects the processes to watch: the owners that this process may have to replace, and the
+    /// candidates next to it.
+    fn select(&self, now: Duration) {
+        let topology = self.node.topology.get();
+        let (selected, selected_at) = self.selected.get();
+        let has_expired = !self.node.suspects.has_reports(now)
+            && self
+                .watched
+                .borrow()
+                .values()
+                .any(|watched| watched.watch.timeout() == Watch::REPORTED_TIMEOUT);
+        if selected == topology && !has_expired
+            || now.saturating_sub(selected_at) < SELECTION_INTERVAL
+        {
+            return;
+        }
+        self.selected.set((topology, now));
+        let mut wanted: BTreeMap<String, (Endpoint, Vec<String>, Duration)> = BTreeMap::new();
+        for shard in self.node.shards() {
+            self.select_for(&shard, now, &mut wanted);
+        }
+        let mut watched = self.watched.borrow_mut();
+        watched.retain(|name, old| {
+            let is_kept = wanted
+                .get(name)
+                .is_some_and(|(endpoint, ..)| *endpoint == old.endpoint);
+            if !is_kept {
+                old.link.set_watched(false);
+            }
+            is_kept
+        });
+        for (name, (endpoint, shards, timeout)) in wanted {
+            if let Some(known) = watched.get_mut(&name) {
+                known.shards = shards;
+                continue;
+            }
+            let link = self.node.links.open(&self.node, &endpoint, MAX_IDLE);
+            link.set_watched(true);
+            let mut watch = Watch::new(timeout, now);
+            if timeout == Watch::REPORTED_TIMEOUT {
+                // The report itself is another process's word that it does not reach the owner.
+                watch.on_probe_answer(false, now);
+            }
+            let entry = Watched {
+                endpoint,
+                link,
+                watch,
+                shards,
+                probe_rounds: 0,
+            };
+            watched.insert(name, entry);
+        }
     }
-    if owner.node == node.name {
-        return owner.process != node.process;
+
+    /// Adds the processes to watch because of one shard.
+    fn select_for(
+        &self,
+        shard: &str,
+        now: Duration,
+        wanted: &mut BTreeMap<String, (Endpoint, Vec<String>, Duration)>,
+    ) {
+        let Some(owner) = self.node.owners.borrow().get(shard).cloned() else {
+            return;
+        };
+        if owner.is_released || owner.node == self.node.name {
+            return;
+        }
+        let order = successors(&self.node, shard);
+        let Some(position) = order.iter().position(|name| *name == self.node.name) else {
+            return;
+        };
+        let is_reported = self.node.suspects.is_reported(shard, now);
+        if position >= WATCHER_COUNT && !is_reported {
+            return;
+        }
+        let timeout = if position < WATCHER_COUNT {
+            Watch::TIMEOUT
+        } else {
+            Watch::REPORTED_TIMEOUT
+        };
+        wanted
+            .entry(owner.node.clone())
+            .or_insert_with(|| (owner.endpoint(), Vec::new(), timeout))
+            .1
+            .push(shard.to_owned());
+        let members = self.node.members.borrow();
+        let fellows = order.iter().take(WATCHER_COUNT.max(position + 1));
+        for member in fellows.filter_map(|name| members.get(name)) {
+            if member.node != self.node.name {
+                wanted
+                    .entry(member.node.clone())
+                    .or_insert_with(|| (member.endpoint(), Vec::new(), timeout));
+            }
+        }
     }
-    let members = node.members.borrow();
-    let Some(member) = members.get(&owner.node) else {
-        return true;
-    };
-    if member.process != owner.process {
-        return true;
+
+    /// Records what the links have heard, and asks others about suspect owners.
+    fn update_watches(self: &Rc<Self>, now: Duration) {
+        let mut inquiries = Vec::new();
+        for (name, watched) in self.watched.borrow_mut().iter_mut() {
+            watched.watch.on_heard(watched.link.last_seen_at());
+            let Some(shard) = watched.shards.first() else {
+                continue;
+            };
+            if watched.watch.take_probe(now) {
+                inquiries.push((name.clone(), shard.clone(), watched.probe_rounds));
+                watched.probe_rounds += 1;
+            }
+        }
+        for (name, shard, round) in inquiries {
+            let order = successors(&self.node, &shard);
+            for helper in window(&self.node, &order, PROBE_COUNT, round) {
+                tokio::task::spawn_local(self.clone().inquire(helper, name.clone()));
+            }
+        }
     }
-    let links = node.links.borrow();
-    let Some(link) = links.get(&owner.node) else {
-        return false;
-    };
-    if now.saturating_sub(link.last_seen_at.get()) >= OWNER_TIMEOUT {
-        return true;
+
+    /// Asks another process whether it reaches a watched one.
+    async fn inquire(self: Rc<Self>, helper: Endpoint, name: String) {
+        let Some(endpoint) = self
+            .watched
+            .borrow()
+            .get(&name)
+            .map(|watched| watched.endpoint.clone())
+        else {
+            return;
+        };
+        let operation = Operation::Inquire(Inquiry::Probe {
+            node: endpoint.node.clone(),
+            process: endpoint.process.clone(),
+            address: endpoint.address,
+        });
+        let answer = request_from(&self.node, &helper, operation, INQUIRY_TIMEOUT).await;
+        let Some(Answer::Reached(is_reached)) = answer else {
+            return;
+        };
+        log::info!(
+            "event=owner-probed owner={name} helper={} reached={is_reached}",
+            helper.node
+        );
+        let now = self.node.clock.now();
+        if let Some(watched) = self.watched.borrow_mut().get_mut(&name) {
+            if watched.endpoint == endpoint {
+                watched.watch.on_probe_answer(is_reached, now);
+            }
+        }
     }
-    let failed = Duration::from_millis(link.status.borrow().store_failed_ms);
-    failed >= STORE_OUTAGE_LIMIT && node.store.failed_since().is_none()
-}
 
-/// Returns the members eligible to take over, with the number of shards that each owns.
-fn candidates(node: &Node, vacant: &[String]) -> Vec<Candidate> {
-    let owners = node.owners.borrow();
-    let owned = |name: &str| {
-        owners
-            .iter()
-            .filter(|(shard, owner)| owner.node == name && !vacant.contains(shard))
-            .count()
-    };
-    node.members
-        .borrow()
-        .values()
-        .filter(|member| !member.is_leaving)
-        .map(|member| Candidate {
-            name: member.node.clone(),
-            owned: owned(&member.node),
-            share: member.share,
-        })
-        .collect()
-}
+    /// Reports this process's own shards to further candidates while it can't reach the store:
+    /// their watchers may be without it too.
+    fn report_own_outage(&self, now: Duration) {
+        let Some(since) = self.node.store.failed_since() else {
+            return;
+        };
+        if now.saturating_sub(since) < STORE_OUTAGE_LIMIT {
+            return;
+        }
+        for (shard, _) in self.node.status().owned {
+            report_owner(&self.node, &shard);
+        }
+    }
 
-/// Returns whether every peer has timed out.
-fn is_isolated(node: &Node, now: Duration) -> bool {
-    let links = node.links.borrow();
-    !links.is_empty()
-        && links
+    /// Reports the fleet's owner if it has not asked this process's pools for their demand, which it
+    /// does several times a second.
+    fn report_silent_fleet_owner(&self, now: Duration) {
+        let owns_pool = !self
+            .node
+            .drivers
+            .borrow()
             .values()
-            .all(|link| now.saturating_sub(link.last_seen_at.get()) >= OWNER_TIMEOUT)
+            .all(|pool| pool.is_over());
+        let has_fleet_owner = self.node.owners.borrow().contains_key(FLEET);
+        if !owns_pool || !has_fleet_owner {
+            self.node.fleet_seen_at.set(now);
+        }
+        let silence = now.saturating_sub(self.node.fleet_seen_at.get());
+        if silence >= FLEET_TIMEOUT && self.node.fleet_term.get().is_none() {
+            report_owner(&self.node, FLEET);
+        }
+    }
+
+    /// Returns whether a shard has no live owner with access to the store.
+    fn is_vacant(&self, shard: &str, now: Duration) -> bool {
+        let owners = self.node.owners.borrow();
+        let Some(owner) = owners.get(shard) else {
+            return true;
+        };
+        if owner.is_released {
+            return true;
+        }
+        if owner.node == self.node.name {
+            return owner.process != self.node.process;
+        }
+        let members = self.node.members.borrow();
+        let Some(member) = members.get(&owner.node) else {
+            return true;
+        };
+        if member.process != owner.process {
+            return true;
+        }
+        let watched = self.watched.borrow();
+        let Some(watched) = watched.get(&owner.node) else {
+            return false;
+        };
+        if watched.endpoint.process != owner.process {
+            return false;
+        }
+        if watched.watch.verdict(now) == Verdict::Lost {
+            return true;
+        }
+        let failed = Duration::from_millis(watched.link.status.borrow().store_failed_ms);
+        failed >= STORE_OUTAGE_LIMIT && self.node.store.failed_since().is_none()
+    }
+
+    /// Ends all watches.
+    fn release(&self) {
+        for watched in self.watched.borrow().values() {
+            watched.link.set_watched(false);
+        }
+    }
 }
--- a/crates/hyssop-edge/src/ownership/registry.rs
+++ b/crates/hyssop-edge/src/ownership/registry.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Changes within this time after others share a call: at a common start every process follows the
+/// registration of every other.
+const FEED_PAUSE: Duration = Duration::from_millis(40);
 
 /// Stores this process's member row, retrying until the store confirms it.
 pub(crate) async fn register(node: Rc<Node>, is_leaving: bool) {
@@ -14,6 +17,7 @@
         node: node.name.clone(),
         process: node.process.clone(),
         address: node.address,
+        data_centre: node.data_centre.clone(),
         share: node.share,
         is_leaving,
     };
@@ -39,7 +43,7 @@
     follow(
         node.store.clone(),
         OWNERS_TABLE,
-        Duration::ZERO,
+        FEED_PAUSE,
         shards,
         |update| {
             match update {
@@ -52,6 +56,7 @@
                     node.members
                         .borrow_mut()
                         .retain(|name, _| *name == node.name || present.contains(name.as_str()));
+                    node.on_topology_change();
                     rows.iter().for_each(|row| apply_row(&node, row));
                 }
                 Update::Changes(rows) => rows.iter().for_each(|row| apply_row(&node, row)),
@@ -63,23 +68,26 @@
 }
 
 /// Applies one row of the table to the node's state.
-pub(super) fn apply_row(node: &Node, row: &Row) {
+pub(super) fn apply_row(node: &Rc<Node>, row: &Row) {
     if row.is_removed {
-        if row.key.shard.is_empty() && row.key.key != node.name {
+        if !row.key.shard.is_empty() {
+            return;
+        }
+        if row.key.key == node.name {
+            // Another process took this one for lost.
+            tokio::task::spawn_local(register(node.clone(), node.is_stopping.get()));
+        } else {
             node.members.borrow_mut().remove(&row.key.key);
+            node.on_topology_change();
         }
         return;
     }
     if row.key.shard.is_empty() {
-        match ciborium::from_reader::<Member, _>(row.value.as_slice()) {
-            Ok(member) if member.node != node.name => {
-                node.members
-                    .borrow_mut()
-                    .insert(member.node.clone(), member);
-                node.notify_changed();
-            }
-            Ok(_) => {}
-            Err(error) => log::warn!("event=row-unreadable key={} reason={error:?}", row.key.key),
+        if let Some(member) = read_member(row).filter(|member| member.node != node.name) {
+            node.members
+                .borrow_mut()
+                .insert(member.node.clone(), member);
+            node.on_topology_change();
         }
     } else if row.key.key == OWNER_KEY {
         match ciborium::from_reader::<Ownership, _>(row.value.as_slice()) {
@@ -91,3 +99,14 @@
         }
     }
 }
+
+/// Reads a member's row; returns `None` if it is unreadable.
+pub(super) fn read_member(row: &Row) -> Option<Member> {
+    match ciborium::from_reader(row.value.as_slice()) {
+        Ok(member) => Some(member),
+        Err(error) => {
+            log::warn!("event=row-unreadable key={} reason={error:?}", row.key.key);
+            None
+        }
+    }
+}
--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -1,3 +1,4 @@
+use super::suspects::notify_superseded;
 use super::{registry, OWNERS_TABLE, OWNER_KEY};
 use crate::fleet;
 use crate::http::Failure;
@@ -31,7 +32,7 @@
         }
     }
     let ownership = Ownership {
-        term: current.map_or(1, |found| found.term + 1),
+        term: current.as_ref().map_or(1, |found| found.term + 1),
         node: node.name.clone(),
         process: node.process.clone(),
         address: node.address,
@@ -53,6 +54,9 @@
         node.clock.now().saturating_sub(started_at).as_millis()
     );
     node.record_owner(shard, ownership.clone());
+    if let Some(previous) = &current {
+        notify_superseded(node, shard, previous, ownership.clone());
+    }
     let committer = Committer::new(node.store.clone(), shard, head, version);
     if shard == FLEET {
         node.fleet_term.set(Some(ownership.term));
@@ -70,7 +74,7 @@
 /// Writes the owner's row and the head row in one transaction; returns the version of both, or
 /// `None` if the failover failed.
 async fn write_ownership(
-    node: &Node,
+    node: &Rc<Node>,
     shard: &str,
     version: u64,
     ownership: &Ownership,
@@ -109,7 +113,7 @@
 }
 
 /// Applies a row from a conflict, which carries no shard name.
-fn apply_conflicting_row(node: &Node, shard: &str, row: &Row) {
+fn apply_conflicting_row(node: &Rc<Node>, shard: &str, row: &Row) {
     let mut row = row.clone();
     shard.clone_into(&mut row.key.shard);
     registry::apply_row(node, &row);
--- a/crates/hyssop-edge/src/peer/frame.rs
+++ b/crates/hyssop-edge/src/peer/frame.rs
@@ -1,3 +1,5 @@
+use super::Inquiry;
+use crate::node::Ownership;
 use hyssop_model::work::{Phase, Submission};
 use hyssop_policy::owner::Demand;
 use serde::{Deserialize, Serialize};
@@ -34,7 +36,7 @@
     pub(crate) store_failed_ms: u64,
 }
 
-/// An operation on a shard, performed by its owner.
+/// An operation on a shard, performed by its owner, or an inquiry, answered by any process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum Operation {
     /// Submits a job.
@@ -97,10 +99,12 @@
         part: String,
         workers: Vec<String>,
     },
+    /// An inquiry about the ownership of shards.
+    Inquire(Inquiry),
 }
 
 impl Operation {
-    /// Returns the shard of the operation.
+    /// Returns the shard of the operation, empty for an inquiry.
     pub(crate) fn shard(&self) -> &str {
         match self {
             Self::Submit { part, .. }
@@ -111,6 +115,7 @@
             | Self::Evacuate { part, .. }
             | Self::MaintenanceDue { part, .. }
             | Self::WorkersStopped { part, .. } => part,
+            Self::Inquire(_) => "",
         }
     }
 }
@@ -135,6 +140,10 @@
     Demand(Demand),
     /// This process does not own the shard.
     NotOwner,
+    /// The shard's owner, if one is known.
+    Owner(Option<Ownership>),
+    /// Whether the other process was reached.
+    Reached(bool),
 }
 
 impl Frame {
--- /dev/null
+++ b/crates/hyssop-edge/src/peer/inquiry.rs
@@ -0,0 +1,31 @@
+use crate::node::Ownership;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// A question or a notice about the ownership of shards, which any process handles.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Inquiry {
+    /// Returns the shard's owner as far as the asked process knows it.
+    Locate {
+        /// The shard.
+        part: String,
+    },
+    /// Reports the shard's newest owner to one that may not know that its term has ended.
+    Superseded {
+        /// The shard.
+        part: String,
+        ownership: Ownership,
+    },
+    /// Reports that the shard's owner of this term can't be reached, or can't reach the store.
+    Suspect {
+        /// The shard.
+        part: String,
+        term: u64,
+    },
+    /// Returns whether the asked process reaches another one.
+    Probe {
+        node: String,
+        process: String,
+        address: SocketAddr,
+    },
+}
--- a/crates/hyssop-edge/src/peer/listener.rs
+++ b/crates/hyssop-edge/src/peer/listener.rs
@@ -1,16 +1,18 @@
+use super::socket::{configuration, MAX_IDLE};
 use super::{Body, Frame};
 use crate::node::Node;
 use futures_util::{SinkExt, StreamExt};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio_tungstenite::accept_async;
+use tokio_tungstenite::accept_async_with_config;
 use tokio_tungstenite::tungstenite::Message;
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Closes a connection without a message for this long; a live peer sends four pings a second.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Closes a connection without a message for this long, some time after a live peer would have
+/// closed it.
+const IDLE_TIMEOUT: Duration = MAX_IDLE.saturating_add(Duration::from_secs(10));
 
 /// Accepts peers' links and performs the operations that they request.
 pub(crate) async fn listen(node: Rc<Node>, listener: TcpListener) {
@@ -32,7 +34,10 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("event=peer-option-failed reason={error:?}");
     }
-    let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, accept_async(stream));
+    let handshake = tokio::time::timeout(
+        HANDSHAKE_TIMEOUT,
+        accept_async_with_config(stream, Some(configuration())),
+    );
     let Ok(Ok(socket)) = handshake.await else {
         return;
     };
--- a/crates/hyssop-edge/src/pool/operations.rs
+++ b/crates/hyssop-edge/src/pool/operations.rs
@@ -73,7 +73,9 @@
                 Answer::Waiting(self.scheduler.borrow().waiting(&queue))
             }
             Operation::Demand { .. } => {
-                Answer::Demand(self.scheduler.borrow().demand(self.node.clock.now()))
+                let now = self.node.clock.now();
+                self.node.fleet_seen_at.set(now);
+                Answer::Demand(self.scheduler.borrow().demand(now))
             }
             Operation::WorkersStopped { workers, .. } => {
                 let now = self.node.clock.now();
@@ -107,6 +109,7 @@
                 self.wake.notify_one();
                 Answer::Done
             }
+            Operation::Inquire(_) => Answer::NotOwner,
         }
     }
 
--- a/crates/hyssop-lab/src/command/measure.rs
+++ b/crates/hyssop-lab/src/command/measure.rs
@@ -42,6 +42,7 @@
             Some("rollout") => measure::rollout(&parameters),
             Some("capacity") => measure::capacity(&parameters),
             Some("jobs") => measure::jobs(&parameters),
+            Some("links") => measure::links(&parameters),
             Some("owner") => measure::owner(&parameters),
             Some("jobs-live") => measure::jobs_live(&parameters),
             Some("slopes") => measure::slopes(&parameters),
@@ -49,7 +50,7 @@
             Some("all") => measure::all(&parameters),
             Some("plots") => measure::plots(&parameters),
             _ => {
-                let message = "unknown measurement; use overhead, flood, skew, faults, outliers, drain, rollout, capacity, jobs, owner, jobs-live, slopes, storm, all or plots";
+                let message = "unknown measurement; use overhead, flood, skew, faults, outliers, drain, rollout, capacity, jobs, links, owner, jobs-live, slopes, storm, all or plots";
                 UsageSnafu { message }.fail()
             }
         }
--- a/crates/hyssop-policy/src/failover/candidate.rs
+++ b/crates/hyssop-policy/src/failover/candidate.rs
@@ -3,6 +3,8 @@
 pub struct Candidate {
     /// The node's name.
     pub name: String,
+    /// The data centre of its instance.
+    pub data_centre: String,
     /// The number of shards it already owns.
     pub owned: usize,
     /// The CPU share of its instance, in thousandths of a core.
--- a/crates/hyssop-policy/tests/failover.rs
+++ b/crates/hyssop-policy/tests/failover.rs
@@ -1,12 +1,14 @@
-//! Selection of the processes that take over shards without an owner.
+//! Failure detection and selection of the processes that take over shards without an owner.
 
-use hyssop_policy::failover::{rank, Candidate};
+use hyssop_policy::failover::{rank, Candidate, Verdict, Watch, WATCHER_COUNT};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 fn candidate(name: &str, owned: usize, share: u64) -> Candidate {
     Candidate {
         name: name.to_owned(),
+        data_centre: "dc-a".to_owned(),
         owned,
         share,
     }
@@ -16,6 +18,10 @@
     (0..count).map(|number| format!("pool-{number}")).collect()
 }
 
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
 #[test]
 fn spreads_vacant_shards_over_candidates() {
     let candidates: Vec<Candidate> = (0..7)
@@ -37,6 +43,88 @@
     assert_eq!(orders["pool-0"], ["strong", "weak", "loaded"]);
 }
 
+#[test]
+fn first_candidates_of_similar_shares_are_in_different_data_centres() {
+    let candidates: Vec<Candidate> = (0..24)
+        .map(|n| Candidate {
+            data_centre: format!("dc-{}", n % 4),
+            ..candidate(&format!("e{n}"), 0, if n < 12 { 500 } else { 120 })
+        })
+        .collect();
+    for order in rank(&shards(5), &candidates).values() {
+        let named = |name: &String| candidates.iter().find(|known| known.name == *name);
+        let first = order.iter().take(WATCHER_COUNT).filter_map(named);
+        let data_centres: BTreeSet<&str> = first
+            .clone()
+            .map(|candidate| candidate.data_centre.as_str())
+            .collect();
+        assert_eq!(data_centres.len(), WATCHER_COUNT);
+        assert!(
+            first.clone().all(|candidate| candidate.share == 500),
+            "a small instance does not rank before large ones: {order:?}"
+        );
+    }
+}
+
+#[test]
+fn process_without_heartbeats_that_nobody_reaches_is_lost() {
+    let mut watch = Watch::new(Watch::TIMEOUT, ms(0));
+    watch.on_heard(ms(1_000));
+    assert!(!watch.take_probe(ms(1_250)), "one heartbeat may be late");
+    assert!(watch.take_probe(ms(1_300)));
+    assert!(
+        !watch.take_probe(ms(1_350)),
+        "others are asked at an interval"
+    );
+    watch.on_probe_answer(false, ms(1_600));
+    assert_eq!(watch.verdict(ms(1_690)), Verdict::Alive);
+    assert_eq!(watch.verdict(ms(1_700)), Verdict::Lost);
+}
+
+#[test]
+fn process_that_another_one_reaches_is_not_lost() {
+    let mut watch = Watch::new(Watch::TIMEOUT, ms(0));
+    for second in 0..20 {
+        let now = ms(500 * second + 300);
+        if watch.take_probe(now) {
+            watch.on_probe_answer(false, now);
+            watch.on_probe_answer(true, now);
+        }
+        assert_eq!(watch.verdict(now), Verdict::Alive, "at {now:?}");
+    }
+    assert!(
+        watch.is_silent(ms(10_000)),
+        "the watcher itself hears nothing"
+    );
+}
+
+#[test]
+fn watcher_that_nobody_answers_waits_since_it_may_be_isolated_itself() {
+    let mut watch = Watch::new(Watch::TIMEOUT, ms(0));
+    assert!(watch.take_probe(ms(300)));
+    assert_eq!(watch.verdict(ms(3_600)), Verdict::Alive);
+    assert_eq!(watch.verdict(ms(3_700)), Verdict::Lost);
+}
+
+#[test]
+fn heartbeat_after_silence_ends_the_suspicion() {
+    let mut watch = Watch::new(Watch::TIMEOUT, ms(0));
+    watch.on_probe_answer(false, ms(400));
+    assert_eq!(watch.verdict(ms(800)), Verdict::Lost);
+    watch.on_heard(ms(850));
+    assert_eq!(watch.verdict(ms(900)), Verdict::Alive);
+    assert!(!watch.take_probe(ms(900)));
+}
+
+#[test]
+fn report_of_another_process_shortens_the_watch() {
+    let mut watch = Watch::new(Watch::REPORTED_TIMEOUT, ms(0));
+    watch.on_probe_answer(false, ms(0));
+    assert!(watch.take_probe(ms(150)));
+    assert_eq!(watch.verdict(ms(290)), Verdict::Alive);
+    assert_eq!(watch.verdict(ms(300)), Verdict::Lost);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
 
