Store results and new jobs before progress, and refuse when the store is too slow

Changes were stored oldest job first, so the progress of running jobs filled every transaction of 360 ms; new jobs and results waited until their callers had gone.

Change: a batch takes final phases first, then new jobs, then progress. Submissions of finished jobs are removed with batches that are sent anyway. Completions are acknowledged as far as the jobs they changed are stored. A new job is refused at once when the expected wait for the store leaves no time for its objective.

--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -32,6 +32,8 @@
     pub(super) cancelling: RefCell<Waiters>,
     /// When the unanswered batch was sent, `None` while no batch is in flight.
     pub(super) unanswered_since: Cell<Option<Duration>>,
+    /// How long the last batch took to be stored.
+    pub(super) commit_time: Cell<Duration>,
     /// Whether the pool is being released: no jobs are accepted and no runs are started.
     pub(super) is_leaving: Cell<bool>,
     pub(super) is_over: Cell<bool>,
@@ -49,6 +51,7 @@
             accepting: RefCell::default(),
             cancelling: RefCell::default(),
             unanswered_since: Cell::new(None),
+            commit_time: Cell::new(Duration::ZERO),
             is_leaving: Cell::new(false),
             is_over: Cell::new(false),
         });
--- a/crates/hyssop-edge/src/pool/operations.rs
+++ b/crates/hyssop-edge/src/pool/operations.rs
@@ -1,6 +1,7 @@
 use super::{Driver, Waiters};
 use crate::peer::{Answer, Operation};
-use hyssop_policy::owner::{retry_after, Admission, Cancellation};
+use hyssop_model::work::Submission;
+use hyssop_policy::owner::{retry_after, Admission, Cancellation, StorePace};
 use std::cell::RefCell;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -34,10 +35,13 @@
                 let now = self.node.clock.now();
                 let is_known = self.scheduler.borrow().phase(&id).is_some();
                 let is_waiting = self.accepting.borrow().contains_key(&id);
-                if !is_known && !is_waiting && self.is_store_unavailable() {
-                    return self.refuse(&id);
-                }
                 let age = Duration::from_millis(age_ms);
+                if !is_known && !is_waiting {
+                    let refusal = self.store_refusal(&queue, &id, &submission, age);
+                    if let Some(refusal) = refusal {
+                        return refusal;
+                    }
+                }
                 let wall_ms = self.node.clock.wall_ms();
                 let admission = self
                     .scheduler
@@ -150,8 +154,31 @@
             .map_or(Duration::ZERO, |since| now.saturating_sub(since))
     }
 
-    fn is_store_unavailable(&self) -> bool {
-        self.outage() >= STORE_OUTAGE_LIMIT
+    /// Returns a refusal if the store does not respond, or is so slow that the job's result would
+    /// come too late.
+    fn store_refusal(
+        &self,
+        queue: &str,
+        id: &str,
+        submission: &Submission,
+        age: Duration,
+    ) -> Option<Answer> {
+        let elapsed = self.outage();
+        if elapsed >= STORE_OUTAGE_LIMIT {
+            return Some(self.refuse(id));
+        }
+        let pace = StorePace {
+            commit_time: self.commit_time.get().max(elapsed),
+            elapsed,
+        };
+        let scheduler = self.scheduler.borrow();
+        let wait = scheduler.excessive_store_wait(queue, submission, age, pace)?;
+        let after = retry_after(wait, id);
+        let reason = format!(
+            "the store is slow and {} ms behind; the job has not run",
+            wait.as_millis()
+        );
+        Some(Answer::Refused(reason, after.as_millis() as u64))
     }
 
     /// Refuses a job because of the store, with a delay for the caller's retry.
--- a/crates/hyssop-edge/src/pool/writer.rs
+++ b/crates/hyssop-edge/src/pool/writer.rs
@@ -34,6 +34,7 @@
                 let outcome = committer.commit(transaction, || false).await;
                 self.unanswered_since.set(None);
                 let elapsed = self.node.clock.now().saturating_sub(now);
+                self.commit_time.set(elapsed);
                 let label = outcome.to_string();
                 self.node.metrics.count_transaction(&label, elapsed);
                 if outcome != Outcome::Done {
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -41,7 +41,52 @@
     outage.clamp(MIN_DELAY, MAX_DELAY) + Duration::from_millis(jitter_ms)
 }
 
+/// How fast the store takes the batches of a pool at present.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StorePace {
+    /// The time that a batch takes.
+    pub commit_time: Duration,
+    /// The time since the batch in flight was sent, zero if there is none.
+    pub elapsed: Duration,
+}
+
 impl Scheduler {
+    /// Returns the expected wait for the store of a job whose result would come too late because of
+    /// that wait; `None` if the job may be accepted.
+    ///
+    /// While the store is slow and a queue asks several times its mean, jobs arrive faster than
+    /// they can be stored. Each accepted beyond that would delay all others past their objective.
+    pub fn excessive_store_wait(
+        &self,
+        queue: &str,
+        submission: &Submission,
+        age: Duration,
+        pace: StorePace,
+    ) -> Option<Duration> {
+        if submission.is_long_running() || submission.schedule.is_some() {
+            return None;
+        }
+        let wait = self.store_wait(pace);
+        let rule = self.rules.get(queue).copied().unwrap_or_default();
+        let factor = self.learning.factor(queue);
+        let work_ms =
+            submission.critical_path_ms(|step| submission.steps[step].estimate_ms as f64 * factor);
+        let slack_ms = work_ms * (rule.stretch - 1.0).max(0.0);
+        let slack = rule.objective + Duration::from_millis(slack_ms as u64);
+        // The result has to be stored too.
+        (age + wait + pace.commit_time > slack && wait > pace.commit_time * 2).then_some(wait)
+    }
+
+    /// Returns how long a job submitted now would wait until it is stored.
+    fn store_wait(&self, pace: StorePace) -> Duration {
+        let batches = self.urgent_changes() / self.settings.max_batch_rows + 1;
+        let in_flight = match self.pending {
+            Some(_) => pace.commit_time.saturating_sub(pace.elapsed),
+            None => Duration::ZERO,
+        };
+        in_flight + pace.commit_time * batches as u32
+    }
+
     /// Submits a job that its caller first requested `age` ago.
     ///
     /// Submitting a known job again has no effect and returns its current state.
--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -1,8 +1,8 @@
 use super::progress::{JobRow, Progress};
-use super::{JobKey, Notification, Scheduler, WorkerKey};
+use super::{Job, JobKey, Notification, Scheduler, WorkerKey};
 use hyssop_model::work::Phase;
 use hyssop_platform::rows::encode;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Table of accepted jobs as submitted.
@@ -12,6 +12,9 @@
 /// Table of the workers that may run tasks of this pool.
 pub(super) const WORKERS: &str = "crew";
 
+/// The most rows that the changes of one job take: its submission and its progress.
+const MAX_JOB_ROWS: usize = 2;
+
 /// Changes to rows of the pool's shard, to be committed in one transaction.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
@@ -21,6 +24,13 @@
     pub removes: Vec<(&'static str, String)>,
 }
 
+impl Batch {
+    /// Returns the number of rows that the batch writes or deletes.
+    fn len(&self) -> usize {
+        self.writes.len() + self.removes.len()
+    }
+}
+
 /// The effects of the batch in flight, applied once it is committed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pending {
@@ -30,9 +40,33 @@
     applied: Vec<(WorkerKey, u64)>,
     recorded_workers: Vec<WorkerKey>,
     removed_workers: Vec<String>,
+    removed_submissions: Vec<String>,
     expired_jobs: Vec<JobKey>,
 }
 
+/// How urgent it is to store the changes of a job; the most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// A final phase, which callers see only once it is stored.
+    Final,
+    /// A new job, whose caller waits for its acceptance.
+    New,
+    /// The progress of a job that goes on.
+    Progress,
+}
+
+impl Urgency {
+    fn of(job: &Job) -> Self {
+        if !job.is_stored {
+            Self::New
+        } else if job.phase.is_final() {
+            Self::Final
+        } else {
+            Self::Progress
+        }
+    }
+}
+
 impl Pending {
     pub(super) fn contains_job(&self, key: JobKey) -> bool {
         self.jobs.contains_key(&key)
@@ -52,31 +86,23 @@
         let mut pending = Pending::default();
         self.batch_workers(&mut batch, &mut pending);
         self.batch_expired_jobs(now, &mut batch, &mut pending);
-        let mut is_complete = true;
-        let dirty: Vec<JobKey> = self.dirty.iter().copied().collect();
-        for key in dirty {
-            if batch.writes.len() + batch.removes.len() + 2 > self.settings.max_batch_rows {
-                is_complete = false;
+        for key in self.dirty_by_urgency() {
+            if batch.len() + MAX_JOB_ROWS > self.settings.max_batch_rows {
                 break;
             }
             self.dirty.remove(&key);
             self.batch_job(key, &mut batch, &mut pending);
         }
-        if is_complete {
-            pending.applied = self
-                .workers
-                .iter()
-                .filter(|(_, worker)| worker.stored < worker.applied)
-                .map(|(key, worker)| (*key, worker.applied))
-                .collect();
-        }
+        self.batch_finished_submissions(&mut batch, &mut pending);
+        pending.applied = self
+            .workers
+            .iter()
+            .map(|(key, worker)| (*key, worker.storable(&self.dirty)))
+            .filter(|(key, storable)| self.workers[key].stored < *storable)
+            .collect();
         if batch.writes.is_empty() && batch.removes.is_empty() {
             // Completions that changed no job can be acknowledged without storing a row.
-            for (key, applied) in pending.applied {
-                if let Some(worker) = self.workers.get_mut(&key) {
-                    worker.stored = applied;
-                }
-            }
+            self.acknowledge(pending.applied);
             return None;
         }
         self.pending = Some(pending);
@@ -106,6 +132,11 @@
                 return;
             }
             if let Some(job) = self.jobs.get(key) {
+                // Without its final phase the submission would look like an open job.
+                if self.finished_submissions.contains(&job.id) {
+                    batch.removes.push((JOBS, job.id.clone()));
+                    pending.removed_submissions.push(job.id.clone());
+                }
                 batch.removes.push((PROGRESS, job.id.clone()));
             }
             pending.expired_jobs.push(*key);
@@ -132,12 +163,63 @@
                 .writes
                 .push((PROGRESS, job.id.clone(), encode(&progress)));
         }
-        if job.phase.is_final() && !is_new {
-            batch.removes.push((JOBS, job.id.clone()));
-        }
         pending.jobs.insert(key, job.phase);
     }
 
+    /// Adds the removal of submissions of finished jobs as far as there is room. Nothing waits for
+    /// it: a stored final phase counts whether or not the submission is still there.
+    fn batch_finished_submissions(&self, batch: &mut Batch, pending: &mut Pending) {
+        /// Fewer than this wait for a batch that is sent anyway.
+        const MIN_SUBMISSIONS: usize = 30;
+        if batch.len() == 0 && self.finished_submissions.len() < MIN_SUBMISSIONS {
+            return;
+        }
+        let room = self.settings.max_batch_rows.saturating_sub(batch.len());
+        let expired: BTreeSet<String> = pending.removed_submissions.iter().cloned().collect();
+        let removable = self.finished_submissions.difference(&expired);
+        for id in removable.take(room) {
+            batch.removes.push((JOBS, id.clone()));
+            pending.removed_submissions.push(id.clone());
+        }
+    }
+
+    /// Returns the jobs with changes, the most urgent change first.
+    ///
+    /// When the store is slow, a batch takes only part of the changes. Final phases come first,
+    /// since a job counts only once its result is stored; then new jobs, whose callers wait; then
+    /// the progress of running jobs, which only a new owner needs, and which workers report again
+    /// until it is stored.
+    fn dirty_by_urgency(&self) -> Vec<JobKey> {
+        let mut keys: Vec<(Urgency, JobKey)> = self
+            .dirty
+            .iter()
+            .filter_map(|key| Some((Urgency::of(self.jobs.get(key)?), *key)))
+            .collect();
+        keys.sort_unstable();
+        keys.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Returns the number of changes that are stored before a job submitted now: results, and jobs
+    /// submitted earlier.
+    pub(super) fn urgent_changes(&self) -> usize {
+        self.dirty
+            .iter()
+            .filter_map(|key| self.jobs.get(key))
+            .filter(|job| Urgency::of(job) < Urgency::Progress)
+            .count()
+    }
+
+    /// Records that completions up to the given numbers are stored, so that they may be
+    /// acknowledged to their workers.
+    fn acknowledge(&mut self, applied: Vec<(WorkerKey, u64)>) {
+        for (key, number) in applied {
+            if let Some(worker) = self.workers.get_mut(&key) {
+                worker.stored = worker.stored.max(number);
+                worker.unstored = worker.unstored.split_off(&(number + 1));
+            }
+        }
+    }
+
     /// Applies the effects of the committed batch and returns the notifications for callers.
     pub fn on_commit(&mut self, now: Duration) -> Vec<Notification> {
         let Some(pending) = self.pending.take() else {
@@ -175,11 +257,7 @@
                 self.close_job(key);
             }
         }
-        for (key, applied) in pending.applied {
-            if let Some(worker) = self.workers.get_mut(&key) {
-                worker.stored = worker.stored.max(applied);
-            }
-        }
+        self.acknowledge(pending.applied);
         for key in pending.recorded_workers {
             if let Some(worker) = self.workers.get_mut(&key) {
                 worker.is_recorded = true;
@@ -189,6 +267,9 @@
         for name in pending.removed_workers {
             self.removed_workers.remove(&name);
         }
+        for id in pending.removed_submissions {
+            self.finished_submissions.remove(&id);
+        }
         self.finished_jobs.drain(..pending.expired_jobs.len());
         for key in pending.expired_jobs {
             if let Some(job) = self.jobs.remove(&key) {
@@ -207,11 +288,12 @@
         self.permits.retain(|step, _| step.job != key);
         if let Some(job) = self.jobs.get_mut(&key) {
             job.submission.specification = String::new();
+            self.finished_submissions.insert(job.id.clone());
         }
     }
 
-    /// Returns whether a batch is in flight or a job has changes that are not stored.
+    /// Returns whether a batch is in flight or there are changes that are not stored.
     pub fn has_uncommitted(&self) -> bool {
-        self.pending.is_some() || !self.dirty.is_empty()
+        self.pending.is_some() || !self.dirty.is_empty() || !self.removed_workers.is_empty()
     }
 }
--- a/crates/hyssop-policy/src/owner/completion.rs
+++ b/crates/hyssop-policy/src/owner/completion.rs
@@ -35,6 +35,7 @@
             step: completion.task.step,
             index: completion.task.index,
         };
+        worker.unstored.insert(completion.number, job_key);
         let mut ordered_at = None;
         if worker
             .runs
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -36,7 +36,7 @@
 mod worker;
 
 pub use action::{Action, Notification};
-pub use admission::{retry_after, Admission, Cancellation};
+pub use admission::{retry_after, Admission, Cancellation, StorePace};
 pub use batch::Batch;
 pub use capacity::{Demand, Load};
 pub use job::Job;
@@ -86,6 +86,8 @@
     pending: Option<batch::Pending>,
     /// Workers known to be terminated although the registry may still list them.
     terminated_workers: BTreeSet<(String, i64)>,
+    /// Finished jobs whose submissions are to be deleted from the store.
+    finished_submissions: BTreeSet<String>,
     /// Row names of removed workers, to be deleted from the store.
     removed_workers: BTreeSet<String>,
     learning: Learning,
@@ -125,6 +127,7 @@
             dirty: BTreeSet::new(),
             pending: None,
             terminated_workers: BTreeSet::new(),
+            finished_submissions: BTreeSet::new(),
             removed_workers: BTreeSet::new(),
             learning: Learning::default(),
             permits: BTreeMap::new(),
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -96,6 +96,7 @@
         let key = self.allocate_key(&record.key);
         if let Some(phase) = stored.as_ref().and_then(|stored| stored.phase) {
             let job = finished_job(&record.key, &accepted.queue, phase, now);
+            self.finished_submissions.insert(record.key.clone());
             self.finished_jobs.push_back((now, key));
             self.jobs.insert(key, job);
             return;
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -23,6 +23,8 @@
     pub(super) applied: u64,
     /// Completions up to this number are stored and may be acknowledged.
     pub(super) stored: u64,
+    /// The jobs of the completions after `stored` that changed one.
+    pub(super) unstored: BTreeMap<u64, JobKey>,
     /// Completions up to this number were acknowledged in a call that the worker answered.
     pub(super) acknowledged: u64,
     /// When its leases have certainly expired unless they are extended, on the owner's clock.
@@ -65,6 +67,7 @@
             runs: BTreeMap::new(),
             applied: 0,
             stored: 0,
+            unstored: BTreeMap::new(),
             acknowledged: 0,
             lease_end: Duration::ZERO,
             is_polling: false,
@@ -93,6 +96,14 @@
         self.stored
     }
 
+    /// Returns the number up to which completions are stored once all jobs but `dirty` are.
+    pub(super) fn storable(&self, dirty: &BTreeSet<JobKey>) -> u64 {
+        self.unstored
+            .iter()
+            .find(|(_, job)| dirty.contains(job))
+            .map_or(self.applied, |(number, _)| number - 1)
+    }
+
     /// Returns the key of the worker's row, which is unique to this incarnation.
     pub(super) fn row_name(&self) -> String {
         format!("{}@{}", self.listing.id, self.listing.incarnation)
--- a/crates/hyssop-policy/tests/model/world.rs
+++ b/crates/hyssop-policy/tests/model/world.rs
@@ -30,6 +30,8 @@
     pub workers: Vec<FakeWorker>,
     pub invariants: Invariants,
     pub is_store_up: bool,
+    /// The time from sending a batch until the store commits it.
+    pub commit_ms: i64,
     rng: ChaCha8Rng,
     store: FakeStore,
     owners: Vec<OwnerProcess>,
@@ -71,6 +73,7 @@
                 .collect(),
             invariants: Invariants::default(),
             is_store_up: true,
+            commit_ms: 10,
             rng: ChaCha8Rng::seed_from_u64(seed),
             store: FakeStore::default(),
             owners: Vec::new(),
@@ -281,7 +284,11 @@
             }
             if let Some(batch) = batch {
                 let slow = self.faults.slow_commits;
-                let delay = if self.chance(slow) { 500 } else { 10 };
+                let delay = if self.chance(slow) {
+                    500
+                } else {
+                    self.commit_ms
+                };
                 self.schedule(delay, Event::CommitArrives(term, batch));
             }
         }
