Test links, failovers and late answers with real processes

The number of links at ten processes (90 with the mesh), owners killed with most other processes, paused owners that wake after a failover, workers whose answers are late or lost, and malformed messages on the peers' port.

--- /dev/null
+++ b/crates/hyssop-edge/tests/links.rs
@@ -0,0 +1,185 @@
+//! Links between edge processes: how many there are, and failovers without a mesh.
+
+mod support;
+
+use futures_util::SinkExt;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeSet;
+use std::io::Write;
+use std::time::Duration;
+use support::{job, platform, wait_until, Edge};
+use tokio_tungstenite::tungstenite::Message;
+
+/// Returns the processes' names, which the platform assigns.
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("e{number}")).collect()
+}
+
+/// Returns how many links all processes have together, or `None` if one can't be asked.
+fn links(edges: &[Edge]) -> Option<f64> {
+    edges
+        .iter()
+        .map(|edge| edge.metric("hyssop_peer_links"))
+        .sum()
+}
+
+/// Each process had a link to every other, 90 in all here.
+#[test]
+fn processes_that_serve_nobody_have_few_links() {
+    let platform = platform();
+    let edges: Vec<Edge> = names(10)
+        .iter()
+        .map(|name| Edge::start(&platform, name))
+        .collect();
+    wait_until("all shards have owners", || {
+        edges.iter().filter(|edge| edge.is_owner()).count() == 3
+    });
+    // Nine links among the watchers of each of three shards and their owner, those of the fleet's
+    // owner to the pools' owners, and one that checks a member.
+    const MAX_LINKS: f64 = 3.0 * 9.0 + 2.0 + 5.0;
+    wait_until("only needed links are left", || {
+        links(&edges).is_some_and(|count| (6.0..=MAX_LINKS).contains(&count))
+    });
+}
+
+#[test]
+fn owners_killed_with_most_other_processes_are_replaced() {
+    let platform = platform();
+    let edges: Vec<Edge> = names(8)
+        .iter()
+        .map(|name| Edge::start(&platform, name))
+        .collect();
+    wait_until("all shards have owners", || {
+        edges.iter().filter(|edge| edge.is_owner()).count() == 3
+    });
+    edges[0].submit_until_accepted("/a/00000000000000a1", &job(2, 2, 700));
+    edges[0].submit_until_accepted("/b/00000000000000b1", &job(2, 2, 700));
+    let (owners, mut others): (Vec<Edge>, Vec<Edge>) = edges.into_iter().partition(Edge::is_owner);
+    let survivors = others.split_off(2);
+    for mut edge in owners.into_iter().chain(others) {
+        edge.kill();
+    }
+    for path in ["/a/00000000000000a1", "/b/00000000000000b1"] {
+        wait_until("the job is done", || survivors[0].state(path) == "done");
+    }
+    survivors[1].submit_until_accepted("/a/00000000000000a2", &job(1, 2, 50));
+    let started = platform.started_tasks();
+    let distinct: BTreeSet<&String> = started.iter().collect();
+    assert_eq!(started.len(), distinct.len(), "no task started twice");
+}
+
+/// A paused process that wakes after another has taken over must not start or stop anything.
+#[test]
+fn paused_owner_is_replaced_and_does_not_act_after_it_wakes() {
+    let platform = platform();
+    let edges: Vec<Edge> = names(4)
+        .iter()
+        .map(|name| Edge::start(&platform, name))
+        .collect();
+    wait_until("all shards have owners", || {
+        edges.iter().filter(|edge| edge.is_owner()).count() == 3
+    });
+    let front = edges
+        .iter()
+        .find(|edge| !edge.is_owner())
+        .expect("a process without a shard");
+    let paths: Vec<String> = (0..6)
+        .map(|n| format!("/{}/{n:016x}", if n % 2 == 0 { "a" } else { "b" }))
+        .collect();
+    for path in &paths {
+        front.submit_until_accepted(path, &job(3, 2, 600));
+    }
+    let owners: Vec<&Edge> = edges.iter().filter(|edge| edge.is_owner()).collect();
+    owners.iter().take(2).for_each(|edge| edge.signal("STOP"));
+    std::thread::sleep(Duration::from_millis(2_500));
+    owners.iter().take(2).for_each(|edge| edge.signal("CONT"));
+    for path in &paths {
+        wait_until("the job is done", || front.state(path) == "done");
+    }
+    assert!(platform.overlapping_tasks().is_empty());
+}
+
+/// A worker runs what it was ordered and its answer is late or lost: it isn't run again, and its
+/// end is learned from the next report.
+#[test]
+fn late_answers_of_workers_repeat_no_task() {
+    let platform = platform();
+    let edge = Edge::start(&platform, "e1");
+    edge.submit_until_accepted("/a/00000000000000a0", &job(1, 1, 50));
+    // Longer than the timeouts of orders and of reports.
+    platform.set_late_answers(3, Duration::from_millis(1_500));
+    let paths: Vec<String> = (1..6).map(|n| format!("/a/{n:016x}")).collect();
+    for path in &paths {
+        edge.submit_until_accepted(path, &job(2, 3, 200));
+    }
+    for path in &paths {
+        wait_until("the job is done", || edge.state(path) == "done");
+    }
+    platform.set_late_answers(0, Duration::ZERO);
+    assert!(platform.overlapping_tasks().is_empty());
+    let started = platform.started_tasks();
+    let distinct: BTreeSet<&String> = started.iter().collect();
+    assert_eq!(started.len(), distinct.len(), "no task started twice");
+}
+
+/// Answers that take as long as a retransmission or two, as over a link that loses packets.
+#[test]
+fn slow_answers_of_workers_fail_no_job() {
+    let platform = platform();
+    let edge = Edge::start(&platform, "e1");
+    edge.submit_until_accepted("/a/00000000000000a0", &job(1, 1, 50));
+    platform.set_late_answers(4, Duration::from_millis(420));
+    let paths: Vec<String> = (1..8).map(|n| format!("/a/{n:016x}")).collect();
+    for path in &paths {
+        edge.submit_until_accepted(path, &job(2, 3, 150));
+    }
+    for path in &paths {
+        wait_until("the job is done", || edge.state(path) == "done");
+    }
+    assert!(platform.overlapping_tasks().is_empty());
+}
+
+/// Malformed, truncated, oversized and unknown messages on the peers' port end no process, and the
+/// next good message is served.
+#[test]
+fn malformed_messages_of_peers_end_no_process() {
+    let platform = platform();
+    let edges = ["e1", "e2"].map(|name| Edge::start(&platform, name));
+    edges[0].submit_until_accepted("/a/00000000000000a0", &job(1, 1, 50));
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    for edge in &edges {
+        for length in [0, 1, 17, 400, 70_000] {
+            let bytes: Vec<u8> = (0..length).map(|_| random.random()).collect();
+            let mut stream = std::net::TcpStream::connect(&edge.peers).expect("a connection");
+            // The process may close the connection before all is written.
+            let _ = stream.write_all(&bytes);
+            runtime.block_on(send_frames(&edge.peers, &bytes));
+        }
+    }
+    for (number, edge) in edges.iter().enumerate() {
+        let path = format!("/a/{:016x}", number + 1);
+        edge.submit_until_accepted(&path, &job(1, 1, 50));
+        wait_until("the job is done", || edge.state(&path) == "done");
+    }
+}
+
+/// Sends `bytes` as a text and a binary message over a link.
+async fn send_frames(address: &str, bytes: &[u8]) {
+    for message in [
+        Message::binary(bytes.to_vec()),
+        Message::text("not a frame"),
+        Message::binary(bytes.to_vec()),
+    ] {
+        let url = format!("ws://{address}/");
+        let (mut socket, _) = tokio_tungstenite::connect_async(url)
+            .await
+            .expect("a link is accepted");
+        // The process may close the connection at once.
+        let _ = socket.send(message).await;
+    }
+}
--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -23,6 +23,8 @@
     pub front: String,
     /// The address for readiness probes and metrics.
     pub ready: String,
+    /// The address for links from peers.
+    pub peers: String,
     child: Child,
     settings: PathBuf,
 }
@@ -56,6 +58,7 @@
         Self {
             front: field("front="),
             ready: field("ready="),
+            peers: field("peers="),
             child,
             settings,
         }
@@ -120,6 +123,20 @@
         }
     }
 
+    /// Returns the value of a metric without labels, or `None` if it can't be read.
+    pub fn metric(&self, name: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.ready);
+        let response = minreq::get(url).with_timeout(WAIT_TIMEOUT.as_secs()).send();
+        let text = response.ok()?.as_str().ok()?.to_owned();
+        let line = text.lines().find(|line| line.starts_with(name))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
+    /// Returns whether the process owns any shard.
+    pub fn is_owner(&self) -> bool {
+        self.metric("hyssop_owner_term").is_some()
+    }
+
     /// Submits a job again and again until it is accepted.
     pub fn submit_until_accepted(&self, path: &str, body: &Value) {
         wait_until("the job is accepted", || {
