--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! waves, each with the time; it returns the workers to evacuate and the changes to order. It does
 //! no I/O and reads no clock.
 
+mod census;
 mod history;
 mod maintain;
 mod progress;
@@ -35,6 +36,8 @@
     /// The pools whose instances are switched off.
     spare_pools: BTreeSet<String>,
     instances: BTreeMap<String, Instance>,
+    /// The pools' instances as of the current round.
+    census: census::Census,
     /// Each pool's size without moved instances.
     base_sizes: BTreeMap<String, usize>,
     reports: BTreeMap<String, report::Report>,
@@ -69,6 +72,7 @@
             settings,
             spare_pools: BTreeSet::new(),
             instances: BTreeMap::new(),
+            census: census::Census::new(),
             base_sizes,
             reports: BTreeMap::new(),
             histories: BTreeMap::new(),
@@ -248,6 +252,7 @@
     /// Decides which workers to evacuate and which instances to change.
     pub fn decide(&mut self, now: Duration) -> Decision {
         let mut decision = Decision::default();
+        self.census = self.take_census(now);
         self.plan_maintenance(now, &mut decision);
         self.plan_moves(now, &mut decision);
         decision
@@ -283,13 +288,7 @@
 
     /// Returns the number of instances in a pool, including those being moved there.
     fn size(&self, pool: &str) -> usize {
-        self.instances
-            .values()
-            .filter(|instance| match self.ordered.get(&instance.name) {
-                Some((_, Transfer::Move { pool: target, .. })) => target == pool,
-                _ => instance.pool == pool,
-            })
-            .count()
+        self.census.get(pool).map_or(0, |count| count.size)
     }
 }
 
--- a/crates/hyssop-policy/src/fleet/supply.rs
+++ b/crates/hyssop-policy/src/fleet/supply.rs
@@ -1,5 +1,5 @@
 use super::{Decision, Fleet};
-use hyssop_model::work::{Condition, Instance};
+use hyssop_model::work::Instance;
 use hyssop_platform::dialect::Transfer;
 use std::time::Duration;
 
@@ -20,9 +20,11 @@
     pub(super) fn plan_moves(&self, now: Duration, decision: &mut Decision) {
         let mut shortfalls = self.shortfalls(now);
         let mut free: Vec<&Instance> = self
-            .instances
-            .values()
-            .filter(|instance| self.spare_pools.contains(&instance.pool) && self.is_up(instance))
+            .spare_pools
+            .iter()
+            .filter_map(|pool| self.census.get(pool))
+            .flat_map(|count| &count.up)
+            .filter_map(|name| self.instances.get(name))
             .filter(|instance| self.may_change(instance, now))
             .filter(|instance| !decision.affects(instance))
             .collect();
@@ -82,7 +84,7 @@
                     .get(pool)?
                     .forecast(self.settings.forecast_horizon);
                 let rising = forecast
-                    .saturating_sub(self.capacity(pool, now))
+                    .saturating_sub(self.capacity(pool))
                     .div_ceil(instance_cpu) as usize;
                 let count = waiting.saturating_sub(self.incoming(pool)).max(rising);
                 Some((pool.clone(), count))
@@ -93,34 +95,17 @@
         shortfalls
     }
 
-    /// Returns the CPU capacity of one instance of a pool, in thousandths of a core.
+    /// Returns the CPU capacity of one instance of a pool, in thousandths of a core, at least 1.
     fn instance_cpu(&self, pool: &str) -> u64 {
-        self.instances
-            .values()
-            .find(|instance| instance.pool == pool)
-            .map_or(0, |instance| instance.capacity.cpu)
+        self.census
+            .get(pool)
+            .map_or(0, |count| count.instance_cpu)
             .max(1)
     }
 
     /// Returns the CPU capacity of a pool's instances, in thousandths of a core.
-    ///
-    /// Includes instances being moved to the pool and excludes those that are down or unreachable.
-    fn capacity(&self, pool: &str, now: Duration) -> u64 {
-        self.instances
-            .values()
-            .filter(|instance| match self.ordered.get(&instance.name) {
-                Some((_, Transfer::Move { pool: target, .. })) => target == pool,
-                Some((_, Transfer::Maintain { .. })) => false,
-                None => {
-                    instance.pool == pool
-                        && matches!(instance.condition, Condition::Up | Condition::Moving)
-                        && self
-                            .load(instance, now)
-                            .is_none_or(|load| load.is_responsive)
-                }
-            })
-            .map(|instance| instance.capacity.cpu)
-            .sum()
+    fn capacity(&self, pool: &str) -> u64 {
+        self.census.get(pool).map_or(0, |count| count.capacity)
     }
 
     /// Returns how many instances a pool retains for its recent peak of demand and for its
@@ -144,13 +129,7 @@
 
     /// Returns the number of instances being moved to a pool.
     fn incoming(&self, pool: &str) -> usize {
-        self.instances
-            .values()
-            .filter(|instance| match self.ordered.get(&instance.name) {
-                Some((_, Transfer::Move { pool: target, .. })) => target == pool,
-                _ => instance.pool == pool && instance.condition == Condition::Moving,
-            })
-            .count()
+        self.census.get(pool).map_or(0, |count| count.incoming)
     }
 
     /// Returns the idle instances that their pools can spare, those beyond a pool's base size first.
@@ -169,10 +148,11 @@
             let size = self.size(pool);
             let excess = size.saturating_sub(self.retained_size(pool, now).min(*base_size));
             let beyond_base = size.saturating_sub(*base_size);
-            let mut idle: Vec<(&Instance, Duration)> = self
-                .instances
-                .values()
-                .filter(|instance| instance.pool == *pool && self.is_up(instance))
+            let up = self.census.get(pool).map(|count| &count.up);
+            let mut idle: Vec<(&Instance, Duration)> = up
+                .into_iter()
+                .flatten()
+                .filter_map(|name| self.instances.get(name))
                 .filter(|instance| !decision.affects(instance))
                 .filter_map(|instance| {
                     let since = self.idle_since.get(&instance.name)?;
