Register before taking over, and tell a replaced owner from a row that arrives late

A process took over before its member row was stored, and peers compared a new owner with an older member row, took its process for replaced and took over in turn. Besides, a new owner waited 5.8 s for workers that did not report, though the previous process had certainly ended.

Change: nothing is taken over before the own member row is stored. An owner counts as replaced only if the member row is newer than the owner's row. The wait for unreported workers counts from this process's start if the previous owner ran on the same node, and from the failover if the previous owner's node has registered another process.

--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -62,6 +62,8 @@
     pub(crate) drivers: RefCell<BTreeMap<String, Rc<Driver>>>,
     /// The term in which this process owns the fleet shard.
     pub(crate) fleet_term: Cell<Option<u64>>,
+    /// The newest version of the rows of members and owners that were followed so far.
+    pub(crate) followed_version: Cell<u64>,
     /// Incremented on each change of a member or an owner.
     pub(crate) topology: Cell<u64>,
     pub(crate) suspects: Suspects,
@@ -71,6 +73,9 @@
     /// Triggers a read of the configuration when a peer has a newer version.
     pub(crate) configuration_outdated: Notify,
     pub(crate) is_stopping: Cell<bool>,
+    /// Whether the store has confirmed this process's member row. Peers take an owner without one
+    /// for lost, so a process takes over nothing before.
+    pub(crate) is_registered: Cell<bool>,
     /// When the fleet's owner last asked a pool of this process for its demand.
     pub(crate) fleet_seen_at: Cell<Duration>,
     /// When the last frame of any peer arrived.
@@ -165,6 +170,11 @@
                 || (ownership.term == known.term && ownership.is_released && !known.is_released)
         });
         if !is_newer {
+            if let Some(known) = owners.get_mut(shard) {
+                if known.term == ownership.term {
+                    known.version = known.version.max(ownership.version);
+                }
+            }
             return;
         }
         log::info!(
@@ -215,6 +225,7 @@
                         process: link.peer.process.clone(),
                         address: link.peer.address,
                         is_released: false,
+                        version: 0,
                     },
                 ),
             }
--- a/crates/hyssop-edge/src/node/owner.rs
+++ b/crates/hyssop-edge/src/node/owner.rs
@@ -15,6 +15,9 @@
     pub(crate) address: SocketAddr,
     /// Whether the owner has released the shard.
     pub(crate) is_released: bool,
+    /// The row's version, 0 if the ownership was learned from a peer.
+    #[serde(skip)]
+    pub(crate) version: u64,
 }
 
 impl Ownership {
@@ -44,6 +47,9 @@
     pub(crate) share: u64,
     /// Whether the process is stopping and must not take over shards.
     pub(crate) is_leaving: bool,
+    /// The row's version, 0 for this process's own row.
+    #[serde(skip)]
+    pub(crate) version: u64,
 }
 
 impl Member {
--- a/crates/hyssop-edge/src/ownership/monitor.rs
+++ b/crates/hyssop-edge/src/ownership/monitor.rs
@@ -1,7 +1,7 @@
 use super::candidates::{rank, successors, window};
 use super::suspects::report_owner;
 use super::takeover;
-use crate::node::{Endpoint, Node, FLEET, INQUIRY_TIMEOUT};
+use crate::node::{Endpoint, Node, Ownership, FLEET, INQUIRY_TIMEOUT};
 use crate::peer::{request_from, Answer, Inquiry, Link, Operation, MAX_IDLE};
 use hyssop_policy::failover::{Verdict, Watch, WATCHER_COUNT};
 use std::cell::{Cell, RefCell};
@@ -108,7 +108,7 @@
                 vacant_since.entry(shard.clone()).or_insert(now);
             }
         }
-        if vacant.is_empty() {
+        if vacant.is_empty() || !self.node.is_registered.get() {
             return;
         }
         let orders = rank(&self.node, &vacant);
@@ -332,11 +332,7 @@
         if owner.node == self.node.name {
             return owner.process != self.node.process;
         }
-        let members = self.node.members.borrow();
-        let Some(member) = members.get(&owner.node) else {
-            return true;
-        };
-        if member.process != owner.process {
+        if self.has_ended(owner) {
             return true;
         }
         let watched = self.watched.borrow();
@@ -353,6 +349,19 @@
         failed >= STORE_OUTAGE_LIMIT && self.node.store.failed_since().is_none()
     }
 
+    /// Returns whether the rows of members show that an owner's process has ended: another process
+    /// of its node has registered since, or the node's row was removed.
+    fn has_ended(&self, owner: &Ownership) -> bool {
+        if owner.version == 0 {
+            return false;
+        }
+        match self.node.members.borrow().get(&owner.node) {
+            Some(member) => member.process != owner.process && member.version > owner.version,
+            // While rows arrive late, an owner may be known before its member row.
+            None => owner.version <= self.node.followed_version.get(),
+        }
+    }
+
     /// Ends all watches.
     fn release(&self) {
         for watched in self.watched.borrow().values() {
--- a/crates/hyssop-edge/src/ownership/registry.rs
+++ b/crates/hyssop-edge/src/ownership/registry.rs
@@ -20,6 +20,7 @@
         data_centre: node.data_centre.clone(),
         share: node.share,
         is_leaving,
+        version: 0,
     };
     node.members
         .borrow_mut()
@@ -31,6 +32,7 @@
     while !matches!(node.store.commit(&transaction).await, Ok(Commit::Done(_))) {
         tokio::time::sleep(RETRY_PAUSE).await;
     }
+    node.is_registered.set(true);
 }
 
 /// Follows the rows of members and owners.
@@ -46,6 +48,10 @@
         FEED_PAUSE,
         shards,
         |update| {
+            let (Update::Snapshot(rows) | Update::Changes(rows)) = &update;
+            let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
+            node.followed_version
+                .set(node.followed_version.get().max(newest));
             match update {
                 Update::Snapshot(rows) => {
                     let present: BTreeSet<&str> = rows
@@ -91,7 +97,10 @@
         }
     } else if row.key.key == OWNER_KEY {
         match ciborium::from_reader::<Ownership, _>(row.value.as_slice()) {
-            Ok(ownership) => node.record_owner(&row.key.shard, ownership),
+            Ok(mut ownership) => {
+                ownership.version = row.version;
+                node.record_owner(&row.key.shard, ownership);
+            }
             Err(error) => log::warn!(
                 "event=row-unreadable part={} reason={error:?}",
                 row.key.shard
@@ -102,8 +111,11 @@
 
 /// Reads a member's row; returns `None` if it is unreadable.
 pub(super) fn read_member(row: &Row) -> Option<Member> {
-    match ciborium::from_reader(row.value.as_slice()) {
-        Ok(member) => Some(member),
+    match ciborium::from_reader::<Member, _>(row.value.as_slice()) {
+        Ok(mut member) => {
+            member.version = row.version;
+            Some(member)
+        }
         Err(error) => {
             log::warn!("event=row-unreadable key={} reason={error:?}", row.key.key);
             None
--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -22,8 +22,11 @@
         return;
     };
     let row = page.rows.iter().find(|row| row.key.key == OWNER_KEY);
-    let current: Option<Ownership> =
-        row.and_then(|row| ciborium::from_reader(row.value.as_slice()).ok());
+    let current: Option<Ownership> = row.and_then(|row| {
+        let mut ownership: Ownership = ciborium::from_reader(row.value.as_slice()).ok()?;
+        ownership.version = row.version;
+        Some(ownership)
+    });
     if let Some(found) = &current {
         let known = node.owners.borrow().get(shard).map(|known| known.term);
         if known.is_none_or(|term| found.term > term) {
@@ -37,6 +40,7 @@
         process: node.process.clone(),
         address: node.address,
         is_released: false,
+        version: 0,
     };
     let head = Head {
         term: ownership.term,
@@ -67,10 +71,49 @@
             shard.to_owned(),
             ownership.term,
             committer,
+            Takeover {
+                started_at,
+                previous: current,
+            },
         ));
     }
 }
 
+/// The start of a failover.
+#[derive(Clone, Debug)]
+struct Takeover {
+    started_at: Duration,
+    /// The previous owner, if there was one.
+    previous: Option<Ownership>,
+}
+
+/// Returns until when the previous owner of a shard may have extended leases, as seen by a process
+/// that has taken over at `now`.
+async fn authority_end(node: &Node, previous: Option<&Ownership>, now: Duration) -> Duration {
+    let Some(previous) = previous else {
+        return now;
+    };
+    // A node starts a process only after its previous one has ended.
+    if previous.node == node.name {
+        return Duration::ZERO;
+    }
+    // An owner is registered before it takes over, so another process in its row came later. The
+    // row is read now, since the followed rows may be older than the ownership.
+    let page = node.store.read(OWNERS_TABLE, "").await;
+    let row = page.and_then(|page| {
+        let mut rows = page.rows.into_iter();
+        rows.find(|row| row.key.key == previous.node)
+    });
+    let has_ended = row
+        .and_then(|row| registry::read_member(&row))
+        .is_some_and(|member| member.process != previous.process);
+    if has_ended {
+        now
+    } else {
+        now + node.timing.scheduler.authority
+    }
+}
+
 /// Writes the owner's row and the head row in one transaction; returns the version of both, or
 /// `None` if the failover failed.
 async fn write_ownership(
@@ -120,8 +163,18 @@
 }
 
 /// Recovers the pool's scheduler from the stored rows and starts its driver.
-async fn start_driver(node: Rc<Node>, shard: String, term: u64, committer: Committer) {
-    let started_at = node.clock.now();
+async fn start_driver(
+    node: Rc<Node>,
+    shard: String,
+    term: u64,
+    committer: Committer,
+    takeover: Takeover,
+) {
+    let Takeover {
+        started_at,
+        previous,
+    } = takeover;
+    let authority_end = authority_end(&node, previous.as_ref(), started_at).await;
     let mut scheduler = Scheduler::new(&shard, term, node.timing.scheduler);
     let mut records = Vec::new();
     for table in Scheduler::tables() {
@@ -145,8 +198,7 @@
             value: row.value,
         }));
     }
-    // The previous owner's authority expires relative to the failover, not to the end of the reads.
-    scheduler.recover(&records, started_at, node.clock.wall_ms());
+    scheduler.recover(&records, authority_end, started_at, node.clock.wall_ms());
     log::info!(
         "event=owner-started pool={shard} term={term} rows={} after_ms={}",
         records.len(),
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -27,16 +27,22 @@
     /// Restores the jobs of an earlier term from its rows; `now` is the time of the failover.
     ///
     /// Workers of that term may run tasks until they report or their leases expire. The previous
-    /// owner may keep extending leases until its authority ends, and each extension lasts for a
-    /// full lease.
-    pub fn recover(&mut self, records: &[Record], now: Duration, wall_ms: i64) {
+    /// owner may have extended leases until `authority_end`, and each extension lasts for a full
+    /// lease.
+    pub fn recover(
+        &mut self,
+        records: &[Record],
+        authority_end: Duration,
+        now: Duration,
+        wall_ms: i64,
+    ) {
         let mut progress: BTreeMap<&str, Progress> = BTreeMap::new();
         for record in records.iter().filter(|record| record.table == PROGRESS) {
             if let Some(decoded) = decode(&record.value) {
                 progress.insert(&record.key, decoded);
             }
         }
-        let lease_end = now + self.settings.authority + self.settings.lease_span();
+        let lease_end = authority_end + self.settings.lease_span();
         for record in records {
             match record.table.as_str() {
                 JOBS => {
@@ -64,6 +70,14 @@
                 .insert(key, finished_job(id, &stored.queue, phase, now));
         }
         self.is_recovering = true;
+        log::info!(
+            "event=recovery-started pool={} term={} jobs={} workers={} wait_ms={}",
+            self.pool,
+            self.term,
+            self.open_jobs.len(),
+            self.unreported_workers.len(),
+            lease_end.saturating_sub(now).as_millis()
+        );
         if !self.open_jobs.is_empty() {
             self.interrupts_from = now + self.settings.interrupt_pause;
         }
@@ -141,8 +155,17 @@
         if !self.is_recovering {
             return;
         }
+        let unreported = self.unreported_workers.len();
         self.unreported_workers
             .retain(|_, lease_end| now < *lease_end);
+        let expired = unreported - self.unreported_workers.len();
+        if expired > 0 {
+            log::info!(
+                "event=workers-unreported pool={} expired={expired} left={}",
+                self.pool,
+                self.unreported_workers.len()
+            );
+        }
         if !self.unreported_workers.is_empty() {
             return;
         }
--- a/crates/hyssop-policy/tests/model/world.rs
+++ b/crates/hyssop-policy/tests/model/world.rs
@@ -113,7 +113,13 @@
         self.trace("", || format!("term {} begins", self.store.term));
         let mut scheduler = Scheduler::new("pool", self.store.term, Settings::default());
         scheduler.configure(&configuration(false));
-        scheduler.recover(&self.store.records(), self.now(), self.now_ms);
+        let authority_end = self.now() + Settings::default().authority;
+        scheduler.recover(
+            &self.store.records(),
+            authority_end,
+            self.now(),
+            self.now_ms,
+        );
         for worker in &self.workers {
             scheduler.register_worker(worker.listing.clone(), self.now());
         }
