Stop claiming the fleet shard while a deposed controller waits for the store

Pools' owners reported the successor the moment it took over.

Change: a process announces the fleet shard only while it is the newest owner that it knows of, and the time since the fleet's owner last asked counts from its failover.

--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -155,7 +155,14 @@
             .filter(|(_, driver)| !driver.is_over())
             .map(|(shard, driver)| (shard.clone(), driver.term()))
             .collect();
-        owned.extend(self.fleet_term.get().map(|term| (FLEET.to_owned(), term)));
+        // A deposed controller may still wait for the store.
+        let is_fleet_owner = self
+            .owners
+            .borrow()
+            .get(FLEET)
+            .is_some_and(|owner| owner.process == self.process && !owner.is_released);
+        let fleet_term = self.fleet_term.get().filter(|_| is_fleet_owner);
+        owned.extend(fleet_term.map(|term| (FLEET.to_owned(), term)));
         Status {
             owned,
             store_failed_ms: failed.as_millis() as u64,
@@ -190,6 +197,10 @@
         }
         owners.insert(shard.to_owned(), ownership);
         drop(owners);
+        if shard == FLEET {
+            // Its new owner has not had the time to ask this process's pools yet.
+            self.fleet_seen_at.set(self.clock.now());
+        }
         self.on_topology_change();
     }
 
