Acknowledge the stand-in's fault refuse once its listener is closed

Cause: the stand-in answered the request for the fault before its instance had closed its listener and connections, so a request could still be sent and cut off: 502, unknown in place of 503, not-run.

Change: the answer waits until the instance is down. The test stays as it was.

--- a/crates/hyssop-standin/src/server/inspection.rs
+++ b/crates/hyssop-standin/src/server/inspection.rs
@@ -116,6 +116,9 @@
             return Response::from_string(message).with_status_code(400);
         };
         instance.set_fault(kind);
+        if kind == Fault::Refuse {
+            instance.wait_until_down();
+        }
         json(&kind.to_string())
     }
 
--- a/crates/hyssop-standin/src/server/instance.rs
+++ b/crates/hyssop-standin/src/server/instance.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -88,6 +88,17 @@
         self.state_changed.notify_one();
     }
 
+    /// Blocks until the listener and all connections are closed, so that a request sent after a
+    /// fault was acknowledged is refused. Gives up after some seconds.
+    pub(crate) fn wait_until_down(&self) {
+        const TIMEOUT: Duration = Duration::from_secs(5);
+        const POLL_INTERVAL: Duration = Duration::from_millis(1);
+        let started_at = Instant::now();
+        while self.is_up.load(Ordering::SeqCst) && started_at.elapsed() < TIMEOUT {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+
     pub(crate) fn reboot(&self) {
         self.is_reboot_pending.store(true, Ordering::SeqCst);
         self.state_changed.notify_one();
