--- a/crates/hyssop-lab/src/measure/links.rs
+++ b/crates/hyssop-lab/src/measure/links.rs
@@ -300,8 +300,8 @@
                 window += WINDOW;
                 report_at = now + 500;
             }
-            for index in 0..watchers.len() {
-                if self.step(&mut watchers[index], now) {
+            for watcher in &mut watchers {
+                if self.step(watcher, now) {
                     return Some(now);
                 }
             }
