Treat a stale start as one that took effect

Cause: tests/links.rs, late_answers_of_workers_repeat_no_task, failed in 3 of 20 runs beside load: a task ran again on another worker after its run was done. A start waited for a free connection, was sent late and took effect while a second order of the same run was under way; the run ended, the second order was answered as stale, and the scheduler took that for a start without effect.

Ruled out: an expired lease (the stand-in records how each run ended: done), a lost completion.

Change: a stale number means that the worker has had this run. The run is stopped, and the task waits for the worker's next report. The stand-in records the outcome of each run, and the test checks exactly what must not happen: a start after a run was done, and two runs at a time.

--- a/crates/hyssop-policy/src/owner/start.rs
+++ b/crates/hyssop-policy/src/owner/start.rs
@@ -91,10 +91,13 @@
                 let Some(worker) = self.workers.get_mut(&key) else {
                     return;
                 };
-                let may_have_started = worker
-                    .runs
-                    .get(&task)
-                    .is_some_and(|entry| entry.may_have_started);
+                // A stale number means that the worker has had this run: an order whose answer is
+                // still under way took effect, and the run has ended.
+                let may_have_started = rejection == StartOutcome::Stale
+                    || worker
+                        .runs
+                        .get(&task)
+                        .is_some_and(|entry| entry.may_have_started);
                 if may_have_started {
                     // An earlier order of the same run may have taken effect or may still do so.
                     self.stop_task(key, task, now);
