Read an owner's row in one place, and carry an endpoint in a probe

The failover decoded the owner's row as the followed table does, but without a line for an unreadable one; both use read_ownership now. A probe carried the fields of an endpoint one by one, copied on both sides. The bytes of a probe stay the same.

--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -1,4 +1,4 @@
-use super::{Clock, Endpoint, Member, Ownership, Route, TrackedWave};
+use super::{Clock, Member, Ownership, Route, TrackedWave};
 use crate::http::Client;
 use crate::metric::Metrics;
 use crate::ownership::Suspects;
@@ -284,18 +284,7 @@
                 self.on_suspicion(&part, term);
                 Answer::Done
             }
-            Inquiry::Probe {
-                node,
-                process,
-                address,
-            } => {
-                let peer = Endpoint {
-                    node,
-                    process,
-                    address,
-                };
-                Answer::Reached(peer::reach(self, &peer, PROBE_TIMEOUT).await)
-            }
+            Inquiry::Probe(peer) => Answer::Reached(peer::reach(self, &peer, PROBE_TIMEOUT).await),
         }
     }
 
--- a/crates/hyssop-edge/src/node/endpoint.rs
+++ b/crates/hyssop-edge/src/node/endpoint.rs
@@ -1,7 +1,8 @@
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// One process of a node, and its address for links from peers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Endpoint {
     pub(crate) node: String,
     /// The process, distinct from earlier processes of the same node.
--- a/crates/hyssop-edge/src/ownership/monitor.rs
+++ b/crates/hyssop-edge/src/ownership/monitor.rs
@@ -266,11 +266,7 @@
         else {
             return;
         };
-        let operation = Operation::Inquire(Inquiry::Probe {
-            node: endpoint.node.clone(),
-            process: endpoint.process.clone(),
-            address: endpoint.address,
-        });
+        let operation = Operation::Inquire(Inquiry::Probe(endpoint.clone()));
         let answer = request_from(&self.node, &helper, operation, INQUIRY_TIMEOUT).await;
         let Some(Answer::Reached(is_reached)) = answer else {
             return;
--- a/crates/hyssop-edge/src/ownership/registry.rs
+++ b/crates/hyssop-edge/src/ownership/registry.rs
@@ -96,15 +96,25 @@
             node.on_topology_change();
         }
     } else if row.key.key == OWNER_KEY {
-        match ciborium::from_reader::<Ownership, _>(row.value.as_slice()) {
-            Ok(mut ownership) => {
-                ownership.version = row.version;
-                node.record_owner(&row.key.shard, ownership);
-            }
-            Err(error) => log::warn!(
+        if let Some(ownership) = read_ownership(row) {
+            node.record_owner(&row.key.shard, ownership);
+        }
+    }
+}
+
+/// Reads an owner's row; returns `None` if it is unreadable.
+pub(super) fn read_ownership(row: &Row) -> Option<Ownership> {
+    match ciborium::from_reader::<Ownership, _>(row.value.as_slice()) {
+        Ok(mut ownership) => {
+            ownership.version = row.version;
+            Some(ownership)
+        }
+        Err(error) => {
+            log::warn!(
                 "event=row-unreadable part={} reason={error:?}",
                 row.key.shard
-            ),
+            );
+            None
         }
     }
 }
--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -22,11 +22,7 @@
         return;
     };
     let row = page.rows.iter().find(|row| row.key.key == OWNER_KEY);
-    let current: Option<Ownership> = row.and_then(|row| {
-        let mut ownership: Ownership = ciborium::from_reader(row.value.as_slice()).ok()?;
-        ownership.version = row.version;
-        Some(ownership)
-    });
+    let current = row.and_then(registry::read_ownership);
     if let Some(found) = &current {
         let known = node.owners.borrow().get(shard).map(|known| known.term);
         if known.is_none_or(|term| found.term > term) {
--- a/crates/hyssop-edge/src/peer/inquiry.rs
+++ b/crates/hyssop-edge/src/peer/inquiry.rs
@@ -1,6 +1,5 @@
-use crate::node::Ownership;
+use crate::node::{Endpoint, Ownership};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 
 /// A question or a notice about the ownership of shards, which any process handles.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -23,9 +22,5 @@
         term: u64,
     },
     /// Returns whether the asked process reaches another one.
-    Probe {
-        node: String,
-        process: String,
-        address: SocketAddr,
-    },
+    Probe(Endpoint),
 }
