Leave further shards to others after the first one

Traced with prints of three parallel runs: a process whose feed call was answered 2.5 s late knew no other member, ranked itself first and took over all three shards within 3 ms. The call was late because the stand-in's HTTP library queues connections that arrive together behind connections that stay open; 48 connections at once show it (connection 9 of the first round got no answer in 20 s). Ruled out: load alone (24 busy loops, 4 runs, none failed); processes that start apart.

A process that owned nothing waits 0.5 s after its first shard (failover::Turn; process_with_a_late_feed_leaves_shards_to_others fails without it, 5 of 5 runs).

--- a/crates/hyssop-edge/src/ownership/monitor.rs
+++ b/crates/hyssop-edge/src/ownership/monitor.rs
@@ -3,7 +3,7 @@
 use super::takeover;
 use crate::node::{Endpoint, Node, Ownership, FLEET, INQUIRY_TIMEOUT};
 use crate::peer::{request_from, Answer, Inquiry, Link, Operation, MAX_IDLE};
-use hyssop_policy::failover::{Verdict, Watch, WATCHER_COUNT};
+use hyssop_policy::failover::{Turn, Verdict, Watch, WATCHER_COUNT};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -21,8 +21,6 @@
 const STARTUP_DELAY: Duration = Duration::from_millis(600);
 /// An owner that can't reach the store for this long, while this process can, is replaced.
 const STORE_OUTAGE_LIMIT: Duration = Duration::from_millis(1_000);
-/// The additional pause for each live candidate with a higher rank, which gets the first attempt.
-const RANK_PAUSE: Duration = Duration::from_millis(250);
 /// The fleet's owner is reported by a pool's owner that it has not asked for this long.
 const FLEET_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How many other processes are asked at a time whether they reach a suspect owner.
@@ -45,6 +43,8 @@
     node: Rc<Node>,
     watched: RefCell<BTreeMap<String, Watched>>,
     vacant_since: RefCell<BTreeMap<String, Duration>>,
+    /// Since when this process has owned any shard.
+    owner_since: Cell<Option<Duration>>,
     /// The topology for which the watched processes were selected, and when.
     selected: Cell<(u64, Duration)>,
 }
@@ -57,6 +57,7 @@
         node: node.clone(),
         watched: RefCell::default(),
         vacant_since: RefCell::default(),
+        owner_since: Cell::new(None),
         selected: Cell::new((0, Duration::ZERO)),
     });
     while !node.is_stopping.get() {
@@ -116,14 +117,30 @@
             let Some(position) = self.position(&orders[&shard], now) else {
                 continue;
             };
-            let since = self.vacant_since.borrow()[&shard];
-            if now.saturating_sub(since) >= RANK_PAUSE * position as u32 {
+            let turn = Turn {
+                position: position as u32,
+                vacant_for: now.saturating_sub(self.vacant_since.borrow()[&shard]),
+                owner_for: self.owner_for(),
+            };
+            if turn.has_come() {
                 takeover::acquire(&self.node, &shard).await;
                 self.vacant_since.borrow_mut().remove(&shard);
             }
         }
     }
 
+    /// Returns how long this process has owned any shard, `None` if it owns none.
+    fn owner_for(&self) -> Option<Duration> {
+        let owners = self.node.owners.borrow();
+        let is_owner = owners
+            .values()
+            .any(|owner| owner.process == self.node.process && !owner.is_released);
+        let now = self.node.clock.now();
+        let since = is_owner.then(|| self.owner_since.get().unwrap_or(now));
+        self.owner_since.set(since);
+        since.map(|since| now.saturating_sub(since))
+    }
+
     /// Returns how many candidates that may be alive come before this process, `None` if it is no
     /// candidate.
     fn position(&self, order: &[String], now: Duration) -> Option<usize> {
--- a/crates/hyssop-edge/tests/links.rs
+++ b/crates/hyssop-edge/tests/links.rs
@@ -43,6 +43,34 @@
     });
 }
 
+/// The process whose feed was answered late knew no other and took over all shards
+/// (processes_that_serve_nobody_have_few_links, 1 of 16 runs).
+#[test]
+fn process_with_a_late_feed_leaves_shards_to_others() {
+    /// Longer than a process waits after its start before it takes over shards, and shorter than it
+    /// waits for the answer of a feed.
+    const DELAY: Duration = Duration::from_millis(1_800);
+    let platform = platform();
+    platform.set_feed_delay(DELAY);
+    let late = Edge::start(&platform, "e0");
+    wait_until("the process follows the members", || {
+        platform.delayed_feeds() >= 2
+    });
+    platform.set_feed_delay(Duration::ZERO);
+    let mut edges = vec![late];
+    edges.extend(
+        names(4)
+            .iter()
+            .skip(1)
+            .map(|name| Edge::start(&platform, name)),
+    );
+    wait_until("all shards have owners", || {
+        edges.iter().map(Edge::owned_shards).sum::<usize>() == 3
+    });
+    let owned: Vec<usize> = edges.iter().map(Edge::owned_shards).collect();
+    assert!(owned.iter().all(|count| *count <= 1), "{owned:?}");
+}
+
 #[test]
 fn owners_killed_with_most_other_processes_are_replaced() {
     let platform = platform();
--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -125,16 +125,28 @@
 
     /// Returns the value of a metric without labels, or `None` if it can't be read.
     pub fn metric(&self, name: &str) -> Option<f64> {
-        let url = format!("http://{}/metrics", self.ready);
-        let response = minreq::get(url).with_timeout(WAIT_TIMEOUT.as_secs()).send();
-        let text = response.ok()?.as_str().ok()?.to_owned();
+        let text = self.metrics()?;
         let line = text.lines().find(|line| line.starts_with(name))?;
         line.rsplit(' ').next()?.parse().ok()
     }
 
     /// Returns whether the process owns any shard.
     pub fn is_owner(&self) -> bool {
-        self.metric("hyssop_owner_term").is_some()
+        self.owned_shards() > 0
+    }
+
+    /// Returns how many shards the process owns, 0 if its metrics can't be read.
+    pub fn owned_shards(&self) -> usize {
+        self.metrics().map_or(0, |text| {
+            let is_term = |line: &&str| line.starts_with("hyssop_owner_term{");
+            text.lines().filter(is_term).count()
+        })
+    }
+
+    fn metrics(&self) -> Option<String> {
+        let url = format!("http://{}/metrics", self.ready);
+        let response = minreq::get(url).with_timeout(WAIT_TIMEOUT.as_secs()).send();
+        Some(response.ok()?.as_str().ok()?.to_owned())
     }
 
     /// Submits a job again and again until it is accepted.
--- a/crates/hyssop-policy/src/failover/mod.rs
+++ b/crates/hyssop-policy/src/failover/mod.rs
@@ -6,10 +6,12 @@
 
 mod candidate;
 mod rank;
+mod turn;
 mod watch;
 
 pub use candidate::Candidate;
 pub use rank::rank;
+pub use turn::Turn;
 pub use watch::{Verdict, Watch};
 
 /// The number of candidates that watch a shard's owner. A third of all processes may be lost at
--- /dev/null
+++ b/crates/hyssop-policy/src/failover/turn.rs
@@ -0,0 +1,28 @@
+use std::time::Duration;
+
+/// The additional pause for each live candidate with a higher rank, which gets the first attempt.
+const RANK_PAUSE: Duration = Duration::from_millis(250);
+/// How long a process that owned nothing leaves further shards to others after its first one, in
+/// case it does not know them yet; longer than a third of a second, the spread of a common start.
+const SPREAD_PAUSE: Duration = Duration::from_millis(500);
+
+/// The position of a process among the candidates for a vacant shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turn {
+    /// How many candidates that may be alive come first.
+    pub position: u32,
+    /// How long the shard has been vacant.
+    pub vacant_for: Duration,
+    /// How long the process has owned any shard, `None` if it owns none.
+    pub owner_for: Option<Duration>,
+}
+
+impl Turn {
+    /// Returns whether the process may take over the shard now.
+    pub fn has_come(self) -> bool {
+        self.vacant_for >= RANK_PAUSE * self.position
+            && self
+                .owner_for
+                .is_none_or(|duration| duration >= SPREAD_PAUSE)
+    }
+}
--- a/crates/hyssop-policy/tests/failover.rs
+++ b/crates/hyssop-policy/tests/failover.rs
@@ -1,6 +1,6 @@
 //! Failure detection and selection of the processes that take over shards without an owner.
 
-use hyssop_policy::failover::{rank, Candidate, Verdict, Watch, WATCHER_COUNT};
+use hyssop_policy::failover::{rank, Candidate, Turn, Verdict, Watch, WATCHER_COUNT};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -140,3 +140,31 @@
         }
     }
 }
+
+/// The process whose feed was late ranked itself first for every shard, and took them all in the
+/// same moment (links.rs of hyssop-edge: process_with_a_late_feed_leaves_shards_to_others).
+#[test]
+fn first_shard_gives_others_time_to_take_the_rest() {
+    let turn = |owner_for| Turn {
+        position: 0,
+        vacant_for: ms(40),
+        owner_for,
+    };
+    assert!(turn(None).has_come());
+    assert!(!turn(Some(ms(0))).has_come());
+    assert!(!turn(Some(ms(499))).has_come());
+    assert!(turn(Some(ms(500))).has_come(), "others may all be lost");
+    assert!(turn(Some(ms(60_000))).has_come());
+}
+
+#[test]
+fn candidates_with_lower_ranks_wait_for_their_turn() {
+    let turn = |position, vacant_for| Turn {
+        position,
+        vacant_for: ms(vacant_for),
+        owner_for: None,
+    };
+    assert!(turn(0, 0).has_come());
+    assert!(!turn(2, 499).has_come());
+    assert!(turn(2, 500).has_come());
+}
