Keep a wave's deadline on the store's clock, with its progress

Change: pages carry the store's time (rows::Page::now_ms); rows::Cursor tells the earliest time of a change, also after failed calls; the deadline is kept on the store's clock and stored with the wave's progress, and the earliest known one counts.

--- a/crates/hyssop-edge/src/daemon/configuration.rs
+++ b/crates/hyssop-edge/src/daemon/configuration.rs
@@ -11,8 +11,10 @@
     let shards = || BTreeSet::from([String::new()]);
     let on_update = |update| {
         match update {
-            Update::Snapshot(rows) => rows.iter().for_each(|row| apply_row(&node, row, false)),
-            Update::Changes(rows) => rows.iter().for_each(|row| apply_row(&node, row, true)),
+            Update::Snapshot(rows) => rows.iter().for_each(|row| apply_row(&node, row, None)),
+            Update::Changes(rows, changed_at_ms) => rows
+                .iter()
+                .for_each(|row| apply_row(&node, row, changed_at_ms)),
         }
         true
     };
@@ -26,13 +28,13 @@
         node.configuration_outdated.notified().await;
         if let Some(page) = node.store.read(table, "").await {
             let rows = page.rows.iter().filter(|row| row.key.key == key);
-            rows.for_each(|row| apply_row(&node, row, false));
+            rows.for_each(|row| apply_row(&node, row, None));
         }
     }
 }
 
-/// Applies a row; `is_new` means that it has just been written.
-fn apply_row(node: &Node, row: &Row, is_new: bool) {
+/// Applies a row, written at `written_at_ms` on the store's clock if that is known.
+fn apply_row(node: &Node, row: &Row, written_at_ms: Option<i64>) {
     let (_, key) = node.dialect.configuration_row();
     if row.is_removed {
         return;
@@ -44,18 +46,19 @@
         }
     } else if let Some(wave) = node.dialect.read_wave(&row.key.key, &row.value) {
         log::info!(
-            "event=wave wave={} instances={} duration_ms={} cap={}",
+            "event=wave wave={} instances={} duration_ms={} cap={} written_at_ms={}",
             wave.number,
             wave.instances.len(),
             wave.duration_ms,
-            wave.cap
+            wave.cap,
+            written_at_ms.map_or_else(|| "unknown".to_owned(), |at| at.to_string())
         );
-        let duration = Duration::from_millis(wave.duration_ms);
-        let deadline = is_new.then(|| node.clock.now() + duration);
+        let deadline_ms =
+            written_at_ms.map(|written_at| written_at.saturating_add_unsigned(wave.duration_ms));
         let waves = &mut *node.waves.borrow_mut();
-        let known = waves.get(&wave.number).and_then(|tracked| tracked.deadline);
+        let known = waves.get(&wave.number);
         let tracked = TrackedWave {
-            deadline: known.or(deadline),
+            deadline_ms: known.and_then(|known| known.deadline_ms).or(deadline_ms),
             wave,
         };
         waves.insert(tracked.wave.number, tracked);
--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -1,4 +1,4 @@
-use super::stored::{read, StoredState};
+use super::stored::{read, StoredState, WaveRow};
 use super::{BASE_KEY, RECENT_KEY, TABLE};
 use crate::http::Lane;
 use crate::node::{Node, Route, FLEET};
@@ -9,7 +9,7 @@
 use hyssop_model::work::Instance;
 use hyssop_platform::dialect::{self, Transfer};
 use hyssop_platform::rows::{encode, Key, Transaction};
-use hyssop_policy::fleet::{Decision, Fleet, Progress, Settings};
+use hyssop_policy::fleet::{Decision, Fleet, Settings};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -52,8 +52,10 @@
     /// Instances ordered to change within the gap between two owners, and the latest time of the
     /// order.
     recent: BTreeMap<String, Duration>,
-    /// The stored progress of waves, by their numbers.
-    pub(super) stored: BTreeMap<u64, Progress>,
+    /// The waves as stored, by their numbers.
+    pub(super) stored: BTreeMap<u64, WaveRow>,
+    /// The waves' deadlines on the store's clock, in milliseconds.
+    pub(super) deadlines_ms: BTreeMap<u64, i64>,
     /// Whether each wave was last published as done.
     pub(super) reported: BTreeMap<u64, bool>,
 }
@@ -65,15 +67,24 @@
             let acquired_at = node.clock.now();
             let Some(StoredState {
                 base,
-                progress,
+                waves,
                 recent,
             }) = read(&node).await
             else {
                 return;
             };
+            let progress = waves
+                .iter()
+                .map(|(number, wave)| (*number, wave.progress.clone()))
+                .collect();
+            let deadlines_ms = waves
+                .iter()
+                .filter_map(|(number, wave)| Some((*number, wave.deadline_ms?)))
+                .collect();
             let mut controller = Self {
                 is_base_stored: !base.is_empty(),
-                stored: progress.clone(),
+                stored: waves,
+                deadlines_ms,
                 fleet: RefCell::new(Fleet::new(Settings::default(), base, progress)),
                 observed_at: Duration::ZERO,
                 unanswered_since: BTreeMap::new(),
@@ -146,7 +157,17 @@
             fleet.set_spare_pools(spare);
             fleet.on_instance_list(instances, requested_at);
             for tracked in self.node.waves.borrow().values() {
-                fleet.on_wave(&tracked.wave, tracked.deadline);
+                let number = tracked.wave.number;
+                if let Some(own) = tracked.deadline_ms {
+                    // A process that read the row late knows a later deadline than its predecessor.
+                    let known = self.deadlines_ms.entry(number).or_insert(own);
+                    *known = own.min(*known);
+                }
+                let deadline = self
+                    .deadlines_ms
+                    .get(&number)
+                    .and_then(|deadline| self.node.store.local_time(*deadline));
+                fleet.on_wave(&tracked.wave, deadline);
             }
         }
         self.notify_stopped_workers().await;
--- a/crates/hyssop-edge/src/fleet/stored.rs
+++ b/crates/hyssop-edge/src/fleet/stored.rs
@@ -1,17 +1,30 @@
 use super::{BASE_KEY, PROGRESS_PREFIX, RECENT_KEY, TABLE};
 use crate::node::{Node, FLEET};
 use hyssop_policy::fleet::Progress;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
+/// The stored state of a wave.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct WaveRow {
+    /// The progress.
+    #[serde(flatten)]
+    pub(super) progress: Progress,
+    /// When the maintenance of all instances must have started, on the store's clock in
+    /// milliseconds, if known. Rows of earlier versions have none.
+    #[serde(default)]
+    pub(super) deadline_ms: Option<i64>,
+}
+
 /// The state stored by the fleet's previous owner.
 #[derive(Default)]
 pub(super) struct StoredState {
     /// The base size of each pool.
     pub(super) base: BTreeMap<String, usize>,
-    /// The progress of waves, by their numbers.
-    pub(super) progress: BTreeMap<u64, Progress>,
+    /// The waves, by their numbers.
+    pub(super) waves: BTreeMap<u64, WaveRow>,
     /// Instances that may have been ordered to change within the gap between two owners.
     pub(super) recent: BTreeSet<String>,
 }
@@ -36,9 +49,15 @@
         } else if row.key.key == RECENT_KEY {
             stored.recent = ciborium::from_reader(row.value.as_slice()).unwrap_or_default();
         } else if let Some(number) = row.key.key.strip_prefix(PROGRESS_PREFIX) {
-            let wave_progress = ciborium::from_reader(row.value.as_slice());
-            if let (Ok(number), Ok(wave_progress)) = (number.parse(), wave_progress) {
-                stored.progress.insert(number, wave_progress);
+            match (number.parse(), ciborium::from_reader(row.value.as_slice())) {
+                (Ok(number), Ok(wave)) => {
+                    stored.waves.insert(number, wave);
+                }
+                (number, wave) => log::error!(
+                    "event=wave-unreadable key={} number={number:?} reason={:?}",
+                    row.key.key,
+                    wave.err()
+                ),
             }
         }
     }
--- a/crates/hyssop-edge/src/fleet/waves.rs
+++ b/crates/hyssop-edge/src/fleet/waves.rs
@@ -1,18 +1,18 @@
+use super::stored::WaveRow;
 use super::{Controller, PROGRESS_PREFIX, TABLE};
 use crate::node::FLEET;
 use crate::store::Outcome;
 use hyssop_platform::rows::{encode, Key, Transaction};
-use hyssop_policy::fleet::Progress;
 use std::collections::BTreeMap;
 
 impl Controller {
     /// Stores the progress of waves and publishes their status to operators.
     pub(super) async fn report_waves(&mut self) {
-        let progress = self.fleet.borrow().wave_progress().clone();
-        if progress != self.stored && !self.store_progress(&progress).await {
+        let waves = self.wave_rows();
+        if waves != self.stored && !self.store_waves(&waves).await {
             return;
         }
-        for number in progress.keys() {
+        for number in waves.keys() {
             let is_done = {
                 let now = self.node.clock.now();
                 self.fleet.borrow().is_wave_finished(*number, now)
@@ -33,18 +33,35 @@
         }
     }
 
-    /// Stores the progress of waves that has changed; returns whether it is stored.
-    async fn store_progress(&mut self, progress: &BTreeMap<u64, Progress>) -> bool {
+    /// Returns the waves as they are to be stored.
+    fn wave_rows(&self) -> BTreeMap<u64, WaveRow> {
+        let fleet = self.fleet.borrow();
+        let rows = fleet.wave_progress().iter().map(|(number, progress)| {
+            let mut progress = progress.clone();
+            // On this process's clock, which means nothing to others.
+            progress.deadline = None;
+            let deadline_ms = self.deadlines_ms.get(number).copied();
+            let row = WaveRow {
+                progress,
+                deadline_ms,
+            };
+            (*number, row)
+        });
+        rows.collect()
+    }
+
+    /// Stores the waves that have changed; returns whether they are stored.
+    async fn store_waves(&mut self, waves: &BTreeMap<u64, WaveRow>) -> bool {
         let mut transaction = Transaction::default();
-        for (number, wave_progress) in progress {
-            if self.stored.get(number) != Some(wave_progress) {
+        for (number, wave) in waves {
+            if self.stored.get(number) != Some(wave) {
                 let key = Key::new(TABLE, FLEET, &format!("{PROGRESS_PREFIX}{number}"));
-                transaction.writes.push((key, encode(wave_progress)));
+                transaction.writes.push((key, encode(wave)));
             }
         }
         let is_stored = self.committer.commit(transaction, || false).await == Outcome::Done;
         if is_stored {
-            self.stored.clone_from(progress);
+            self.stored.clone_from(waves);
         }
         is_stored
     }
--- a/crates/hyssop-edge/src/node/wave.rs
+++ b/crates/hyssop-edge/src/node/wave.rs
@@ -1,12 +1,11 @@
 use hyssop_model::work::Wave;
-use std::time::Duration;
 
-/// A maintenance wave, with its deadline on this process's clock.
+/// A maintenance wave, with its deadline.
 #[derive(Clone, Debug)]
 pub(crate) struct TrackedWave {
     /// The wave.
     pub(crate) wave: Wave,
-    /// When the maintenance of all must have begun, on this process's clock; `None` where the wave
-    /// may have been published long before this process read it.
-    pub(crate) deadline: Option<Duration>,
+    /// When the maintenance of all instances must have started, on the store's clock in
+    /// milliseconds. `None` if the wave may have been announced long before this process read it.
+    pub(crate) deadline_ms: Option<i64>,
 }
--- a/crates/hyssop-edge/src/ownership/registry.rs
+++ b/crates/hyssop-edge/src/ownership/registry.rs
@@ -48,7 +48,7 @@
         FEED_PAUSE,
         shards,
         |update| {
-            let (Update::Snapshot(rows) | Update::Changes(rows)) = &update;
+            let (Update::Snapshot(rows) | Update::Changes(rows, _)) = &update;
             let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
             node.followed_version
                 .set(node.followed_version.get().max(newest));
@@ -65,7 +65,7 @@
                     node.on_topology_change();
                     rows.iter().for_each(|row| apply_row(&node, row));
                 }
-                Update::Changes(rows) => rows.iter().for_each(|row| apply_row(&node, row)),
+                Update::Changes(rows, _) => rows.iter().for_each(|row| apply_row(&node, row)),
             }
             true
         },
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -207,7 +207,7 @@
                 }
                 rows
             }
-            Update::Changes(rows) => rows,
+            Update::Changes(rows, _) => rows,
         };
         for row in rows {
             if row.is_removed {
--- a/crates/hyssop-edge/src/store/client.rs
+++ b/crates/hyssop-edge/src/store/client.rs
@@ -26,6 +26,8 @@
 struct Health {
     answered_at: Cell<Duration>,
     failed_since: Cell<Option<Duration>>,
+    /// The store's clock less this process's, in milliseconds, once the store has told its time.
+    clock_offset_ms: Cell<Option<i64>>,
     /// Notified when a call succeeds after others have failed.
     recovered: Notify,
 }
@@ -51,6 +53,25 @@
         self.health.answered_at.get()
     }
 
+    /// Returns a time on the store's clock, in milliseconds, as one on this process's clock, or
+    /// `None` if the store has not told its time yet.
+    pub(crate) fn local_time(&self, store_ms: i64) -> Option<Duration> {
+        let offset = self.health.clock_offset_ms.get()?;
+        let local_ms = store_ms.saturating_sub(offset);
+        Some(Duration::from_millis(local_ms.max(0) as u64))
+    }
+
+    /// Records the time that the store told in an answer. An answer arrives later than that, so the
+    /// largest offset is the closest.
+    pub(super) fn record_time(&self, page: &Page) {
+        if let Some(now_ms) = page.now_ms {
+            let offset = now_ms - self.clock.now().as_millis() as i64;
+            let known = self.health.clock_offset_ms.get();
+            let largest = known.map_or(offset, |known| known.max(offset));
+            self.health.clock_offset_ms.set(Some(largest));
+        }
+    }
+
     /// Waits until a call succeeds after others have failed.
     pub(super) async fn recovered(&self) {
         self.health.recovered.notified().await;
@@ -107,8 +128,10 @@
             let page = reply.ok().and_then(|reply| self.dialect.read_page(&reply));
             self.record_result(page.is_some());
             let page = page?;
+            self.record_time(&page);
             if all.version == 0 {
                 all.version = page.version;
+                all.now_ms = page.now_ms;
             }
             let last = page.rows.last().map(|row: &Row| row.key.key.clone());
             all.rows.extend(page.rows);
--- a/crates/hyssop-edge/src/store/feed.rs
+++ b/crates/hyssop-edge/src/store/feed.rs
@@ -1,6 +1,6 @@
 use super::Store;
 use crate::http::Lane;
-use hyssop_platform::rows::Row;
+use hyssop_platform::rows::{Cursor, Row};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -19,8 +19,9 @@
 pub(crate) enum Update {
     /// All rows of the followed shards.
     Snapshot(Vec<Row>),
-    /// The changed rows, in the order of their changes.
-    Changes(Vec<Row>),
+    /// The changed rows, in the order of their changes, and the earliest time on the store's clock,
+    /// in milliseconds, at which they were changed.
+    Changes(Vec<Row>, Option<i64>),
 }
 
 /// Follows the rows of `table`: reads a snapshot of `shards()`, then each change, until `on_update`
@@ -35,7 +36,7 @@
     shards: impl Fn() -> BTreeSet<String>,
     mut on_update: impl FnMut(Update) -> bool,
 ) {
-    let mut position: Option<(u64, BTreeSet<String>)> = None;
+    let mut position: Option<(Cursor, BTreeSet<String>)> = None;
     loop {
         let wanted = shards();
         let is_current = position
@@ -43,8 +44,8 @@
             .is_some_and(|(_, covered)| wanted.is_subset(covered));
         if !is_current {
             match read_snapshot(&store, table, &wanted).await {
-                Some((version, rows)) => {
-                    position = Some((version, wanted));
+                Some((cursor, rows)) => {
+                    position = Some((cursor, wanted));
                     if !on_update(Update::Snapshot(rows)) {
                         return;
                     }
@@ -53,7 +54,7 @@
             }
             continue;
         }
-        let Some((version, _)) = &mut position else {
+        let Some((cursor, _)) = &mut position else {
             continue;
         };
         // During an outage, short calls detect the store's recovery soon; a call that waits for
@@ -63,34 +64,34 @@
             None => (FEED_WAIT, FEED_WAIT + FEED_SLACK),
         };
         let wait_ms = wait.as_millis() as u64;
-        let call = store.dialect.feed(table, *version, wait_ms);
+        let call = store.dialect.feed(table, cursor.version(), wait_ms);
         let reply = store
             .client
             .call(store.address, Lane::Feed, call, timeout)
             .await;
         let Ok(reply) = reply else {
+            cursor.on_failure();
             store.record_result(false);
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
         if store.dialect.is_history_lost(&reply) {
+            let version = cursor.version();
             log::info!("event=history-lost table={table} version={version}");
             position = None;
             continue;
         }
         let Some(page) = store.dialect.read_page(&reply) else {
+            cursor.on_failure();
             store.record_result(false);
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
         store.record_result(true);
-        let newest = page.rows.iter().map(|row| row.version).max();
-        *version = (*version).max(newest.unwrap_or(0));
-        if page.rows.is_empty() {
-            *version = (*version).max(page.version);
-        }
+        store.record_time(&page);
+        let changed_at_ms = cursor.advance(&page);
         let has_changed = !page.rows.is_empty();
-        if !on_update(Update::Changes(page.rows)) {
+        if !on_update(Update::Changes(page.rows, changed_at_ms)) {
             return;
         }
         if has_changed && !pause.is_zero() {
@@ -99,22 +100,22 @@
     }
 }
 
-/// Reads all rows of the shards, with the version of the earliest read, from which the feed
+/// Reads all rows of the shards, with the position of the earliest read, from which the feed
 /// continues.
 async fn read_snapshot(
     store: &Store,
     table: &str,
     shards: &BTreeSet<String>,
-) -> Option<(u64, Vec<Row>)> {
-    let mut version = None;
+) -> Option<(Cursor, Vec<Row>)> {
+    let mut cursor = None;
     let mut rows = Vec::new();
     for shard in shards {
         let page = store.read(table, shard).await?;
-        version.get_or_insert(page.version);
+        cursor.get_or_insert(Cursor::new(page.version, page.now_ms));
         rows.extend(page.rows.into_iter().map(|mut row| {
             shard.clone_into(&mut row.key.shard);
             row
         }));
     }
-    Some((version?, rows))
+    Some((cursor?, rows))
 }
--- /dev/null
+++ b/crates/hyssop-edge/tests/waves.rs
@@ -0,0 +1,40 @@
+//! Maintenance waves over a change of the fleet's owner.
+
+mod support;
+
+use serde_json::{json, Value};
+use support::{job, platform, wait_until, Edge};
+
+const PATH: &str = "/a/00000000000000a1";
+
+/// A process that read the wave's row as part of a snapshot did not know the deadline, and waited
+/// for running tasks beyond it (qarafa-bottling trouble-3: one of 25 instances late in 2 of 9
+/// plays).
+#[test]
+fn successor_keeps_to_the_deadline_of_a_wave_from_before_its_start() {
+    /// Much longer than the wave may take.
+    const TASK_MS: u64 = 25_000;
+    let platform = platform();
+    let mut first = Edge::start(&platform, "e0");
+    wait_until("all shards have owners", || first.owned_shards() == 3);
+    let mut long_job: Value = job(1, 3, TASK_MS);
+    // More than half of a machine, so that each of the pool's three has one task.
+    long_job["steps"][0]["cpu"] = json!(9_000);
+    first.submit_until_accepted(PATH, &long_job);
+    wait_until("all tasks run", || platform.started_tasks().len() == 3);
+    let machines: Vec<String> = platform
+        .pools()
+        .into_iter()
+        .filter_map(|(machine, pool)| (pool == "alpha").then_some(machine))
+        .collect();
+    let wave = json!({ "wave": 1, "machines": machines, "duration-s": 6, "cap": 3 });
+    platform.write_operator_row("wave/1", &wave);
+    let has_state =
+        |state: &str| (platform.status("wave/1")).is_some_and(|row| row["state"] == state);
+    wait_until("the wave is running", || has_state("running"));
+    let second = Edge::start(&platform, "e1");
+    second.submit_until_accepted("/b/00000000000000b1", &job(1, 1, 10));
+    first.kill();
+    wait_until("the wave is done", || has_state("done"));
+    assert_ne!(second.state(PATH), "done", "the wave waited for the tasks");
+}
--- a/crates/hyssop-platform/src/rows/mod.rs
+++ b/crates/hyssop-platform/src/rows/mod.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 mod commit;
+mod cursor;
 mod key;
 mod page;
 mod range;
@@ -10,6 +11,7 @@
 
 pub use codec::{decode, encode};
 pub use commit::Commit;
+pub use cursor::Cursor;
 pub use key::Key;
 pub use page::Page;
 pub use range::Range;
--- a/crates/hyssop-platform/src/rows/page.rs
+++ b/crates/hyssop-platform/src/rows/page.rs
@@ -7,6 +7,8 @@
     pub rows: Vec<Row>,
     /// The store's latest version at the time of the read.
     pub version: u64,
+    /// The store's time of the read on its steady clock, in milliseconds, if it tells it.
+    pub now_ms: Option<i64>,
     /// Whether there are more rows than this page contains.
     pub has_more: bool,
 }
