Take a stale start's run for stopped without a stop

Cause: since a stale start counts as one that took effect, its task waited for a stop to be answered and then for a report. The protocol rejects a run as old only if that run or a higher one was stopped or ended there, so the stop adds nothing, and a worker that leaves orders unanswered delays it.

Change: the run counts as stopped when the answer arrives; the next report requested after it tells how it ended, or the task is requeued. The second test of start_results.rs expected the stop; it now expects that none is ordered, that a report requested before the answer does not requeue the task, and that one after it does. It fails before the change.

--- a/crates/hyssop-policy/src/owner/start.rs
+++ b/crates/hyssop-policy/src/owner/start.rs
@@ -91,14 +91,15 @@
                 let Some(worker) = self.workers.get_mut(&key) else {
                     return;
                 };
-                // A stale number means that the worker has had this run: an order whose answer is
-                // still under way took effect, and the run has ended.
-                let may_have_started = rejection == StartOutcome::Stale
-                    || worker
-                        .runs
-                        .get(&task)
-                        .is_some_and(|entry| entry.may_have_started);
-                if may_have_started {
+                let Some(entry) = worker.runs.get_mut(&task) else {
+                    return;
+                };
+                if rejection == StartOutcome::Stale {
+                    // The worker has had this run, perhaps by an order whose answer is still under
+                    // way, and won't start it any more, as after a stop. It reports how it ended.
+                    entry.stopping_at.get_or_insert(now);
+                    entry.stop_confirmed_at.get_or_insert(now);
+                } else if entry.may_have_started {
                     // An earlier order of the same run may have taken effect or may still do so.
                     self.stop_task(key, task, now);
                 } else {
