Stop no task on a draining worker while a sibling's worker is released

They waited for siblings being stopped, but not for siblings on a worker that was released for maintenance: the maintenance that was on its way then ended a second task of the step.

The model first said that tasks ran twice; that was its own fault, it gave a maintained instance's next worker the identifier of the last.

--- a/crates/hyssop-policy/src/owner/budget.rs
+++ b/crates/hyssop-policy/src/owner/budget.rs
@@ -79,11 +79,13 @@
     /// Stops the long-running tasks on a draining worker.
     ///
     /// The worker ends them anyway, so their budget need not allow it; but a task waits until no
-    /// other task of its step is being stopped.
+    /// other task of its step is being stopped, or may be ended by the maintenance of a released
+    /// worker.
     fn stop_long_running(&mut self, key: WorkerKey, tasks: &[TaskKey], now: Duration) {
         for &task in tasks {
             if self.is_long_running(task)
                 && !self.is_sibling_stopping(task)
+                && !self.is_sibling_released(key, task, now)
                 && self.fits_elsewhere(key, task, now)
             {
                 self.stop_task(key, task, now);
@@ -190,6 +192,15 @@
         })
     }
 
+    /// Returns whether another task of the step runs on a released worker other than `key`.
+    fn is_sibling_released(&self, key: WorkerKey, task: TaskKey, now: Duration) -> bool {
+        self.workers.iter().any(|(other, worker)| {
+            *other != key
+                && worker.is_released(now)
+                && worker.runs.range(task.siblings()).next().is_some()
+        })
+    }
+
     fn is_serving(&self, task: TaskKey, now: Duration) -> bool {
         self.assigned_worker(task)
             .and_then(|key| self.workers.get(&key))
--- a/crates/hyssop-policy/tests/model/invariants.rs
+++ b/crates/hyssop-policy/tests/model/invariants.rs
@@ -36,6 +36,11 @@
         self.cancelled.entry(id.to_owned()).or_insert(now_ms);
     }
 
+    /// Returns whether a job's cancellation was acknowledged.
+    pub fn is_cancelled(&self, id: &str) -> bool {
+        self.cancelled.contains_key(id)
+    }
+
     /// # Panics
     ///
     /// Panics if the start violates an invariant.
--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -6,6 +6,7 @@
 // Each test binary uses only some of the model.
 #![allow(dead_code, unreachable_pub, unused_imports)]
 
+mod availability;
 mod invariants;
 mod store;
 mod worker;
--- a/crates/hyssop-policy/tests/model/worker.rs
+++ b/crates/hyssop-policy/tests/model/worker.rs
@@ -86,6 +86,15 @@
         *self = restarted;
     }
 
+    /// Ends the worker with all state lost; the instance's next worker has an identifier of its own.
+    pub fn replace(&mut self, now_ms: i64) {
+        let id = format!("{}-{now_ms}", self.listing.id);
+        let mut next = Self::new(&id, 0, now_ms);
+        next.listing.capacity = self.listing.capacity;
+        next.listing.instance.clone_from(&self.listing.instance);
+        *self = next;
+    }
+
     pub fn running(&self) -> impl Iterator<Item = (&String, u64)> {
         self.runs.iter().map(|(task, run)| (task, run.number))
     }
@@ -96,6 +105,15 @@
         self.runs.values().filter(is_serving).count()
     }
 
+    /// Returns the long-running tasks that are past their startup.
+    pub fn serving_tasks(&self, now_ms: i64) -> impl Iterator<Item = &String> {
+        let is_serving = move |run: &Run| {
+            run.end_ms > i64::MAX / 4 && now_ms >= run.started_ms + STARTUP_MS && !self.hangs
+        };
+        let serving = self.runs.iter().filter(move |(_, run)| is_serving(run));
+        serving.map(|(task, _)| task)
+    }
+
     fn used_cpu(&self) -> u64 {
         self.runs.len() as u64 * 1_000
     }
--- a/crates/hyssop-policy/tests/model/world.rs
+++ b/crates/hyssop-policy/tests/model/world.rs
@@ -1,8 +1,9 @@
+use super::availability::Availability;
 use super::configuration;
 use super::invariants::Invariants;
 use super::store::FakeStore;
 use super::worker::{FakeWorker, RunEvent};
-use hyssop_model::work::{Phase, Report, Submission};
+use hyssop_model::work::{Outcome, Phase, Report, Submission, Task};
 use hyssop_platform::dialect::{Renewal, Start, StartOutcome};
 use hyssop_policy::owner::{
     Action, Admission, Batch, Notification, Scheduler, Settings, StartResult, TaskKey, WorkerKey,
@@ -29,6 +30,7 @@
     pub faults: Faults,
     pub workers: Vec<FakeWorker>,
     pub invariants: Invariants,
+    pub availability: Availability,
     pub is_store_up: bool,
     /// The time from sending a batch until the store commits it.
     pub commit_ms: i64,
@@ -55,6 +57,10 @@
     StopArrives(u64, WorkerKey, String, u64, String),
     StopAnswered(u64, WorkerKey, String, u64, bool),
     RenewalArrives(u64, WorkerKey, Renewal, i64),
+    /// The fleet's owner maintains a worker's instance: the worker's number and incarnation.
+    MaintenanceArrives(usize, i64),
+    /// The newest owner and the registry learn that a worker has ended.
+    TerminationNoticed(usize, String),
     RenewalAnswered(u64, WorkerKey, Option<Option<Report>>, i64, u64),
     CommitArrives(u64, Batch),
     CommitAnswered(u64),
@@ -72,6 +78,7 @@
                 .map(|number| FakeWorker::new(&format!("w{number}"), cores, 1_000))
                 .collect(),
             invariants: Invariants::default(),
+            availability: Availability::default(),
             is_store_up: true,
             commit_ms: 10,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -183,6 +190,22 @@
             .any(|load| load.worker == id && load.is_released_for_disruption)
     }
 
+    /// Lets the fleet's owner maintain a released worker's instance `delay_ms` later.
+    pub fn order_maintenance(&mut self, worker: usize, delay_ms: i64) {
+        let incarnation = self.workers[worker].listing.incarnation;
+        self.schedule(delay_ms, Event::MaintenanceArrives(worker, incarnation));
+    }
+
+    /// Ends a worker with all of its runs, as a crash does; its next incarnation joins at once.
+    pub fn crash(&mut self, worker: usize) {
+        let now_ms = self.now_ms;
+        for (task, _) in self.workers[worker].running() {
+            self.availability.on_lost(task, now_ms);
+        }
+        self.workers[worker].restart(now_ms);
+        self.register(worker);
+    }
+
     /// Terminates a worker with all of its runs, as the maintenance of its instance does, and
     /// notifies the newest owner. The worker's next incarnation joins at once.
     pub fn perform_maintenance(&mut self, worker: usize) {
@@ -196,6 +219,8 @@
 
     pub fn submit(&mut self, id: &str, submission: Submission) -> Admission {
         self.invariants.on_submission(id, &submission);
+        self.availability
+            .on_submission(id, &submission, self.now_ms);
         let (now, wall_ms) = (self.now(), self.now_ms);
         self.newest_scheduler()
             .submit(id, "queue", submission, Duration::ZERO, now, wall_ms)
@@ -258,11 +283,24 @@
             }
             let incarnation = worker.listing.incarnation;
             let id = worker.listing.id.clone();
-            for event in worker.advance(self.now_ms) {
+            let is_sound = worker.is_reachable && !worker.hangs && !worker.listing.is_draining;
+            let ended = worker.advance(self.now_ms);
+            for task in worker.serving_tasks(self.now_ms) {
+                self.availability.on_serving(task);
+            }
+            for event in ended {
                 if let RunEvent::Ended(task, run, outcome, number) = event {
                     self.trace(&task, || {
                         format!("run {run} on {id} ended as {outcome}, completion {number}")
                     });
+                    if outcome == Outcome::Stopped {
+                        let named: Task = task.parse().expect("a task name");
+                        let is_checked = is_sound && !self.invariants.is_cancelled(&named.job);
+                        self.availability
+                            .on_interrupted(&task, is_checked, self.now_ms);
+                    } else {
+                        self.availability.on_lost(&task, self.now_ms);
+                    }
                     self.invariants.on_run_end(
                         (&id, incarnation),
                         &task,
@@ -440,6 +478,27 @@
                     Event::RenewalAnswered(term, key, report, sent_ms, renewal.acknowledged);
                 self.schedule(delay, answer);
             }
+            Event::MaintenanceArrives(number, incarnation) => {
+                let worker = &self.workers[number];
+                if worker.listing.incarnation != incarnation || !worker.is_up {
+                    return;
+                }
+                let is_sound = worker.is_reachable && !worker.hangs && !worker.listing.is_draining;
+                let (id, now_ms) = (worker.listing.id.clone(), self.now_ms);
+                self.trace("", || format!("{id} is maintained"));
+                for (task, _) in worker.running() {
+                    self.availability.on_interrupted(task, is_sound, now_ms);
+                }
+                self.workers[number].replace(now_ms);
+                let delay = self.pick(50..500) as i64;
+                self.schedule(delay, Event::TerminationNoticed(number, id));
+            }
+            Event::TerminationNoticed(number, id) => {
+                if let Some(process) = self.owners.last_mut() {
+                    process.scheduler.on_worker_terminated(&id, now);
+                }
+                self.register(number);
+            }
             Event::RenewalAnswered(term, key, report, sent_ms, acked) => {
                 let sent = Duration::from_millis(sent_ms as u64);
                 let Some(process) = self.process(term) else {
