Log malformed rows of the fleet, and order nothing until they can't matter

Without the recent orders an instance could get orders of two owners within the platform's minimum interval.

Change: each malformed row is logged (row-unreadable). Base sizes are taken from the platform's list again, a wave starts anew, and without the recent orders the new owner waits out the interval before it orders anything.

--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -97,7 +97,13 @@
                 reported: BTreeMap::new(),
             };
             let until = acquired_at + controller.gap();
-            controller.fleet.borrow_mut().exclude(recent, until);
+            match recent {
+                Some(recent) => controller.fleet.borrow_mut().exclude(recent, until),
+                None => {
+                    let wait = until.saturating_sub(controller.node.clock.now());
+                    tokio::time::sleep(wait).await;
+                }
+            }
             controller.run().await;
         });
     }
--- a/crates/hyssop-edge/src/fleet/stored.rs
+++ b/crates/hyssop-edge/src/fleet/stored.rs
@@ -1,6 +1,8 @@
 use super::{BASE_KEY, PROGRESS_PREFIX, RECENT_KEY, TABLE};
 use crate::node::{Node, FLEET};
+use hyssop_platform::rows::Row;
 use hyssop_policy::fleet::Progress;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -19,14 +21,14 @@
 }
 
 /// The state stored by the fleet's previous owner.
-#[derive(Default)]
 pub(super) struct StoredState {
     /// The base size of each pool.
     pub(super) base: BTreeMap<String, usize>,
     /// The waves, by their numbers.
     pub(super) waves: BTreeMap<u64, WaveRow>,
-    /// Instances that may have been ordered to change within the gap between two owners.
-    pub(super) recent: BTreeSet<String>,
+    /// Instances that may have been ordered to change within the gap between two owners, `None` if
+    /// the row is malformed, so that any may have been.
+    pub(super) recent: Option<BTreeSet<String>>,
 }
 
 /// Reads the state stored by the previous owner, retrying until the store answers; returns `None`
@@ -42,24 +44,38 @@
             None => tokio::time::sleep(RETRY_PAUSE).await,
         }
     };
-    let mut stored = StoredState::default();
+    let mut stored = StoredState {
+        base: BTreeMap::new(),
+        waves: BTreeMap::new(),
+        recent: Some(BTreeSet::new()),
+    };
     for row in page.rows {
         if row.key.key == BASE_KEY {
-            stored.base = ciborium::from_reader(row.value.as_slice()).unwrap_or_default();
+            // The sizes are taken from the platform's list then.
+            stored.base = decode_row(&row).unwrap_or_default();
         } else if row.key.key == RECENT_KEY {
-            stored.recent = ciborium::from_reader(row.value.as_slice()).unwrap_or_default();
+            stored.recent = decode_row(&row);
         } else if let Some(number) = row.key.key.strip_prefix(PROGRESS_PREFIX) {
-            match (number.parse(), ciborium::from_reader(row.value.as_slice())) {
-                (Ok(number), Ok(wave)) => {
-                    stored.waves.insert(number, wave);
-                }
-                (number, wave) => log::error!(
-                    "event=wave-unreadable key={} number={number:?} reason={:?}",
-                    row.key.key,
-                    wave.err()
-                ),
+            // The wave starts anew then; the platform accepts an order that was carried out before.
+            if let (Ok(number), Some(wave)) = (number.parse(), decode_row(&row)) {
+                stored.waves.insert(number, wave);
             }
         }
     }
     Some(stored)
 }
+
+/// Decodes a row, and logs if it is malformed.
+fn decode_row<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    match ciborium::from_reader(row.value.as_slice()) {
+        Ok(decoded) => Some(decoded),
+        Err(error) => {
+            log::error!(
+                "event=row-unreadable part={FLEET} key={} bytes={} reason={error:?}",
+                row.key.key,
+                row.value.len()
+            );
+            None
+        }
+    }
+}
--- a/crates/hyssop-edge/tests/waves.rs
+++ b/crates/hyssop-edge/tests/waves.rs
@@ -1,4 +1,4 @@
-//! Maintenance waves over a change of the fleet's owner.
+//! Maintenance waves over a change of the fleet's owner, and its stored state.
 
 mod support;
 
@@ -38,3 +38,27 @@
     wait_until("the wave is done", || has_state("done"));
     assert_ne!(second.state(PATH), "done", "the wave waited for the tasks");
 }
+
+/// Malformed rows were taken for empty ones without a word, so that an instance might have got the
+/// orders of two owners within the platform's minimum interval.
+#[test]
+fn malformed_rows_of_the_fleet_are_logged_and_written_anew() {
+    let platform = platform();
+    for key in ["base", "recent", "campaign/1"] {
+        platform.write_own_row("holder", "fleet/", key, b"\xff\x00 no row");
+    }
+    let edge = Edge::start(&platform, "e0");
+    for key in ["base", "recent", "campaign/1"] {
+        let line = format!("event=row-unreadable part=fleet/ key={key}");
+        wait_until("the malformed row is logged", || edge.has_logged(&line));
+    }
+    assert!(platform.orders().is_empty(), "ordered before the interval");
+    let machines: Vec<String> = platform.pools().into_keys().collect();
+    let wave = json!({ "wave": 1, "machines": machines, "duration-s": 20, "cap": 2 });
+    platform.write_operator_row("wave/1", &wave);
+    wait_until("the wave is done", || {
+        platform
+            .status("wave/1")
+            .is_some_and(|row| row["state"] == "done")
+    });
+}
