--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -162,20 +162,8 @@
             let fleet = &mut *self.fleet.borrow_mut();
             fleet.set_spare_pools(spare);
             fleet.on_instance_list(instances, requested_at);
-            for tracked in self.node.waves.borrow().values() {
-                let number = tracked.wave.number;
-                if let Some(own) = tracked.deadline_ms {
-                    // A process that read the row late knows a later deadline than its predecessor.
-                    let known = self.deadlines_ms.entry(number).or_insert(own);
-                    *known = own.min(*known);
-                }
-                let deadline = self
-                    .deadlines_ms
-                    .get(&number)
-                    .and_then(|deadline| self.node.store.local_time(*deadline));
-                fleet.on_wave(&tracked.wave, deadline);
-            }
         }
+        self.observe_waves();
         self.notify_stopped_workers().await;
         self.observed_at = self.node.clock.now();
         let requests = configuration
--- a/crates/hyssop-edge/src/fleet/waves.rs
+++ b/crates/hyssop-edge/src/fleet/waves.rs
@@ -6,6 +6,24 @@
 use std::collections::BTreeMap;
 
 impl Controller {
+    /// Passes the announced waves with their deadlines to the fleet.
+    pub(super) fn observe_waves(&mut self) {
+        let mut fleet = self.fleet.borrow_mut();
+        for tracked in self.node.waves.borrow().values() {
+            let number = tracked.wave.number;
+            if let Some(own) = tracked.deadline_ms {
+                // A process that read the row late knows a later deadline than its predecessor.
+                let known = self.deadlines_ms.entry(number).or_insert(own);
+                *known = own.min(*known);
+            }
+            let deadline = self
+                .deadlines_ms
+                .get(&number)
+                .and_then(|deadline| self.node.store.local_time(*deadline));
+            fleet.on_wave(&tracked.wave, deadline);
+        }
+    }
+
     /// Stores the progress of waves and publishes their status to operators.
     pub(super) async fn report_waves(&mut self) {
         let waves = self.wave_rows();
--- a/crates/hyssop-edge/src/ownership/mod.rs
+++ b/crates/hyssop-edge/src/ownership/mod.rs
@@ -6,6 +6,8 @@
 mod removal;
 mod suspects;
 mod takeover;
+mod target;
+mod watched;
 
 pub(crate) use monitor::monitor_shards;
 pub(crate) use registry::{follow_owners, register};
--- a/crates/hyssop-edge/src/ownership/monitor.rs
+++ b/crates/hyssop-edge/src/ownership/monitor.rs
@@ -1,9 +1,11 @@
 use super::candidates::{rank, successors, window};
 use super::suspects::report_owner;
 use super::takeover;
+use super::target::Target;
+use super::watched::Watched;
 use crate::node::{Endpoint, Node, Ownership, FLEET, INQUIRY_TIMEOUT};
-use crate::peer::{request_from, Answer, Inquiry, Link, Operation, MAX_IDLE};
-use hyssop_policy::failover::{Turn, Verdict, Watch, WATCHER_COUNT};
+use crate::peer::{request_from, Answer, Inquiry, Operation, MAX_IDLE};
+use hyssop_policy::failover::{Turn, Verdict, WATCHER_COUNT};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -28,38 +30,6 @@
 /// How many other processes are asked at a time whether they reach a suspect owner.
 const PROBE_COUNT: usize = 4;
 
-/// A process that this one watches.
-struct Watched {
-    endpoint: Endpoint,
-    link: Rc<Link>,
-    watch: Watch,
-    /// The shards that it owns; none for a fellow candidate.
-    shards: Vec<String>,
-    /// Whether it is watched only because of a report.
-    is_reported: bool,
-    /// How many times others were asked whether they reach it.
-    probe_rounds: usize,
-}
-
-/// A process that is to be watched.
-struct Target {
-    endpoint: Endpoint,
-    /// The shards that it owns; none for a fellow candidate.
-    shards: Vec<String>,
-    /// Whether it is watched only because of a report.
-    is_reported: bool,
-}
-
-impl Target {
-    fn new(endpoint: Endpoint, is_reported: bool) -> Self {
-        Self {
-            endpoint,
-            shards: Vec::new(),
-            is_reported,
-        }
-    }
-}
-
 /// The failure detector of one process: it watches the owners that it may have to replace, and the
 /// candidates that come before it or after it.
 struct Monitor {
@@ -190,7 +160,7 @@
                 .watched
                 .borrow()
                 .values()
-                .any(|watched| watched.is_reported);
+                .any(|watched| watched.target.is_reported);
         if selected == topology && !has_expired
             || now.saturating_sub(selected_at) < SELECTION_INTERVAL
         {
@@ -205,7 +175,7 @@
         watched.retain(|name, old| {
             let is_kept = wanted
                 .get(name)
-                .is_some_and(|target| target.endpoint == old.endpoint);
+                .is_some_and(|target| target.endpoint == old.target.endpoint);
             if !is_kept {
                 old.link.set_watched(false);
             }
@@ -213,26 +183,12 @@
         });
         for (name, target) in wanted {
             if let Some(known) = watched.get_mut(&name) {
-                known.shards = target.shards;
-                known.is_reported = target.is_reported;
+                known.target = target;
                 continue;
             }
             let link = self.node.links.open(&self.node, &target.endpoint, MAX_IDLE);
             link.set_watched(true);
-            let watch = if target.is_reported {
-                Watch::reported(now)
-            } else {
-                Watch::new(now)
-            };
-            let entry = Watched {
-                endpoint: target.endpoint,
-                link,
-                watch,
-                shards: target.shards,
-                is_reported: target.is_reported,
-                probe_rounds: 0,
-            };
-            watched.insert(name, entry);
+            watched.insert(name, Watched::new(target, link, now));
         }
     }
 
@@ -274,7 +230,7 @@
         let mut inquiries = Vec::new();
         for (name, watched) in self.watched.borrow_mut().iter_mut() {
             watched.watch.on_heard(watched.link.last_seen_at());
-            let Some(shard) = watched.shards.first() else {
+            let Some(shard) = watched.target.shards.first() else {
                 continue;
             };
             if watched.watch.take_probe(now) {
@@ -296,7 +252,7 @@
             .watched
             .borrow()
             .get(&name)
-            .map(|watched| watched.endpoint.clone())
+            .map(|watched| watched.target.endpoint.clone())
         else {
             return;
         };
@@ -311,7 +267,7 @@
         );
         let now = self.node.clock.now();
         if let Some(watched) = self.watched.borrow_mut().get_mut(&name) {
-            if watched.endpoint == endpoint {
+            if watched.target.endpoint == endpoint {
                 watched.watch.on_probe_answer(is_reached, now);
             }
         }
@@ -369,7 +325,7 @@
         let Some(watched) = watched.get(&owner.node) else {
             return false;
         };
-        if watched.endpoint.process != owner.process {
+        if watched.target.endpoint.process != owner.process {
             return false;
         }
         if watched.watch.verdict(now) == Verdict::Lost {
