--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,4 +6,4 @@
     echo "run the build of the deploy file and review/build.sh first" >&2
     exit 2
 fi
-exec "$program" large review/1/record.txt
+exec "$program" past review/1/record.txt
--- a/review/stand-in/src/cases/label.rs
+++ b/review/stand-in/src/cases/label.rs
@@ -34,13 +34,24 @@
         crate::cluster::cannot_run("a job isn't accepted");
     }
     // `finish_s` after the last submission.
-    wait_for(Duration::from_secs(14), || cluster.record.runs_of(JOB).iter().any(|r| matches!(r.ended, Some((_, "done")))));
+    wait_for(Duration::from_secs(14), || {
+        cluster
+            .record
+            .runs_of(JOB)
+            .iter()
+            .any(|r| matches!(r.ended, Some((_, "done"))))
+    });
     sleep(Duration::from_secs(1));
     let state = cluster.state(2, QUEUE, JOB);
     cluster.state(2, QUEUE, OTHER);
     cluster.keep_log(&["event=job-ended", "event=run-ended", "event=worker-suspect"]);
     let runs = cluster.record.runs_of(JOB);
-    let last_end = runs.iter().filter_map(|run| run.ended).map(|(at, _)| at).max().unwrap_or_default();
+    let last_end = runs
+        .iter()
+        .filter_map(|run| run.ended)
+        .map(|(at, _)| at)
+        .max()
+        .unwrap_or_default();
     let idle = cluster.record.now().saturating_sub(last_end);
     let worker = cluster.workers.iter().find(|worker| worker.id == special);
     let is_idle = worker.is_some_and(|worker| worker.is_idle());
--- a/review/stand-in/src/cases/large.rs
+++ b/review/stand-in/src/cases/large.rs
@@ -18,7 +18,11 @@
             let step = with(step(1, 500, 20), "after", Json::Arr(after.map(n).collect()));
             let step = with(step, "affinity", s("r1-1"));
             let step = with(step, "requirements", s("a"));
-            with(step, "image", s(format!("fleet-permit-batch/layer-{layer}/renewal")))
+            with(
+                step,
+                "image",
+                s(format!("fleet-permit-batch/layer-{layer}/renewal")),
+            )
         })
         .collect();
     job(&format!("20 {}", "x".repeat(3_900)), &steps)
@@ -29,15 +33,26 @@
     let cluster = Cluster::start(3, shapes(4), &config(1, &queues, &[(POOL, true)]), plain());
     cluster.wait_ready(QUEUE, CANARY);
     // Jobs that were accepted before: each has a first step at work and a second one to come.
-    let ids: Vec<String> = (0..6).map(|number| format!("00000000000001{number:02x}")).collect();
-    let two = job("2500", &[step(2, 1_000, 2_500), with(step(2, 1_000, 2_500), "after", Json::Arr(vec![n(0)]))]);
+    let ids: Vec<String> = (0..6)
+        .map(|number| format!("00000000000001{number:02x}"))
+        .collect();
+    let two = job(
+        "2500",
+        &[
+            step(2, 1_000, 2_500),
+            with(step(2, 1_000, 2_500), "after", Json::Arr(vec![n(0)])),
+        ],
+    );
     for id in &ids {
         if !cluster.submit(0, QUEUE, id, &two) {
             crate::cluster::cannot_run("a job isn't accepted");
         }
     }
     let large = large(if trouble { 8 } else { 1 });
-    cluster.record.note(format!("the large job has {} bytes; max-body-bytes is 262144", large.text().len()));
+    cluster.record.note(format!(
+        "the large job has {} bytes; max-body-bytes is 262144",
+        large.text().len()
+    ));
     cluster.submit(1, QUEUE, LARGE, &large);
     // `finish_s` after the last submission.
     sleep(Duration::from_secs(14));
@@ -48,9 +63,21 @@
     cluster.state(0, QUEUE, LARGE);
     let late = "00000000000002aa";
     let is_accepted = cluster.submit(2, QUEUE, late, &job("100", &[step(1, 500, 100)]));
-    cluster.keep_log(&["event=transaction-invalid", "event=owner-deposed", "event=taken-over", "event=owner-started"]);
+    cluster.keep_log(&[
+        "event=transaction-invalid",
+        "event=owner-deposed",
+        "event=taken-over",
+        "event=owner-started",
+    ]);
     let idle = cluster.workers.iter().all(|worker| worker.is_idle());
-    let last = cluster.record.runs().iter().filter_map(|run| run.ended).map(|(at, _)| at).max().unwrap_or_default();
+    let last = cluster
+        .record
+        .runs()
+        .iter()
+        .filter_map(|run| run.ended)
+        .map(|(at, _)| at)
+        .max()
+        .unwrap_or_default();
     let quiet = cluster.record.now().saturating_sub(last);
     let unfinished = states.iter().filter(|state| *state != "done").count();
     let broken = unfinished > 0 && idle && quiet >= Duration::from_secs(3);
--- a/review/stand-in/src/cases/limit.rs
+++ b/review/stand-in/src/cases/limit.rs
@@ -20,7 +20,11 @@
     cluster.wait_ready(QUEUE, CANARY);
     // Each fills all workers.
     let fills = job("6000", &[step(16, 16_000, 6_000)]);
-    if !cluster.submit(0, QUEUE, FIRST, &fills) || !wait_for(Duration::from_secs(3), || cluster.record.runs_of(FIRST).len() == 16) {
+    if !cluster.submit(0, QUEUE, FIRST, &fills)
+        || !wait_for(Duration::from_secs(3), || {
+            cluster.record.runs_of(FIRST).len() == 16
+        })
+    {
         crate::cluster::cannot_run("the first job doesn't run");
     }
     cluster.submit(1, QUEUE, NEXT, &fills);
@@ -42,14 +46,31 @@
                 .iter()
                 .filter(|run| run.worker == worker.id && run.started <= at && run.task.len() > 10)
                 .filter(|run| run.ended.is_none_or(|(end, _)| end > at))
-                .map(|run| if run.task.starts_with(CANARY) { 500 } else { 16_000 })
+                .map(|run| {
+                    if run.task.starts_with(CANARY) {
+                        500
+                    } else {
+                        16_000
+                    }
+                })
                 .sum();
             if used > 64_000 {
-                over.push(format!("{} with {} at {:.3} s: {used} of 64000", worker.id, start.task, at.as_secs_f64()));
+                over.push(format!(
+                    "{} with {} at {:.3} s: {used} of 64000",
+                    worker.id,
+                    start.task,
+                    at.as_secs_f64()
+                ));
             }
         }
     }
-    let broken = (!over.is_empty()).then(|| format!("LIMIT: {} start(s) over the capacity, first {}", over.len(), over[0]));
+    let broken = (!over.is_empty()).then(|| {
+        format!(
+            "LIMIT: {} start(s) over the capacity, first {}",
+            over.len(),
+            over[0]
+        )
+    });
     if cluster.has_ended(0) {
         cluster.record.note("a process has ended");
     }
--- a/review/stand-in/src/cases/mod.rs
+++ b/review/stand-in/src/cases/mod.rs
@@ -2,11 +2,11 @@
 pub mod label;
 pub mod large;
 pub mod limit;
+pub mod past;
 pub mod route;
 pub mod takeover;
 pub mod timed;
 
-
 use crate::cluster::Cluster;
 use crate::worker::{Course, Script, Shape};
 use std::sync::Arc;
--- a/review/stand-in/src/cases/route.rs
+++ b/review/stand-in/src/cases/route.rs
@@ -27,9 +27,13 @@
     if !cluster.submit(0, PATH, JOB, &job("5000", &[step(1, 4_000, 5_000)])) {
         crate::cluster::cannot_run("the job isn't accepted");
     }
-    wait_for(Duration::from_secs(2), || !cluster.record.runs_of(JOB).is_empty());
+    wait_for(Duration::from_secs(2), || {
+        !cluster.record.runs_of(JOB).is_empty()
+    });
     cluster.record.note("operator: version 2 removes the route");
-    cluster.store.put("op", "config", Some(&config(2, &both[..1], &services)));
+    cluster
+        .store
+        .put("op", "config", Some(&config(2, &both[..1], &services)));
     sleep(Duration::from_millis(1_000));
     if trouble {
         let first = owner(&cluster);
@@ -43,10 +47,20 @@
         cluster.kill(first);
         cluster.boot(first);
     }
-    wait_for(Duration::from_secs(9), || cluster.record.runs_of(JOB).iter().any(|run| run.ended.is_some()));
+    wait_for(Duration::from_secs(9), || {
+        cluster
+            .record
+            .runs_of(JOB)
+            .iter()
+            .any(|run| run.ended.is_some())
+    });
     sleep(Duration::from_millis(1_500));
-    cluster.record.note("operator: version 3 adds the route again");
-    cluster.store.put("op", "config", Some(&config(3, &both, &services)));
+    cluster
+        .record
+        .note("operator: version 3 adds the route again");
+    cluster
+        .store
+        .put("op", "config", Some(&config(3, &both, &services)));
     sleep(Duration::from_millis(2_500));
     let mut state = String::new();
     for _ in 0..12 {
@@ -56,9 +70,19 @@
         }
         sleep(Duration::from_millis(1_000));
     }
-    cluster.keep_log(&["event=taken-over", "event=owner-started", "event=job-ended", "event=run-ended", "event=configuration", "event=released"]);
+    cluster.keep_log(&[
+        "event=taken-over",
+        "event=owner-started",
+        "event=job-ended",
+        "event=run-ended",
+        "event=configuration",
+        "event=released",
+    ]);
     let runs = cluster.record.runs_of(JOB);
-    let failures = runs.iter().filter(|run| matches!(run.ended, Some((_, "failed")))).count();
+    let failures = runs
+        .iter()
+        .filter(|run| matches!(run.ended, Some((_, "failed"))))
+        .count();
     let broken = state == "failed" && failures < ATTEMPTS as usize;
     let text = format!(
         "LOST: job {JOB}, which nobody cancelled, is shown as failed after {failures} run(s) that ended failed; max-attempts is {ATTEMPTS}"
--- a/review/stand-in/src/cases/timed.rs
+++ b/review/stand-in/src/cases/timed.rs
@@ -14,7 +14,10 @@
     let queues = [("fees", QUEUE, POOL, 4)];
     let cluster = Cluster::start(4, shapes(6), &config(1, &queues, &[(POOL, true)]), plain());
     cluster.wait_ready(QUEUE, CANARY);
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64;
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as i64;
     // Four subtasks a time, at most one on a worker.
     let each = with(step(4, 4_000, 2_500), "anti-affinity", n(1));
     let mut scheduled = job("2500", &[each]);
@@ -30,7 +33,9 @@
     if trouble {
         let first = owner(&cluster);
         let name = cluster.edges[first].name.clone();
-        cluster.record.note(format!("{name}, which owns the pool, is partitioned from the store"));
+        cluster.record.note(format!(
+            "{name}, which owns the pool, is partitioned from the store"
+        ));
         if only != "worker" {
             cluster.store.set_gate(&name, Gate::Silent);
         }
@@ -38,27 +43,46 @@
         // A worker that has just begun a time that came due since then is cut off.
         let begun = || {
             let runs = cluster.record.runs_of(JOB);
-            runs.into_iter().find(|run| run.started > began + Duration::from_millis(300) && run.ended.is_none())
+            runs.into_iter()
+                .find(|run| run.started > began + Duration::from_millis(300) && run.ended.is_none())
         };
-        let found = wait_for(Duration::from_secs(2), || begun().is_some()).then(begun).flatten();
+        let found = wait_for(Duration::from_secs(2), || begun().is_some())
+            .then(begun)
+            .flatten();
         let Some(run) = found else {
             crate::cluster::cannot_run("nothing came due");
         };
-        let worker = cluster.workers.iter().find(|worker| worker.id == run.worker);
+        let worker = cluster
+            .workers
+            .iter()
+            .find(|worker| worker.id == run.worker);
         let Some(worker) = worker else {
             crate::cluster::cannot_run("the worker is unknown");
         };
         if only != "store" {
             worker.set_cut(true);
         }
-        sleep(CUT);
+        // Each cut lasts as long as the site file has it.
+        let cut_at = cluster.record.now();
+        sleep((began + CUT).saturating_sub(cut_at));
         cluster.store.set_gate(&name, Gate::Open);
-        cluster.record.note(format!("{name} reaches the store again"));
+        cluster
+            .record
+            .note(format!("{name} reaches the store again"));
+        sleep((cut_at + CUT).saturating_sub(cluster.record.now()));
         worker.set_cut(false);
     }
     sleep(Duration::from_secs(6));
     cluster.state(0, QUEUE, JOB);
-    cluster.keep_log(&["event=taken-over", "event=owner-started", "event=recover", "event=workers-unreported", "event=owner-deposed", "event=leases-over", "event=dependency"]);
+    cluster.keep_log(&[
+        "event=taken-over",
+        "event=owner-started",
+        "event=recover",
+        "event=workers-unreported",
+        "event=owner-deposed",
+        "event=leases-over",
+        "event=dependency",
+    ]);
     let overlaps = cluster.record.overlaps(Duration::from_millis(200));
     let repeats = cluster.record.repeats();
     for (a, b) in overlaps.iter().chain(&repeats) {
--- a/review/stand-in/src/cluster.rs
+++ b/review/stand-in/src/cluster.rs
@@ -58,7 +58,11 @@
         ])
     });
     let services = services.iter().map(|(name, guards)| {
-        obj([("name", s(*name)), ("rejects-overload", Json::Bool(*guards)), ("spare", Json::Bool(false))])
+        obj([
+            ("name", s(*name)),
+            ("rejects-overload", Json::Bool(*guards)),
+            ("spare", Json::Bool(false)),
+        ])
     });
     obj([
         ("version", n(version as i64)),
@@ -74,11 +78,17 @@
 /// The processes that this case has started and not seen end.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Sends a signal to a process of this case, with the shell's own `kill`.
+fn signal(id: u32, name: &str) {
+    let command = format!("kill -{name} {id}");
+    let _ = Command::new("/bin/sh").args(["-c", &command]).status();
+}
+
 /// Ends all processes that this case has started.
 fn end_all() {
     if let Ok(started) = STARTED.lock() {
         for id in &*started {
-            let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+            signal(*id, "KILL");
         }
     }
 }
@@ -108,7 +118,15 @@
         store.put("op", "config", Some(first));
         let workers: Vec<Arc<Worker>> = shapes
             .into_iter()
-            .map(|shape| Worker::start(shape, store.clone(), record.clone(), script.clone(), needs.clone()))
+            .map(|shape| {
+                Worker::start(
+                    shape,
+                    store.clone(),
+                    record.clone(),
+                    script.clone(),
+                    needs.clone(),
+                )
+            })
             .collect();
         let listed = workers.clone();
         let noted = record.clone();
@@ -271,7 +289,7 @@
     pub fn terminate(&self, number: usize) {
         let edge = &self.edges[number];
         if let Some(child) = &edge.child {
-            let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+            signal(child.id(), "TERM");
         }
         self.record.note(format!("{}: SIGTERM", edge.name));
     }
@@ -288,7 +306,10 @@
     pub fn wait_ready(&self, queue: &str, id: &str) {
         let until = Instant::now() + BOOT;
         for edge in &self.edges {
-            while !matches!(call(edge.ready, "", "GET", "/readiness", "", CALL), Some((200, _))) {
+            while !matches!(
+                call(edge.ready, "", "GET", "/readiness", "", CALL),
+                Some((200, _))
+            ) {
                 if Instant::now() > until {
                     cannot_run("a process isn't ready");
                 }
@@ -317,7 +338,10 @@
             None => "no answer".to_owned(),
         };
         let sent: String = body.chars().take(160).collect();
-        self.record.note(format!("client: {method} {path} at {} {sent} -> {text}", edge.name));
+        self.record.note(format!(
+            "client: {method} {path} at {} {sent} -> {text}",
+            edge.name
+        ));
         answer
     }
 
@@ -327,12 +351,17 @@
         let steps = job.list("steps");
         for (number, step) in steps.iter().enumerate() {
             let key = format!("{id}.{number}");
-            self.needs.lock().unwrap().insert(key, step.num("cpu").unwrap_or(0));
+            self.needs
+                .lock()
+                .unwrap()
+                .insert(key, step.num("cpu").unwrap_or(0));
         }
         let text = job.text();
         for attempt in 0..5 {
             let at = (edge + attempt) % self.edges.len();
-            let status = self.call(at, "POST", &format!("{queue}{id}"), &text).map(|(status, _)| status);
+            let status = self
+                .call(at, "POST", &format!("{queue}{id}"), &text)
+                .map(|(status, _)| status);
             match status {
                 Some(200..=299) => return true,
                 Some(400..=428) => return false,
@@ -356,8 +385,14 @@
         let mut newest: Option<(u64, usize)> = None;
         for (number, edge) in self.edges.iter().enumerate() {
             let text = std::fs::read_to_string(&edge.log).unwrap_or_default();
-            for line in text.lines().filter(|line| line.contains(&format!("event=taken-over part={pool} "))) {
-                let term = line.split(" term=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+            for line in text
+                .lines()
+                .filter(|line| line.contains(&format!("event=taken-over part={pool} ")))
+            {
+                let term = line
+                    .split(" term=")
+                    .nth(1)
+                    .and_then(|rest| rest.split(' ').next()?.parse().ok());
                 if let Some(term) = term {
                     if newest.is_none_or(|(known, _)| term > known) {
                         newest = Some((term, number));
@@ -372,7 +407,10 @@
     pub fn keep_log(&self, words: &[&str]) {
         for edge in &self.edges {
             let text = std::fs::read_to_string(&edge.log).unwrap_or_default();
-            for line in text.lines().filter(|line| words.iter().any(|word| line.contains(word))) {
+            for line in text
+                .lines()
+                .filter(|line| words.iter().any(|word| line.contains(word)))
+            {
                 self.record.note(format!("log of {}: {line}", edge.name));
             }
         }
@@ -420,7 +458,12 @@
 }
 
 pub fn step(count: u32, cpu: i64, estimated_ms: i64) -> Json {
-    obj([("count", n(count)), ("cpu", n(cpu)), ("mem-mb", n(16)), ("estimated-ms", n(estimated_ms))])
+    obj([
+        ("count", n(count)),
+        ("cpu", n(cpu)),
+        ("mem-mb", n(16)),
+        ("estimated-ms", n(estimated_ms)),
+    ])
 }
 
 /// Adds a field to an object.
@@ -435,5 +478,8 @@
 }
 
 pub fn job(specification: &str, steps: &[Json]) -> Json {
-    obj([("specification", s(specification)), ("steps", Json::Arr(steps.to_vec()))])
+    obj([
+        ("specification", s(specification)),
+        ("steps", Json::Arr(steps.to_vec())),
+    ])
 }
--- a/review/stand-in/src/http.rs
+++ b/review/stand-in/src/http.rs
@@ -17,7 +17,10 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
     pub fn parameter(&self, name: &str) -> String {
@@ -124,7 +127,9 @@
     }))
 }
 
-fn read_headers(reader: &mut BufReader<TcpStream>) -> std::io::Result<(Vec<(String, String)>, usize)> {
+fn read_headers(
+    reader: &mut BufReader<TcpStream>,
+) -> std::io::Result<(Vec<(String, String)>, usize)> {
     let mut headers = Vec::new();
     let mut length = 0;
     loop {
--- a/review/stand-in/src/json.rs
+++ b/review/stand-in/src/json.rs
@@ -174,7 +174,9 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.at < self.bytes.len() && b"+-.eE0123456789".contains(&self.bytes[self.at]) {
+                while self.at < self.bytes.len()
+                    && b"+-.eE0123456789".contains(&self.bytes[self.at])
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
@@ -200,7 +202,8 @@
                         b'b' => out.push(8),
                         b'f' => out.push(12),
                         b'u' => {
-                            let hex = std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
+                            let hex =
+                                std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
                             self.at += 4;
                             let c = char::from_u32(u32::from_str_radix(hex, 16).ok()?)?;
                             out.extend(c.to_string().bytes());
@@ -219,7 +222,11 @@
 pub fn to_base64(bytes: &[u8]) -> String {
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let b = [chunk[0], *chunk.get(1).unwrap_or(&0), *chunk.get(2).unwrap_or(&0)];
+        let b = [
+            chunk[0],
+            *chunk.get(1).unwrap_or(&0),
+            *chunk.get(2).unwrap_or(&0),
+        ];
         let word = u32::from(b[0]) << 16 | u32::from(b[1]) << 8 | u32::from(b[2]);
         for position in 0..4 {
             if position <= chunk.len() {
--- a/review/stand-in/src/main.rs
+++ b/review/stand-in/src/main.rs
@@ -17,6 +17,7 @@
     match case.as_str() {
         "label" => cases::label::run(trouble, &record),
         "large" => cases::large::run(trouble, &record),
+        "past" => cases::past::run(trouble, &record),
         "timed" => cases::timed::run(trouble, &record),
         "route" => cases::route::run(trouble, &record),
         "limit" => cases::limit::run(trouble, &record),
--- a/review/stand-in/src/record.rs
+++ b/review/stand-in/src/record.rs
@@ -54,16 +54,24 @@
         self.note(format!("worker {worker}: ended {task} run {run} {how}"));
         let now = self.now();
         let mut runs = self.runs.lock().unwrap();
-        let found = runs.iter_mut().rev().find(|r| r.task == task && r.run == run && r.worker == worker);
+        let found = runs
+            .iter_mut()
+            .rev()
+            .find(|r| r.task == task && r.run == run && r.worker == worker);
         if let Some(found) = found {
             found.ended.get_or_insert((now, how));
         }
     }
     pub fn noted(&self, task: &str, run: i64, worker: &str) {
-        self.note(format!("worker {worker}: end of {task} run {run} taken note of"));
+        self.note(format!(
+            "worker {worker}: end of {task} run {run} taken note of"
+        ));
         let now = self.now();
         let mut runs = self.runs.lock().unwrap();
-        let found = runs.iter_mut().rev().find(|r| r.task == task && r.run == run && r.worker == worker);
+        let found = runs
+            .iter_mut()
+            .rev()
+            .find(|r| r.task == task && r.run == run && r.worker == worker);
         if let Some(found) = found {
             found.noted.get_or_insert(now);
         }
@@ -74,7 +82,10 @@
     /// Returns the runs of one job.
     pub fn runs_of(&self, job: &str) -> Vec<Run> {
         let prefix = format!("{job}.");
-        self.runs().into_iter().filter(|run| run.task.starts_with(&prefix)).collect()
+        self.runs()
+            .into_iter()
+            .filter(|run| run.task.starts_with(&prefix))
+            .collect()
     }
     /// Returns pairs of runs of one subtask that were at work at the same time for `least` or
     /// longer.
--- a/review/stand-in/src/store.rs
+++ b/review/stand-in/src/store.rs
@@ -72,7 +72,11 @@
     }
 
     pub fn set_all_gates(&self, gate: Gate) {
-        self.gates.lock().unwrap().values_mut().for_each(|g| *g = gate);
+        self.gates
+            .lock()
+            .unwrap()
+            .values_mut()
+            .for_each(|g| *g = gate);
         self.changed.notify_all();
     }
 
@@ -119,22 +123,38 @@
     fn transact(&self, machine: &str, request: &Request) -> (u16, Json) {
         sleep(TRANSACTION);
         let body = &request.body;
-        let (expected, writes, removes) = (body.list("expected-revision"), body.list("writes"), body.list("remove"));
+        let (expected, writes, removes) = (
+            body.list("expected-revision"),
+            body.list("writes"),
+            body.list("remove"),
+        );
         let entries = expected.len() + writes.len() + removes.len();
-        let largest = writes.iter().map(|row| decoded_len(&row.str("value"))).max().unwrap_or(0);
+        let largest = writes
+            .iter()
+            .map(|row| decoded_len(&row.str("value")))
+            .max()
+            .unwrap_or(0);
         if entries > CALL_ENTRIES || request.bytes > CALL_BYTES || largest > ROW_BYTES {
             self.record.note(format!(
                 "store: {machine} transaction answered 400: entries={entries} bytes={} largest-value={largest} row-bytes={ROW_BYTES}",
                 request.bytes
             ));
-            return (400, obj([("error", s("over the limits of a call or a row"))]));
+            return (
+                400,
+                obj([("error", s("over the limits of a call or a row"))]),
+            );
         }
         if largest > ROW_BYTES / 4 {
-            self.record.note(format!("store: {machine} writes a row of {largest} bytes; row-bytes={ROW_BYTES}"));
+            self.record.note(format!(
+                "store: {machine} writes a row of {largest} bytes; row-bytes={ROW_BYTES}"
+            ));
         }
         let mut rows = self.rows.lock().unwrap();
         let fits = expected.iter().all(|row| {
-            let version = rows.rows.get(&key_of(row)).map_or(0, |(version, _)| *version);
+            let version = rows
+                .rows
+                .get(&key_of(row))
+                .map_or(0, |(version, _)| *version);
             row.num("row-version") == Some(version as i64)
         });
         if !fits {
@@ -143,7 +163,14 @@
                 .filter_map(|row| rows.row(&key_of(row)))
                 .collect();
             let version = rows.version;
-            return (412, obj([("rows", Json::Arr(current)), ("row-version", n(version as i64)), ("now-ms", self.now_ms())]));
+            return (
+                412,
+                obj([
+                    ("rows", Json::Arr(current)),
+                    ("row-version", n(version as i64)),
+                    ("now-ms", self.now_ms()),
+                ]),
+            );
         }
         rows.version += 1;
         let mut written = Vec::new();
@@ -164,22 +191,38 @@
         if let Some(hook) = &*self.on_performed.lock().unwrap() {
             hook(self, machine, &written);
         }
-        (200, obj([("row-version", n(version as i64)), ("now-ms", self.now_ms())]))
+        (
+            200,
+            obj([
+                ("row-version", n(version as i64)),
+                ("now-ms", self.now_ms()),
+            ]),
+        )
     }
 
     fn range(&self, request: &Request) -> (u16, Json) {
         sleep(ANSWER);
         let (table, part) = (request.parameter("table"), request.parameter("part"));
         let (from, to) = (request.parameter("from"), request.parameter("to"));
-        let limit = request.parameter("limit").parse().unwrap_or(500_usize).min(500);
+        let limit = request
+            .parameter("limit")
+            .parse()
+            .unwrap_or(500_usize)
+            .min(500);
         let rows = self.rows.lock().unwrap();
         let keys: Vec<Key> = rows
             .rows
             .keys()
-            .filter(|key| key.0 == table && key.1 == part && key.2 >= from && (to.is_empty() || key.2 < to))
+            .filter(|key| {
+                key.0 == table && key.1 == part && key.2 >= from && (to.is_empty() || key.2 < to)
+            })
             .cloned()
             .collect();
-        let found: Vec<Json> = keys.iter().take(limit).filter_map(|key| rows.row(key)).collect();
+        let found: Vec<Json> = keys
+            .iter()
+            .take(limit)
+            .filter_map(|key| rows.row(key))
+            .collect();
         let body = obj([
             ("rows", Json::Arr(found)),
             ("has-more", Json::Bool(keys.len() > limit)),
@@ -193,7 +236,11 @@
         sleep(ANSWER);
         let table = request.parameter("table");
         let after: u64 = request.parameter("after").parse().unwrap_or(0);
-        let wait = request.parameter("wait-ms").parse().unwrap_or(0_u64).min(30_000);
+        let wait = request
+            .parameter("wait-ms")
+            .parse()
+            .unwrap_or(0_u64)
+            .min(30_000);
         let until = Instant::now() + Duration::from_millis(wait);
         let mut rows = self.rows.lock().unwrap();
         loop {
--- a/review/stand-in/src/worker.rs
+++ b/review/stand-in/src/worker.rs
@@ -72,7 +72,9 @@
 }
 
 fn unix_ms() -> i64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as i64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |t| t.as_millis() as i64)
 }
 
 impl Life {
@@ -161,7 +163,8 @@
     /// Cuts the worker off from all machines and the store, or ends that; it runs on.
     pub fn set_cut(&self, is_cut: bool) {
         *self.cut.lock().unwrap() = is_cut;
-        self.record.note(format!("worker {}: cut off: {is_cut}", self.id));
+        self.record
+            .note(format!("worker {}: cut off: {is_cut}", self.id));
         self.changed.notify_all();
     }
     fn is_cut(&self) -> bool {
@@ -182,7 +185,10 @@
     /// Starts the worker again under its id, knowing nothing of before; it registers at once.
     pub fn reboot(&self, labels: Vec<String>) {
         let mut life = self.life.lock().unwrap();
-        self.record.note(format!("worker {}: started again, labels {labels:?}", self.id));
+        self.record.note(format!(
+            "worker {}: started again, labels {labels:?}",
+            self.id
+        ));
         *life = Life::new(labels);
         drop(life);
         self.register();
@@ -192,7 +198,12 @@
     pub fn register(&self) {
         let mut life = self.life.lock().unwrap();
         life.sequence += 1;
-        let address = self.address.lock().unwrap().map(|a| a.to_string()).unwrap_or_default();
+        let address = self
+            .address
+            .lock()
+            .unwrap()
+            .map(|a| a.to_string())
+            .unwrap_or_default();
         let entry = obj([
             ("service", s(&*self.service)),
             ("address", s(address)),
@@ -202,7 +213,10 @@
             ("state", s(life.state)),
             ("cold-remaining-ms", n(0)),
             ("sequence", n(life.sequence)),
-            ("capacity", obj([("cpu", n(self.cpu)), ("mem-mb", n(128_000)), ("gpu", n(0))])),
+            (
+                "capacity",
+                obj([("cpu", n(self.cpu)), ("mem-mb", n(128_000)), ("gpu", n(0))]),
+            ),
             ("labels", Json::Arr(life.labels.iter().map(s).collect())),
             ("clock-ms", n(life.clock())),
             ("born", n(life.born)),
@@ -228,7 +242,10 @@
         }
         let mut over = Vec::new();
         for (task, run) in &life.runs {
-            let is_over = run.course.duration.is_some_and(|duration| now >= run.began + duration);
+            let is_over = run
+                .course
+                .duration
+                .is_some_and(|duration| now >= run.began + duration);
             if has_lapsed {
                 over.push((task.clone(), "lapsed"));
             } else if run.stop_at.is_some_and(|at| now >= at) {
@@ -278,7 +295,14 @@
         }
         self.settle(&mut life);
         let refuse = |life: &Life, reason: &str| {
-            Reply::Answer(409, obj([("clock-ms", n(life.clock())), ("born", n(life.born)), ("reason", s(reason))]))
+            Reply::Answer(
+                409,
+                obj([
+                    ("clock-ms", n(life.clock())),
+                    ("born", n(life.born)),
+                    ("reason", s(reason)),
+                ]),
+            )
         };
         let fence = body.num("fencing-token").unwrap_or(0);
         if fence < life.fence {
@@ -299,7 +323,11 @@
                     }
                     return refuse(&life, "old");
                 }
-                if life.barred.get(&task).is_some_and(|barred| number <= *barred) {
+                if life
+                    .barred
+                    .get(&task)
+                    .is_some_and(|barred| number <= *barred)
+                {
                     return refuse(&life, "old");
                 }
                 let cpu = self.need_of(&task);
@@ -328,7 +356,10 @@
             }
             "/run-stop" => {
                 let (task, number) = (body.str("task"), body.num("run").unwrap_or(0));
-                self.record.note(format!("worker {}: told to stop {task} run {number}", self.id));
+                self.record.note(format!(
+                    "worker {}: told to stop {task} run {number}",
+                    self.id
+                ));
                 let barred = life.barred.entry(task.clone()).or_insert(0);
                 *barred = (*barred).max(number);
                 let at = Instant::now() + self.stop_time;
@@ -346,7 +377,10 @@
     }
 
     fn accept(&self, life: &Life) -> Reply {
-        Reply::Answer(200, obj([("clock-ms", n(life.clock())), ("born", n(life.born))]))
+        Reply::Answer(
+            200,
+            obj([("clock-ms", n(life.clock())), ("born", n(life.born))]),
+        )
     }
 
     fn hold(&self, mut life: std::sync::MutexGuard<'_, Life>, body: &Json) -> Reply {
@@ -355,7 +389,9 @@
             life.extend(deadline);
         }
         let seen = body.num("seen-upto").unwrap_or(0);
-        let (kept, forgotten): (Vec<_>, Vec<_>) = std::mem::take(&mut life.ended).into_iter().partition(|end| end.0 > seen);
+        let (kept, forgotten): (Vec<_>, Vec<_>) = std::mem::take(&mut life.ended)
+            .into_iter()
+            .partition(|end| end.0 > seen);
         life.ended = kept;
         for (number, task, run, _) in forgotten {
             let ended_at = life.ended_at.remove(&number);
@@ -372,7 +408,9 @@
         let wait = body.num("wait-ms").unwrap_or(0).clamp(0, 2_000) as u64;
         let until = Instant::now() + Duration::from_millis(wait);
         while life.ended.is_empty() && Instant::now() < until && life.is_up && life.born == born {
-            let left = until.saturating_duration_since(Instant::now()).min(PACE * 4);
+            let left = until
+                .saturating_duration_since(Instant::now())
+                .min(PACE * 4);
             life = self.changed.wait_timeout(life, left).unwrap().0;
             if life.is_up {
                 self.settle(&mut life);
@@ -383,10 +421,17 @@
         }
         let running = life.runs.iter().map(|(task, run)| {
             let percent = match run.course.duration {
-                Some(d) => (run.began.elapsed().as_secs_f64() / d.as_secs_f64().max(0.001) * 100.0).min(99.0) as i64,
+                Some(d) => (run.began.elapsed().as_secs_f64() / d.as_secs_f64().max(0.001) * 100.0)
+                    .min(99.0) as i64,
                 None => 100,
             };
-            Json::Arr(vec![s(&**task), n(run.number), s(""), n(percent), n(run.cpu)])
+            Json::Arr(vec![
+                s(&**task),
+                n(run.number),
+                s(""),
+                n(percent),
+                n(run.cpu),
+            ])
         });
         let running = Json::Arr(running.collect());
         let ended = life.ended.iter().take(500).map(|(number, task, run, how)| {
@@ -395,7 +440,12 @@
         let ended = Json::Arr(ended.collect());
         Reply::Answer(
             200,
-            obj([("clock-ms", n(life.clock())), ("born", n(life.born)), ("running", running), ("ended", ended)]),
+            obj([
+                ("clock-ms", n(life.clock())),
+                ("born", n(life.born)),
+                ("running", running),
+                ("ended", ended),
+            ]),
         )
     }
 
@@ -413,7 +463,10 @@
             ("state", s(if life.is_up { "up" } else { "down" })),
             ("zone", s("dsm-kariakoo")),
             ("labels", Json::Arr(life.labels.iter().map(s).collect())),
-            ("capacity", obj([("cpu", n(self.cpu)), ("mem-mb", n(128_000)), ("gpu", n(0))])),
+            (
+                "capacity",
+                obj([("cpu", n(self.cpu)), ("mem-mb", n(128_000)), ("gpu", n(0))]),
+            ),
             ("id", s(&*self.id)),
         ])
     }
