--- a/review/stand-in/src/cluster.rs
+++ b/review/stand-in/src/cluster.rs
@@ -275,14 +275,18 @@
     /// Kills the process of a machine.
     pub fn kill(&mut self, number: usize) {
         let edge = &mut self.edges[number];
+        let mut how = "killed";
         if let Some(child) = &mut edge.child {
+            if matches!(child.try_wait(), Ok(Some(_))) {
+                how = "ended by itself";
+            }
             let _ = child.kill();
             let _ = child.wait();
             let id = child.id();
             STARTED.lock().unwrap().retain(|started| *started != id);
         }
         edge.child = None;
-        self.record.note(format!("{}: process killed", edge.name));
+        self.record.note(format!("{}: process {how}", edge.name));
     }
 
     /// Sends SIGTERM to the process of a machine.
