--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -1,7 +1,7 @@
 use super::{Clock, Member, Ownership, Route, TrackedWave};
 use crate::http::Client;
 use crate::metric::Metrics;
-use crate::ownership::Suspects;
+use crate::ownership::{Suspects, OWNERS_TABLE};
 use crate::peer::{self, Answer, Inquiry, Link, Links, Operation, Status};
 use crate::pool::Driver;
 use crate::store::Store;
@@ -141,6 +141,12 @@
         is_alone || self.clock.now().saturating_sub(contact) < self.timing.scheduler.authority
     }
 
+    /// Returns the time since the store last confirmed which processes own the shards.
+    pub(crate) fn confirmation_age(&self) -> Duration {
+        let confirmed_at = self.store.followed_at(OWNERS_TABLE).unwrap_or_default();
+        self.clock.now().saturating_sub(confirmed_at)
+    }
+
     /// Returns the status of this process for its heartbeats.
     pub(crate) fn status(&self) -> Status {
         let now = self.clock.now();
--- a/crates/hyssop-edge/src/ownership/mod.rs
+++ b/crates/hyssop-edge/src/ownership/mod.rs
@@ -16,5 +16,5 @@
 pub(crate) use takeover::release_all;
 
 /// The table with one owner row for each shard; the shard with an empty name has the members.
-const OWNERS_TABLE: &str = "owner";
+pub(crate) const OWNERS_TABLE: &str = "owner";
 const OWNER_KEY: &str = "owner";
--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -47,13 +47,16 @@
     };
     let started_at = node.clock.now();
     let version = row.map_or(0, |row| row.version);
-    let Some(version) = write_ownership(node, shard, version, &ownership, &head).await else {
+    let Some((version, attempts)) = write_ownership(node, shard, version, &ownership, &head).await
+    else {
         return;
     };
     log::info!(
-        "event=taken-over part={shard} term={} after_ms={}",
+        "event=taken-over part={shard} term={} after_ms={} attempts={attempts} version={version} \
+         previous={}",
         ownership.term,
-        node.clock.now().saturating_sub(started_at).as_millis()
+        node.clock.now().saturating_sub(started_at).as_millis(),
+        current.as_ref().map_or("none", |found| &found.process)
     );
     node.record_owner(shard, ownership.clone());
     if let Some(previous) = &current {
@@ -112,15 +115,15 @@
     }
 }
 
-/// Writes the owner's row and the head row in one transaction; returns the version of both, or
-/// `None` if the failover failed.
+/// Writes the owner's row and the head row in one transaction; returns the version of both and the
+/// number of attempts, or `None` if the failover failed.
 async fn write_ownership(
     node: &Rc<Node>,
     shard: &str,
     version: u64,
     ownership: &Ownership,
     head: &Head,
-) -> Option<u64> {
+) -> Option<(u64, u32)> {
     let key = Key::new(OWNERS_TABLE, shard, OWNER_KEY);
     let transaction = Transaction {
         expected: vec![(key.clone(), version)],
@@ -130,9 +133,9 @@
         ],
         removes: Vec::new(),
     };
-    for _ in 0..MAX_ATTEMPTS {
+    for attempt in 1..=MAX_ATTEMPTS {
         match node.store.commit(&transaction).await {
-            Ok(Commit::Done(version)) => return Some(version),
+            Ok(Commit::Done(version)) => return Some((version, attempt)),
             Ok(Commit::Conflict(rows)) => {
                 let own_version = rows.iter().find(|row| row.value == encode(ownership));
                 let own_version = own_version.map(|row| row.version);
@@ -140,7 +143,7 @@
                     rows.iter()
                         .for_each(|row| apply_conflicting_row(node, shard, row));
                 }
-                return own_version;
+                return own_version.map(|version| (version, attempt));
             }
             Ok(Commit::Invalid) => {
                 log::error!("event=take-over-invalid part={shard}");
@@ -175,6 +178,7 @@
     let authority_end = authority_end(&node, previous.as_ref(), started_at).await;
     let mut scheduler = Scheduler::new(&shard, term, node.timing.scheduler);
     let mut records = Vec::new();
+    let mut oldest_version = u64::MAX;
     for table in Scheduler::tables() {
         let rows = loop {
             let is_current = node
@@ -186,7 +190,10 @@
                 return;
             }
             match node.store.read(table, &shard).await {
-                Some(page) => break page.rows,
+                Some(page) => {
+                    oldest_version = oldest_version.min(page.version);
+                    break page.rows;
+                }
                 None => tokio::time::sleep(RETRY_PAUSE).await,
             }
         };
@@ -198,7 +205,7 @@
     }
     scheduler.recover(&records, authority_end, started_at, node.clock.wall_ms());
     log::info!(
-        "event=owner-started pool={shard} term={term} rows={} after_ms={}",
+        "event=owner-started pool={shard} term={term} rows={} version={oldest_version} after_ms={}",
         records.len(),
         node.clock.now().saturating_sub(started_at).as_millis()
     );
--- a/crates/hyssop-edge/src/pool/calls.rs
+++ b/crates/hyssop-edge/src/pool/calls.rs
@@ -49,9 +49,11 @@
         };
         self.node.metrics.count_start(&outcome);
         log::info!(
-            "event=start task={} run={run} worker={} outcome={outcome}",
+            "event=start task={} run={run} worker={} outcome={outcome} term={} confirmed_ms_ago={}",
             order.task,
-            order.worker
+            order.worker,
+            order.fence,
+            self.node.confirmation_age().as_millis()
         );
         let now = self.node.clock.now();
         self.scheduler
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -37,6 +37,8 @@
     /// Whether the pool is being released: no jobs are accepted and no runs are started.
     pub(super) is_leaving: Cell<bool>,
     pub(super) is_over: Cell<bool>,
+    /// Whether the process had authority when it was last checked.
+    had_authority: Cell<bool>,
 }
 
 impl Driver {
@@ -54,6 +56,7 @@
             commit_time: Cell::new(Duration::ZERO),
             is_leaving: Cell::new(false),
             is_over: Cell::new(false),
+            had_authority: Cell::new(true),
         });
         driver.configure(&configuration);
         tokio::task::spawn_local(driver.clone().run());
@@ -130,10 +133,31 @@
         while !self.is_over() {
             // A tick and a wake-up coalesce; each round handles all events received so far.
             let _ = tokio::time::timeout(TICK, self.wake.notified()).await;
+            self.log_authority();
             self.execute_actions();
         }
     }
 
+    /// Logs a change of this process's authority over the pool.
+    fn log_authority(&self) {
+        let has_authority = self.node.has_authority();
+        if self.had_authority.replace(has_authority) == has_authority {
+            return;
+        }
+        let scheduler = self.scheduler.borrow();
+        let event = if has_authority {
+            "authority-regained"
+        } else {
+            "authority-lost"
+        };
+        log::warn!(
+            "event={event} pool={} term={} confirmed_ms_ago={}",
+            scheduler.pool(),
+            scheduler.term(),
+            self.node.confirmation_age().as_millis()
+        );
+    }
+
     /// Advances the scheduler and spawns a task for each of its actions.
     fn execute_actions(self: &Rc<Self>) {
         let now = self.node.clock.now();
--- a/crates/hyssop-edge/src/store/client.rs
+++ b/crates/hyssop-edge/src/store/client.rs
@@ -2,7 +2,8 @@
 use crate::node::Clock;
 use hyssop_platform::dialect::Dialect;
 use hyssop_platform::rows::{Commit, Page, Range, Row, Transaction};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +29,8 @@
     failed_since: Cell<Option<Duration>>,
     /// The store's clock less this process's, in milliseconds, once the store has told its time.
     clock_offset_ms: Cell<Option<i64>>,
+    /// The latest time as of which all changes of a followed table are known, by table.
+    followed_at: RefCell<BTreeMap<&'static str, Duration>>,
     /// Notified when a call succeeds after others have failed.
     recovered: Notify,
 }
@@ -53,6 +56,23 @@
         self.health.answered_at.get()
     }
 
+    /// Returns the latest time as of which all changes of a followed table are known to this
+    /// process, `None` if it has not been read.
+    pub(crate) fn followed_at(&self, table: &str) -> Option<Duration> {
+        self.health.followed_at.borrow().get(table).copied()
+    }
+
+    /// Records that all changes of `table` are known up to the time told in an answer, or up to
+    /// `sent_at`, when the call was sent, if the answer tells none.
+    pub(super) fn record_followed(&self, table: &'static str, page: &Page, sent_at: Duration) {
+        let answered_at = page.now_ms.and_then(|now_ms| self.local_time(now_ms));
+        // The clocks' offset is known to a few milliseconds only.
+        let at = answered_at.map_or(sent_at, |at| at.clamp(sent_at, self.clock.now()));
+        let mut followed_at = self.health.followed_at.borrow_mut();
+        let known = followed_at.entry(table).or_insert(at);
+        *known = (*known).max(at);
+    }
+
     /// Returns a time on the store's clock, in milliseconds, as one on this process's clock, or
     /// `None` if the store has not told its time yet.
     pub(crate) fn local_time(&self, store_ms: i64) -> Option<Duration> {
--- a/crates/hyssop-edge/src/store/feed.rs
+++ b/crates/hyssop-edge/src/store/feed.rs
@@ -1,6 +1,6 @@
 use super::Store;
 use crate::http::Lane;
-use hyssop_platform::rows::{Cursor, Row};
+use hyssop_platform::rows::{Cursor, Page, Row};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -43,12 +43,14 @@
             .as_ref()
             .is_some_and(|(_, covered)| wanted.is_subset(covered));
         if !is_current {
+            let sent_at = store.clock.now();
             match read_snapshot(&store, table, &wanted).await {
                 Some((cursor, rows)) => {
                     position = Some((cursor, wanted));
                     if !on_update(Update::Snapshot(rows)) {
                         return;
                     }
+                    store.record_followed(table, &Page::default(), sent_at);
                 }
                 None => tokio::time::sleep(RETRY_PAUSE).await,
             }
@@ -65,6 +67,7 @@
         };
         let wait_ms = wait.as_millis() as u64;
         let call = store.dialect.feed(table, cursor.version(), wait_ms);
+        let sent_at = store.clock.now();
         let reply = store
             .client
             .call(store.address, Lane::Feed, call, timeout)
@@ -87,9 +90,17 @@
         store.record_time(&page);
         let changed_at_ms = cursor.advance(&page);
         let has_changed = !page.rows.is_empty();
-        if !on_update(Update::Changes(page.rows, changed_at_ms)) {
+        let (rows, page) = (
+            page.rows,
+            Page {
+                rows: Vec::new(),
+                ..page
+            },
+        );
+        if !on_update(Update::Changes(rows, changed_at_ms)) {
             return;
         }
+        store.record_followed(table, &page, sent_at);
         if has_changed && !pause.is_zero() {
             tokio::time::sleep(pause).await;
         }
