--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -151,6 +151,22 @@
         self.owned_shards() > 0
     }
 
+    /// Returns whether the process owns a shard.
+    pub fn owns(&self, shard: &str) -> bool {
+        let metric = "hyssop_owner_term{";
+        let label = format!("\"{shard}\"");
+        self.metrics().is_some_and(|text| {
+            text.lines()
+                .any(|line| line.starts_with(metric) && line.contains(&label))
+        })
+    }
+
+    /// Returns the lines that the process has logged and that `is_wanted` accepts.
+    pub fn lines(&self, is_wanted: impl Fn(&String) -> bool) -> Vec<String> {
+        let log = self.log.lock().expect("no writer panics");
+        log.iter().filter(|line| is_wanted(line)).cloned().collect()
+    }
+
     /// Returns how many shards the process owns, 0 if its metrics can't be read.
     pub fn owned_shards(&self) -> usize {
         self.metrics().map_or(0, |text| {
@@ -284,6 +300,7 @@
 [cloud-api]
 address = "{}"
 "#,
-        platform.store, platform.machines
+        platform.store_for(name),
+        platform.machines
     )
 }
