Count the wait for the previous owner from the confirmed takeover

Callers saw tasks run twice after a failover: at once on two workers, or again after an end that was stored later. The successor waited for its predecessor's leases from the moment at which it began to take over. Until its write took effect the predecessor was entitled to act, and it goes on for its authority after that. A write that hung for longer than the wait, because the store was silent, left no wait at all: the successor logged all workers as expired and every task as unlocated 16 ms after its start, and started them beside the runs of the workers that had not reported yet. The shortcuts for predecessors that had ended ignored that the owner before them may still act.

The wait now begins when the written row is known, for every predecessor.

--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -73,46 +73,20 @@
             ownership.term,
             committer,
             Takeover {
-                started_at,
-                previous: current,
+                taken_at: node.clock.now(),
+                has_predecessor: current.is_some(),
             },
         ));
     }
 }
 
-/// The start of a failover.
-#[derive(Clone, Debug)]
+/// A completed change of owner.
+#[derive(Clone, Copy, Debug)]
 struct Takeover {
-    started_at: Duration,
-    /// The previous owner, if there was one.
-    previous: Option<Ownership>,
-}
-
-/// Returns until when the previous owner of a shard may have extended leases, as seen by a process
-/// that has taken over at `now`.
-async fn authority_end(node: &Node, previous: Option<&Ownership>, now: Duration) -> Duration {
-    let Some(previous) = previous else {
-        return now;
-    };
-    // A node starts a process only after its previous one has ended.
-    if previous.node == node.name {
-        return Duration::ZERO;
-    }
-    // An owner is registered before it takes over, so another process in its row came later. The
-    // row is read now, since the followed rows may be older than the ownership.
-    let page = node.store.read(OWNERS_TABLE, "").await;
-    let row = page.and_then(|page| {
-        let mut rows = page.rows.into_iter();
-        rows.find(|row| row.key.key == previous.node)
-    });
-    let has_ended = row
-        .and_then(|row| registry::read_member(&row))
-        .is_some_and(|member| member.process != previous.process);
-    if has_ended {
-        now
-    } else {
-        now + node.timing.scheduler.authority
-    }
+    /// When the owner's row was known to be written. The previous owner may have been the owner until
+    /// then.
+    taken_at: Duration,
+    has_predecessor: bool,
 }
 
 /// Writes the owner's row and the head row in one transaction; returns the version of both and the
@@ -171,11 +145,12 @@
     committer: Committer,
     takeover: Takeover,
 ) {
-    let Takeover {
-        started_at,
-        previous,
-    } = takeover;
-    let authority_end = authority_end(&node, previous.as_ref(), started_at).await;
+    // The previous owner, or the one before it, may not know yet that it has been replaced.
+    let authority_end = if takeover.has_predecessor {
+        takeover.taken_at + node.timing.scheduler.authority
+    } else {
+        takeover.taken_at
+    };
     let mut scheduler = Scheduler::new(&shard, term, node.timing.scheduler);
     let mut records = Vec::new();
     let mut oldest_version = u64::MAX;
@@ -203,11 +178,12 @@
             value: row.value,
         }));
     }
-    scheduler.recover(&records, authority_end, started_at, node.clock.wall_ms());
+    let now = node.clock.now();
+    scheduler.recover(&records, authority_end, now, node.clock.wall_ms());
     log::info!(
         "event=owner-started pool={shard} term={term} rows={} version={oldest_version} after_ms={}",
         records.len(),
-        node.clock.now().saturating_sub(started_at).as_millis()
+        now.saturating_sub(takeover.taken_at).as_millis()
     );
     let driver = Driver::start(node.clone(), scheduler, committer);
     node.drivers.borrow_mut().insert(shard, driver);
