Leave no pool with an owner's row that names a process without a driver

Jobs of a pool were left for good: its row named a process that drove nothing, and whose peers heard that it lived. It came about when an attempt to take over took effect without an answer and was given up after eight tries, and also when an owner's transaction ended its term while the row still named it. An attempt without an answer is now repeated until its outcome is certain, in a task of its own so that the process goes on watching other shards, and a process that a row names takes the shard over anew if it has no driver for it.

--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -100,6 +100,7 @@
         is_stopping: Cell::new(false),
         is_registered: Cell::new(false),
         fleet_seen_at: Cell::new(Duration::ZERO),
+        acquiring: RefCell::default(),
         peer_last_seen_at: Cell::new(Duration::ZERO),
     })
 }
--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -69,6 +69,9 @@
                 recent,
             }) = read(&node).await
             else {
+                if node.fleet_term.get() == Some(term) {
+                    node.fleet_term.set(None);
+                }
                 return;
             };
             let progress = waves
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -78,6 +78,8 @@
     pub(crate) is_registered: Cell<bool>,
     /// When the fleet's owner last asked a pool of this process for its demand.
     pub(crate) fleet_seen_at: Cell<Duration>,
+    /// The shards whose takeover by this process is under way.
+    pub(crate) acquiring: RefCell<BTreeSet<String>>,
     /// When the last frame of any peer arrived.
     pub(crate) peer_last_seen_at: Cell<Duration>,
 }
--- a/crates/hyssop-edge/src/ownership/monitor.rs
+++ b/crates/hyssop-edge/src/ownership/monitor.rs
@@ -54,7 +54,7 @@
         selected: Cell::new((0, Duration::ZERO)),
     });
     while !node.is_stopping.get() {
-        monitor.check().await;
+        monitor.check();
         let interval = if monitor.is_busy() {
             CHECK_INTERVAL
         } else {
@@ -83,7 +83,7 @@
     }
 
     /// Updates the watches and takes over vacant shards whose turn has come.
-    async fn check(self: &Rc<Self>) {
+    fn check(self: &Rc<Self>) {
         let now = self.node.clock.now();
         self.select(now);
         self.update_watches(now);
@@ -107,7 +107,13 @@
         }
         let orders = rank(&self.node, &vacant);
         for shard in vacant {
-            let Some(position) = self.position(&orders[&shard], now) else {
+            // Nobody else takes over a shard from a process that is alive.
+            let position = if self.is_own(&shard) {
+                Some(0)
+            } else {
+                self.position(&orders[&shard], now)
+            };
+            let Some(position) = position else {
                 continue;
             };
             let turn = Turn {
@@ -117,7 +123,7 @@
                 owner_for: self.owner_for(),
             };
             if turn.has_come() {
-                takeover::acquire(&self.node, &shard).await;
+                takeover::start(&self.node, &shard);
                 self.vacant_since.borrow_mut().remove(&shard);
             }
         }
@@ -126,9 +132,10 @@
     /// Returns how long this process has owned any shard, `None` if it owns none.
     fn owner_for(&self) -> Option<Duration> {
         let owners = self.node.owners.borrow();
-        let is_owner = owners
-            .values()
-            .any(|owner| owner.process == self.node.process && !owner.is_released);
+        let is_owner = !self.node.acquiring.borrow().is_empty()
+            || owners
+                .values()
+                .any(|owner| owner.process == self.node.process && !owner.is_released);
         let now = self.node.clock.now();
         let since = is_owner.then(|| self.owner_since.get().unwrap_or(now));
         self.owner_since.set(since);
@@ -308,6 +315,9 @@
 
     /// Returns whether a shard has no live owner with access to the store.
     fn is_vacant(&self, shard: &str, now: Duration) -> bool {
+        if self.node.acquiring.borrow().contains(shard) {
+            return false;
+        }
         let owners = self.node.owners.borrow();
         let Some(owner) = owners.get(shard) else {
             return true;
@@ -315,8 +325,12 @@
         if owner.is_released {
             return true;
         }
+        if owner.process == self.node.process {
+            // Its transaction failed, or its row was written by an attempt that had been given up.
+            return !self.is_driven(shard);
+        }
         if owner.node == self.node.name {
-            return owner.process != self.node.process;
+            return true;
         }
         if self.has_ended(owner) {
             return true;
@@ -337,6 +351,24 @@
         is_recent && failed >= STORE_OUTAGE_LIMIT && self.node.store.failed_since().is_none()
     }
 
+    /// Returns whether this process owns a shard according to the owner's row.
+    fn is_own(&self, shard: &str) -> bool {
+        let owners = self.node.owners.borrow();
+        owners
+            .get(shard)
+            .is_some_and(|owner| owner.process == self.node.process && !owner.is_released)
+    }
+
+    /// Returns whether a driver of this process runs a shard that it owns.
+    fn is_driven(&self, shard: &str) -> bool {
+        if shard == FLEET {
+            return self.node.fleet_term.get().is_some();
+        }
+        self.node
+            .driver(shard)
+            .is_some_and(|driver| !driver.is_over())
+    }
+
     /// Returns whether the rows of members show that an owner's process has ended: another process
     /// of its node has registered since, or the node's row was removed.
     fn has_ended(&self, owner: &Ownership) -> bool {
--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -10,14 +10,28 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The attempts at a failover with an unknown outcome before the owner's row is read again.
-const MAX_ATTEMPTS: u32 = 8;
+/// The attempts to write an owner's row that the store may refuse before the failover is given up.
+const MAX_REFUSED_ATTEMPTS: u32 = 8;
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// How long an owner that releases its shard waits for its last changes to be stored.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Acquires a shard with a new term, by compare-and-set on its owner's row.
-pub(super) async fn acquire(node: &Rc<Node>, shard: &str) {
+/// Starts to acquire a shard with a new term, unless that is under way.
+pub(super) fn start(node: &Rc<Node>, shard: &str) {
+    if node.acquiring.borrow().contains(shard) {
+        return;
+    }
+    node.acquiring.borrow_mut().insert(shard.to_owned());
+    let (node, shard) = (node.clone(), shard.to_owned());
+    tokio::task::spawn_local(async move {
+        acquire(&node, &shard).await;
+        node.acquiring.borrow_mut().remove(&shard);
+        node.notify_changed();
+    });
+}
+
+/// Acquires a shard by compare-and-set on its owner's row, and starts its driver.
+async fn acquire(node: &Rc<Node>, shard: &str) {
     let Some(page) = node.store.read(OWNERS_TABLE, shard).await else {
         return;
     };
@@ -47,57 +61,64 @@
     };
     let started_at = node.clock.now();
     let version = row.map_or(0, |row| row.version);
-    let Some((version, attempts)) = write_ownership(node, shard, version, &ownership, &head).await
-    else {
+    let Some(written) = write_ownership(node, shard, version, &ownership, &head).await else {
         return;
     };
     log::info!(
-        "event=taken-over part={shard} term={} after_ms={} attempts={attempts} version={version} \
-         previous={}",
+        "event=taken-over part={shard} term={} after_ms={} attempts={} version={} previous={}",
         ownership.term,
         node.clock.now().saturating_sub(started_at).as_millis(),
+        written.attempts,
+        written.version,
         current.as_ref().map_or("none", |found| &found.process)
     );
     node.record_owner(shard, ownership.clone());
     if let Some(previous) = &current {
         notify_superseded(node, shard, previous, ownership.clone());
     }
-    let committer = Committer::new(node.store.clone(), shard, head, version);
+    if node.is_stopping.get() {
+        release(node, shard, ownership).await;
+        return;
+    }
+    let committer = Committer::new(node.store.clone(), shard, head, written.version);
     if shard == FLEET {
         node.fleet_term.set(Some(ownership.term));
         fleet::Controller::start(node.clone(), ownership.term, committer);
     } else {
-        tokio::task::spawn_local(start_driver(
-            node.clone(),
-            shard.to_owned(),
+        let has_predecessor = current.is_some();
+        start_driver(
+            node,
+            shard,
             ownership.term,
             committer,
-            Takeover {
-                taken_at: node.clock.now(),
-                has_predecessor: current.is_some(),
-            },
-        ));
+            &written,
+            has_predecessor,
+        )
+        .await;
     }
 }
 
-/// A completed change of owner.
-#[derive(Clone, Copy, Debug)]
-struct Takeover {
-    /// When the owner's row was known to be written. The previous owner may have been the owner until
-    /// then.
-    taken_at: Duration,
-    has_predecessor: bool,
+/// A written owner's row.
+struct Written {
+    /// The version of the owner's row and of the head row.
+    version: u64,
+    attempts: u32,
+    /// When the last attempt was answered. The previous owner may have been the owner until then.
+    answered_at: Duration,
 }
 
-/// Writes the owner's row and the head row in one transaction; returns the version of both and the
-/// number of attempts, or `None` if the failover failed.
+/// Writes the owner's row and the head row in one transaction; returns `None` if the failover
+/// failed.
+///
+/// An attempt without an answer may take effect at any time, so it is repeated until its outcome is
+/// certain: a row that names a process without a driver would leave the shard without an owner.
 async fn write_ownership(
     node: &Rc<Node>,
     shard: &str,
     version: u64,
     ownership: &Ownership,
     head: &Head,
-) -> Option<(u64, u32)> {
+) -> Option<Written> {
     let key = Key::new(OWNERS_TABLE, shard, OWNER_KEY);
     let transaction = Transaction {
         expected: vec![(key.clone(), version)],
@@ -107,27 +128,49 @@
         ],
         removes: Vec::new(),
     };
-    for attempt in 1..=MAX_ATTEMPTS {
-        match node.store.commit(&transaction).await {
-            Ok(Commit::Done(version)) => return Some((version, attempt)),
+    let mut may_have_written = false;
+    let mut attempts = 0;
+    loop {
+        attempts += 1;
+        let outcome = tokio::select! {
+            outcome = node.store.commit(&transaction) => outcome,
+            // The call was sent during an outage and may hang long beyond its end.
+            () = node.store.recovered() => Err(Failure::Lost),
+        };
+        let written = |version| Written {
+            version,
+            attempts,
+            answered_at: node.clock.now(),
+        };
+        match outcome {
+            Ok(Commit::Done(version)) => return Some(written(version)),
             Ok(Commit::Conflict(rows)) => {
-                let own_version = rows.iter().find(|row| row.value == encode(ownership));
-                let own_version = own_version.map(|row| row.version);
-                if own_version.is_none() {
+                let own = rows.iter().find(|row| row.value == encode(ownership));
+                if own.is_none() {
                     rows.iter()
                         .for_each(|row| apply_conflicting_row(node, shard, row));
                 }
-                return own_version.map(|version| (version, attempt));
-            }
-            Ok(Commit::Invalid) => {
-                log::error!("event=take-over-invalid part={shard}");
-                return None;
+                return own.map(|row| written(row.version));
             }
-            Ok(Commit::Refused) | Err(Failure::Unsent | Failure::Lost) => {}
+            Ok(Commit::Invalid) => log::error!("event=take-over-invalid part={shard}"),
+            Ok(Commit::Refused) | Err(Failure::Unsent) => {}
+            Err(Failure::Lost) => may_have_written = true,
+        }
+        let is_superseded = node.owners.borrow().get(shard).is_some_and(|known| {
+            known.term >= ownership.term && known.process != ownership.process
+        });
+        if is_superseded || (!may_have_written && attempts >= MAX_REFUSED_ATTEMPTS) {
+            log::info!(
+                "event=take-over-abandoned part={shard} term={} attempts={attempts}",
+                ownership.term
+            );
+            return None;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(RETRY_PAUSE) => {}
+            () = node.store.recovered() => {}
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
     }
-    None
 }
 
 /// Applies a row from a conflict, which carries no shard name.
@@ -139,36 +182,27 @@
 
 /// Recovers the pool's scheduler from the stored rows and starts its driver.
 async fn start_driver(
-    node: Rc<Node>,
-    shard: String,
+    node: &Rc<Node>,
+    shard: &str,
     term: u64,
     committer: Committer,
-    takeover: Takeover,
+    written: &Written,
+    has_predecessor: bool,
 ) {
-    // The previous owner, or the one before it, may not know yet that it has been replaced.
-    let authority_end = if takeover.has_predecessor {
-        takeover.taken_at + node.timing.scheduler.authority
-    } else {
-        takeover.taken_at
+    let is_current = || {
+        let owners = node.owners.borrow();
+        let owner = owners.get(shard);
+        owner.is_some_and(|known| known.term == term && !known.is_released)
+            && !node.is_stopping.get()
     };
-    let mut scheduler = Scheduler::new(&shard, term, node.timing.scheduler);
     let mut records = Vec::new();
-    let mut oldest_version = u64::MAX;
     for table in Scheduler::tables() {
         let rows = loop {
-            let is_current = node
-                .owners
-                .borrow()
-                .get(&shard)
-                .is_some_and(|known| known.term == term && !known.is_released);
-            if !is_current || node.is_stopping.get() {
+            if !is_current() {
                 return;
             }
-            match node.store.read(table, &shard).await {
-                Some(page) => {
-                    oldest_version = oldest_version.min(page.version);
-                    break page.rows;
-                }
+            match node.store.read(table, shard).await {
+                Some(page) => break page.rows,
                 None => tokio::time::sleep(RETRY_PAUSE).await,
             }
         };
@@ -178,15 +212,25 @@
             value: row.value,
         }));
     }
+    if !is_current() {
+        return;
+    }
+    // The previous owner, or the one before it, may not know yet that it has been replaced.
+    let authority_end = if has_predecessor {
+        written.answered_at + node.timing.scheduler.authority
+    } else {
+        written.answered_at
+    };
     let now = node.clock.now();
+    let mut scheduler = Scheduler::new(shard, term, node.timing.scheduler);
     scheduler.recover(&records, authority_end, now, node.clock.wall_ms());
     log::info!(
-        "event=owner-started pool={shard} term={term} rows={} version={oldest_version} after_ms={}",
+        "event=owner-started pool={shard} term={term} rows={} after_ms={}",
         records.len(),
-        now.saturating_sub(takeover.taken_at).as_millis()
+        now.saturating_sub(written.answered_at).as_millis()
     );
     let driver = Driver::start(node.clone(), scheduler, committer);
-    node.drivers.borrow_mut().insert(shard, driver);
+    node.drivers.borrow_mut().insert(shard.to_owned(), driver);
     node.notify_changed();
 }
 
--- a/crates/hyssop-edge/src/store/client.rs
+++ b/crates/hyssop-edge/src/store/client.rs
@@ -93,7 +93,7 @@
     }
 
     /// Waits until a call succeeds after others have failed.
-    pub(super) async fn recovered(&self) {
+    pub(crate) async fn recovered(&self) {
         self.health.recovered.notified().await;
     }
 
