Let an owner act without the store only if every member confirms it

A task could run twice when an owner that had been replaced went on: its authority lasted as long as it heard any peer, also one that was cut from the store like itself and knew no more, and frames that had waited in a paused process's buffers counted as heard.

An owner's authority is now 3 s from the last time as of which it was certain that nobody had taken over: a transaction of the shard, the followed rows of owners (by the store's clock), or, during an outage, the word of every other member that it has not written an owner's row and has no attempt under way. The time of the question counts, not that of the answer. Members of earlier versions don't understand the question, and count as silent.

The trial of the takeover that outlasts leases shows the new line authority-lost at the previous owner.

--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -5,7 +5,8 @@
 use crate::metric::Metrics;
 use crate::node::{Clock, Node, Timing};
 use crate::ownership::{
-    follow_owners, monitor_shards, register, release_all, remove_lost_members, Suspects,
+    confirm_with_peers, follow_owners, monitor_shards, register, release_all, remove_lost_members,
+    Suspects,
 };
 use crate::peer::{self, Links};
 use crate::store::Store;
@@ -101,7 +102,7 @@
         is_registered: Cell::new(false),
         fleet_seen_at: Cell::new(Duration::ZERO),
         acquiring: RefCell::default(),
-        peer_last_seen_at: Cell::new(Duration::ZERO),
+        peers_confirmed_at: Cell::new(Duration::ZERO),
     })
 }
 
@@ -146,6 +147,7 @@
     spawn_local(peer::listen(node.clone(), peers));
     spawn_local(monitor_shards(node.clone()));
     spawn_local(remove_lost_members(node.clone()));
+    spawn_local(confirm_with_peers(node.clone()));
     spawn_local(front::serve(
         node.clone(),
         ready,
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -78,10 +78,11 @@
     pub(crate) is_registered: Cell<bool>,
     /// When the fleet's owner last asked a pool of this process for its demand.
     pub(crate) fleet_seen_at: Cell<Duration>,
-    /// The shards whose takeover by this process is under way.
-    pub(crate) acquiring: RefCell<BTreeSet<String>>,
-    /// When the last frame of any peer arrived.
-    pub(crate) peer_last_seen_at: Cell<Duration>,
+    /// The shards whose takeover by this process is under way, each with whether the owner's row may
+    /// have been written.
+    pub(crate) acquiring: RefCell<BTreeMap<String, bool>>,
+    /// The latest time as of which every other member had not taken over from this process.
+    pub(crate) peers_confirmed_at: Cell<Duration>,
 }
 
 impl Node {
@@ -133,20 +134,11 @@
         }
     }
 
-    /// Returns whether this process may extend leases and start tasks.
-    ///
-    /// An owner without contact to the store and to all peers must stop doing both, because a
-    /// peer may have taken over without its knowledge and relies on both having stopped.
-    pub(crate) fn has_authority(&self) -> bool {
-        let contact = self.store.answered_at().max(self.peer_last_seen_at.get());
-        let is_alone = self.members.borrow().len() <= 1;
-        is_alone || self.clock.now().saturating_sub(contact) < self.timing.scheduler.authority
-    }
-
-    /// Returns the time since the store last confirmed which processes own the shards.
-    pub(crate) fn confirmation_age(&self) -> Duration {
-        let confirmed_at = self.store.followed_at(OWNERS_TABLE).unwrap_or_default();
-        self.clock.now().saturating_sub(confirmed_at)
+    /// Returns the latest time as of which this process still owned all shards that it takes for its
+    /// own, as the store or all other members have confirmed.
+    pub(crate) fn confirmed_at(&self) -> Duration {
+        let followed_at = self.store.followed_at(OWNERS_TABLE).unwrap_or_default();
+        followed_at.max(self.peers_confirmed_at.get())
     }
 
     /// Returns the status of this process for its heartbeats.
@@ -292,10 +284,30 @@
                 self.on_suspicion(&part, term);
                 Answer::Done
             }
+            Inquiry::Confirm { process, terms } => self.confirm(&process, &terms),
             Inquiry::Probe(peer) => Answer::Reached(peer::reach(self, &peer, PROBE_TIMEOUT).await),
         }
     }
 
+    /// Answers an owner that the store does not confirm: with a newer owner of one of its shards, or
+    /// whether this process can't have taken over any of them.
+    fn confirm(&self, process: &str, terms: &[(String, u64)]) -> Answer {
+        let owners = self.owners.borrow();
+        let newer = terms.iter().find_map(|(shard, term)| {
+            let known = owners.get(shard).filter(|known| known.term > *term)?;
+            Some((shard.clone(), known.clone()))
+        });
+        if let Some((shard, ownership)) = newer {
+            return Answer::Superseded(shard, ownership);
+        }
+        // A predecessor on this node may have written an owner's row that is not known yet.
+        let is_asked = process == self.process;
+        let acquiring = self.acquiring.borrow();
+        let may_have_written =
+            |shard: &String| acquiring.get(shard).is_some_and(|written| *written);
+        Answer::Confirmed(is_asked && !terms.iter().any(|(shard, _)| may_have_written(shard)))
+    }
+
     /// Watches a shard's owner for a while because another process reports it.
     fn on_suspicion(&self, shard: &str, term: u64) {
         let is_current = self
--- a/crates/hyssop-edge/src/ownership/mod.rs
+++ b/crates/hyssop-edge/src/ownership/mod.rs
@@ -1,6 +1,7 @@
 //! Ownership of shards: the owners' rows, failure detection, failover and release.
 
 mod candidates;
+mod confirmation;
 mod monitor;
 mod registry;
 mod removal;
@@ -9,6 +10,7 @@
 mod target;
 mod watched;
 
+pub(crate) use confirmation::confirm_with_peers;
 pub(crate) use monitor::monitor_shards;
 pub(crate) use registry::{follow_owners, register};
 pub(crate) use removal::remove_lost_members;
--- a/crates/hyssop-edge/src/ownership/monitor.rs
+++ b/crates/hyssop-edge/src/ownership/monitor.rs
@@ -315,7 +315,7 @@
 
     /// Returns whether a shard has no live owner with access to the store.
     fn is_vacant(&self, shard: &str, now: Duration) -> bool {
-        if self.node.acquiring.borrow().contains(shard) {
+        if self.node.acquiring.borrow().contains_key(shard) {
             return false;
         }
         let owners = self.node.owners.borrow();
--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -18,10 +18,10 @@
 
 /// Starts to acquire a shard with a new term, unless that is under way.
 pub(super) fn start(node: &Rc<Node>, shard: &str) {
-    if node.acquiring.borrow().contains(shard) {
+    if node.acquiring.borrow().contains_key(shard) {
         return;
     }
-    node.acquiring.borrow_mut().insert(shard.to_owned());
+    node.acquiring.borrow_mut().insert(shard.to_owned(), false);
     let (node, shard) = (node.clone(), shard.to_owned());
     tokio::task::spawn_local(async move {
         acquire(&node, &shard).await;
@@ -59,6 +59,7 @@
         process: node.process.clone(),
         number: 0,
     };
+    node.acquiring.borrow_mut().insert(shard.to_owned(), true);
     let started_at = node.clock.now();
     let version = row.map_or(0, |row| row.version);
     let Some(written) = write_ownership(node, shard, version, &ownership, &head).await else {
@@ -103,6 +104,8 @@
     /// The version of the owner's row and of the head row.
     version: u64,
     attempts: u32,
+    /// When the last attempt was sent, as of which the row named this process.
+    confirmed_at: Duration,
     /// When the last attempt was answered. The previous owner may have been the owner until then.
     answered_at: Duration,
 }
@@ -132,6 +135,7 @@
     let mut attempts = 0;
     loop {
         attempts += 1;
+        let confirmed_at = node.clock.now();
         let outcome = tokio::select! {
             outcome = node.store.commit(&transaction) => outcome,
             // The call was sent during an outage and may hang long beyond its end.
@@ -140,6 +144,7 @@
         let written = |version| Written {
             version,
             attempts,
+            confirmed_at,
             answered_at: node.clock.now(),
         };
         match outcome {
@@ -229,7 +234,7 @@
         records.len(),
         now.saturating_sub(written.answered_at).as_millis()
     );
-    let driver = Driver::start(node.clone(), scheduler, committer);
+    let driver = Driver::start(node.clone(), scheduler, committer, written.confirmed_at);
     node.drivers.borrow_mut().insert(shard.to_owned(), driver);
     node.notify_changed();
 }
--- a/crates/hyssop-edge/src/peer/frame.rs
+++ b/crates/hyssop-edge/src/peer/frame.rs
@@ -144,6 +144,10 @@
     Owner(Option<Ownership>),
     /// Whether the other process was reached.
     Reached(bool),
+    /// Whether the asked process can't have taken over any of the shards.
+    Confirmed(bool),
+    /// The newer owner of a shard.
+    Superseded(String, Ownership),
 }
 
 impl Frame {
--- a/crates/hyssop-edge/src/peer/inquiry.rs
+++ b/crates/hyssop-edge/src/peer/inquiry.rs
@@ -21,6 +21,13 @@
         part: String,
         term: u64,
     },
+    /// Asks a member whether it may have taken over any of the shards that the asking process owns
+    /// in these terms.
+    Confirm {
+        /// The process that the question is for.
+        process: String,
+        terms: Vec<(String, u64)>,
+    },
     /// Returns whether the asked process reaches another one.
     Probe(Endpoint),
 }
--- a/crates/hyssop-edge/src/peer/link.rs
+++ b/crates/hyssop-edge/src/peer/link.rs
@@ -255,7 +255,6 @@
     };
     let now = node.clock.now();
     link.on_frame(now);
-    node.peer_last_seen_at.set(now);
     node.on_peer_version(frame.version);
     match frame.body {
         Body::Answer(number, answer) => {
--- a/crates/hyssop-edge/src/peer/listener.rs
+++ b/crates/hyssop-edge/src/peer/listener.rs
@@ -64,7 +64,6 @@
             log::warn!("event=frame-refused bytes={}", bytes.len());
             break;
         };
-        node.peer_last_seen_at.set(node.clock.now());
         node.on_peer_version(frame.version);
         match frame.body {
             Body::Request(number, operation) => {
--- a/crates/hyssop-edge/src/pool/calls.rs
+++ b/crates/hyssop-edge/src/pool/calls.rs
@@ -26,7 +26,7 @@
             return;
         };
         let slot = self.node.client.slot(address, Lane::Order).await;
-        if self.is_leaving.get() || !self.node.has_authority() {
+        if self.is_leaving.get() || !self.has_authority() {
             // The scheduler orders the start again while it has no answer for the run.
             return;
         }
@@ -53,7 +53,7 @@
             order.task,
             order.worker,
             order.fence,
-            self.node.confirmation_age().as_millis()
+            self.confirmation_age().as_millis()
         );
         let now = self.node.clock.now();
         self.scheduler
@@ -156,7 +156,7 @@
             return;
         };
         let slot = self.node.client.slot(address, Lane::Renewal).await;
-        let extends = extends && self.node.has_authority();
+        let extends = extends && self.has_authority();
         let sent_at = self.node.clock.now();
         let Some(order) = self
             .scheduler
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -37,13 +37,22 @@
     /// Whether the pool is being released: no jobs are accepted and no runs are started.
     pub(super) is_leaving: Cell<bool>,
     pub(super) is_over: Cell<bool>,
+    /// The latest time as of which the pool's transactions have confirmed the term.
+    pub(super) confirmed_at: Cell<Duration>,
     /// Whether the process had authority when it was last checked.
     had_authority: Cell<bool>,
 }
 
 impl Driver {
     /// Starts the tasks that drive `scheduler`.
-    pub(crate) fn start(node: Rc<Node>, scheduler: Scheduler, committer: Committer) -> Rc<Self> {
+    ///
+    /// `confirmed_at` is a time as of which this process owned the pool.
+    pub(crate) fn start(
+        node: Rc<Node>,
+        scheduler: Scheduler,
+        committer: Committer,
+        confirmed_at: Duration,
+    ) -> Rc<Self> {
         let configuration = node.configuration.borrow().clone();
         let driver = Rc::new(Self {
             node,
@@ -56,6 +65,7 @@
             commit_time: Cell::new(Duration::ZERO),
             is_leaving: Cell::new(false),
             is_over: Cell::new(false),
+            confirmed_at: Cell::new(confirmed_at),
             had_authority: Cell::new(true),
         });
         driver.configure(&configuration);
@@ -138,9 +148,23 @@
         }
     }
 
+    /// Returns the time since it was last confirmed that the term had not ended.
+    pub(super) fn confirmation_age(&self) -> Duration {
+        let confirmed_at = self.confirmed_at.get().max(self.node.confirmed_at());
+        self.node.clock.now().saturating_sub(confirmed_at)
+    }
+
+    /// Returns whether this process may extend leases and start tasks.
+    ///
+    /// A successor counts on an owner without a confirmation for this long to do neither: it may
+    /// have been replaced without its knowledge, and reach workers that its successor does not.
+    pub(super) fn has_authority(&self) -> bool {
+        self.confirmation_age() < self.node.timing.scheduler.authority
+    }
+
     /// Logs a change of this process's authority over the pool.
     fn log_authority(&self) {
-        let has_authority = self.node.has_authority();
+        let has_authority = self.has_authority();
         if self.had_authority.replace(has_authority) == has_authority {
             return;
         }
@@ -154,7 +178,7 @@
             "event={event} pool={} term={} confirmed_ms_ago={}",
             scheduler.pool(),
             scheduler.term(),
-            self.node.confirmation_age().as_millis()
+            self.confirmation_age().as_millis()
         );
     }
 
--- a/crates/hyssop-edge/src/pool/writer.rs
+++ b/crates/hyssop-edge/src/pool/writer.rs
@@ -41,6 +41,7 @@
                     self.depose("store");
                     return;
                 }
+                self.confirmed_at.set(committer.confirmed_at());
                 let now = self.node.clock.now();
                 let notifications = self.scheduler.borrow_mut().on_commit(now);
                 self.notify(notifications);
--- a/crates/hyssop-edge/src/store/client.rs
+++ b/crates/hyssop-edge/src/store/client.rs
@@ -25,7 +25,6 @@
 /// The availability of the store, shared by all clones of the client.
 #[derive(Default)]
 struct Health {
-    answered_at: Cell<Duration>,
     failed_since: Cell<Option<Duration>>,
     /// The store's clock less this process's, in milliseconds, once the store has told its time.
     clock_offset_ms: Cell<Option<i64>>,
@@ -51,11 +50,6 @@
         }
     }
 
-    /// Returns when the last call to the store succeeded.
-    pub(crate) fn answered_at(&self) -> Duration {
-        self.health.answered_at.get()
-    }
-
     /// Returns the latest time as of which all changes of a followed table are known to this
     /// process, `None` if it has not been read.
     pub(crate) fn followed_at(&self, table: &str) -> Option<Duration> {
@@ -106,7 +100,6 @@
     pub(super) fn record_result(&self, is_ok: bool) {
         let now = self.clock.now();
         if is_ok {
-            self.health.answered_at.set(now);
             if let Some(since) = self.health.failed_since.take() {
                 let elapsed = now.saturating_sub(since).as_millis();
                 log::info!("event=dependency-regained dependency=store after_ms={elapsed}");
--- a/crates/hyssop-edge/src/store/committer.rs
+++ b/crates/hyssop-edge/src/store/committer.rs
@@ -42,6 +42,8 @@
     shard: String,
     head: Head,
     version: u64,
+    /// When the last successful attempt was sent, as of which no other owner had written.
+    confirmed_at: Duration,
 }
 
 impl Committer {
@@ -53,9 +55,15 @@
             shard: shard.to_owned(),
             head,
             version,
+            confirmed_at: Duration::ZERO,
         }
     }
 
+    /// Returns the latest time as of which a transaction has shown that the term had not ended.
+    pub(crate) fn confirmed_at(&self) -> Duration {
+        self.confirmed_at
+    }
+
     /// Returns the key of a shard's head row.
     pub(crate) fn key(shard: &str) -> Key {
         Key::new(HEAD_TABLE, shard, HEAD_KEY)
@@ -80,6 +88,7 @@
         let mut pause = RETRY_PAUSE;
         loop {
             transaction.expected = vec![(key.clone(), self.version)];
+            let sent_at = self.store.clock.now();
             let outcome = tokio::select! {
                 outcome = self.store.commit(&transaction) => outcome,
                 // The call was sent during an outage and may hang long beyond its end. A retry
@@ -90,10 +99,14 @@
                 Ok(Commit::Done(version)) => {
                     self.head = next;
                     self.version = version;
+                    self.confirmed_at = sent_at;
                     return Outcome::Done;
                 }
                 Ok(Commit::Conflict(rows)) => match self.resolve(&rows, &next) {
-                    Resolution::Done => return Outcome::Done,
+                    Resolution::Done => {
+                        self.confirmed_at = sent_at;
+                        return Outcome::Done;
+                    }
                     Resolution::Retry => continue,
                     Resolution::Deposed => return Outcome::Deposed,
                 },
--- a/crates/hyssop-policy/src/owner/settings.rs
+++ b/crates/hyssop-policy/src/owner/settings.rs
@@ -11,7 +11,9 @@
     /// The factor by which a lease may last longer on the owner's clock because the worker's clock
     /// runs slow.
     pub clock_drift: f64,
-    /// How long the previous owner may go on extending leases after a failover.
+    /// How long an owner goes on starting tasks and extending leases without a confirmation that it
+    /// has not been replaced; its successor counts on it after the failover. Longer than a feed
+    /// without changes waits, and two rounds of questions to the peers.
     pub authority: Duration,
     /// How long a worker may delay its report while no run ends.
     pub report_wait: Duration,
@@ -37,7 +39,7 @@
             lease: Duration::from_millis(3_500),
             lease_slack: Duration::from_millis(250),
             clock_drift: 1.025,
-            authority: Duration::from_millis(2_000),
+            authority: Duration::from_millis(3_000),
             report_wait: Duration::from_millis(500),
             start_wait: Duration::from_millis(150),
             retry_pause: Duration::from_millis(250),
