Use no rows at a takeover that are older than the takeover

A store that has dropped its history may answer from an older state. Rows older than the owner's own row may miss an end that the previous owner had stored and acknowledged, or a worker that runs tasks, so a task would be started again. The pool's rows and the fleet's are now read again until the store's version is that of the takeover or later, and read-stale is logged.

--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -67,7 +67,7 @@
                 base,
                 waves,
                 recent,
-            }) = read(&node).await
+            }) = read(&node, committer.version()).await
             else {
                 if node.fleet_term.get() == Some(term) {
                     node.fleet_term.set(None);
--- a/crates/hyssop-edge/src/fleet/stored.rs
+++ b/crates/hyssop-edge/src/fleet/stored.rs
@@ -30,17 +30,17 @@
     pub(super) recent: Option<BTreeSet<String>>,
 }
 
-/// Reads the state stored by the previous owner, retrying until the store answers; returns `None`
-/// if the process stops.
-pub(super) async fn read(node: &Rc<Node>) -> Option<StoredState> {
+/// Reads the state stored by the previous owner as of `version` or later, retrying until the store
+/// answers; returns `None` if the process stops.
+pub(super) async fn read(node: &Rc<Node>, version: u64) -> Option<StoredState> {
     const RETRY_PAUSE: Duration = Duration::from_millis(150);
     let page = loop {
         if node.is_stopping.get() {
             return None;
         }
         match node.store.read(TABLE, FLEET).await {
-            Some(page) => break page,
-            None => tokio::time::sleep(RETRY_PAUSE).await,
+            Some(page) if page.version >= version => break page,
+            _ => tokio::time::sleep(RETRY_PAUSE).await,
         }
     };
     let mut stored = StoredState {
--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -207,9 +207,15 @@
                 return;
             }
             match node.store.read(table, shard).await {
-                Some(page) => break page.rows,
-                None => tokio::time::sleep(RETRY_PAUSE).await,
+                Some(page) if page.version >= written.version => break page.rows,
+                Some(page) => log::warn!(
+                    "event=read-stale part={shard} table={table} version={} written={}",
+                    page.version,
+                    written.version
+                ),
+                None => {}
             }
+            tokio::time::sleep(RETRY_PAUSE).await;
         };
         records.extend(rows.into_iter().map(|row| Record {
             table: table.to_owned(),
--- a/crates/hyssop-edge/src/store/committer.rs
+++ b/crates/hyssop-edge/src/store/committer.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Returns the store's version at the last transaction.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns the latest time as of which a transaction has shown that the term had not ended.
     pub(crate) fn confirmed_at(&self) -> Duration {
         self.confirmed_at
