Write a wave's state again after the store refused it

Operators may never see a wave as done: a status that the store refused with 429 or 503 counted as written, and is written again only when it changes. Every answer counted, not only a success.

--- a/crates/hyssop-edge/src/fleet/waves.rs
+++ b/crates/hyssop-edge/src/fleet/waves.rs
@@ -2,7 +2,7 @@
 use super::{Controller, PROGRESS_PREFIX, TABLE};
 use crate::node::FLEET;
 use crate::store::Outcome;
-use hyssop_platform::rows::{encode, Key, Transaction};
+use hyssop_platform::rows::{encode, Commit, Key, Transaction};
 use std::collections::BTreeMap;
 
 impl Controller {
@@ -47,7 +47,8 @@
                 writes: vec![(Key::new(table, "", &key), value)],
                 ..Transaction::default()
             };
-            if self.node.store.commit(&status).await.is_ok() {
+            let outcome = self.node.store.commit(&status).await;
+            if matches!(outcome, Ok(Commit::Done(_))) {
                 log::info!("event=wave-reported wave={number} done={is_done}");
                 self.reported.insert(*number, is_done);
             }
--- a/crates/hyssop-edge/tests/waves.rs
+++ b/crates/hyssop-edge/tests/waves.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
+use platform_standin::{Access, Call, Doors, Operation};
 use serde_json::{json, Value};
+use std::sync::atomic::{AtomicU32, Ordering};
 use support::{announce_wave, job, platform, wait_for_wave, wait_until, Edge};
 
 const PATH: &str = "/a/00000000000000a1";
@@ -53,3 +55,30 @@
     announce_wave(&platform, &machines, 20, 2);
     wait_for_wave(&platform, "done");
 }
+
+/// A refused write of a wave's state was taken for done, so that the wave was never shown as done.
+#[test]
+fn refused_wave_status_is_written_again() {
+    const REFUSALS: u32 = 3;
+    let platform = platform();
+    let edge = Edge::start(&platform, "e0");
+    edge.submit_until_accepted(PATH, &job(1, 1, 10));
+    let refused = AtomicU32::new(0);
+    platform.set_trigger(move |doors: &Doors, call: &Call| {
+        let is_status = call.operation == Operation::Commit && call.concerns("status", "");
+        let is_refused =
+            is_status && !call.is_performed && refused.fetch_add(1, Ordering::SeqCst) < REFUSALS;
+        doors.set(
+            &call.process,
+            if is_refused {
+                Access::Busy
+            } else {
+                Access::Open
+            },
+        );
+    });
+    let machines: Vec<String> = platform.pools().into_keys().collect();
+    announce_wave(&platform, &machines, 20, 2);
+    wait_for_wave(&platform, "running");
+    wait_for_wave(&platform, "done");
+}
