--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -67,8 +67,11 @@
                 base,
                 waves,
                 recent,
-            }) = read(&node).await
+            }) = read(&node, committer.version()).await
             else {
+                if node.fleet_term.get() == Some(term) {
+                    node.fleet_term.set(None);
+                }
                 return;
             };
             let progress = waves
