Log a run that conflicts with an assignment

A worker that reports a run, or the success of a run, of a task that is done or assigned to another worker was told to stop it without a line. In the record of a repeated run nothing says which worker the new owner believed in, nor that it learned of the other run.

--- a/crates/hyssop-policy/src/owner/completion.rs
+++ b/crates/hyssop-policy/src/owner/completion.rs
@@ -90,6 +90,8 @@
                 }
                 self.dirty.insert(job_key);
                 if let Some(assigned) = other_worker {
+                    let state = State::Placed(assigned);
+                    self.log_run_conflict(key, &completion.task, completion.run, state);
                     self.stop_task(assigned, task, now);
                 }
                 self.record_success(key, &queue, step.estimate_ms, ordered_at, now);
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -141,6 +141,7 @@
                 entry.checkpoint.clone_from(&running.checkpoint);
             }
         }
+        let conflict = (!may_adopt && !is_final).then_some(entry.state);
         worker.reserve(
             task,
             Run {
@@ -159,11 +160,40 @@
                 serving_since: (running.percent >= 100.0).then_some(now),
             },
         );
+        if let Some(state) = conflict {
+            self.log_run_conflict(key, &running.task, running.run, state);
+        }
         if !may_adopt {
             self.actions.push(stop());
         }
     }
 
+    /// Logs that a worker has reported a run of a task that is done or assigned to another worker.
+    pub(super) fn log_run_conflict(
+        &self,
+        key: WorkerKey,
+        task: &work::Task,
+        run: u64,
+        state: State,
+    ) {
+        let id = |key: WorkerKey| {
+            let worker = self.workers.get(&key);
+            worker.map_or("removed", |worker| worker.listing.id.as_str())
+        };
+        let (state, other) = match state {
+            State::Placed(assigned) => ("assigned", id(assigned)),
+            State::Done => ("done", "none"),
+            State::Waiting | State::Orphaned => ("waiting", "none"),
+        };
+        log::warn!(
+            "event=run-conflict pool={} term={} task={task} run={run} worker={} state={state} \
+             other_worker={other}",
+            self.pool,
+            self.term,
+            id(key)
+        );
+    }
+
     /// Polls workers for reports: those with runs, those that have not reported in this term, and
     /// those with stored completions that are not acknowledged.
     pub(super) fn poll_workers(&mut self, now: Duration) {
