Give workers the chance to report before recovery ends

Callers would see a task run twice: after a failover that took longer than the computed end of the leases, recovery ended at the first round of the scheduler, before the registry was read. Every task was started again on the first worker that reported, beside the runs that the others were about to report.

Cause: `finish_recovery` asked only whether the computed time had passed. That time comes from what the previous owner was entitled to; a worker that still has runs, or completions that nobody acknowledged, can prove it wrong as soon as it is asked.

A worker of an earlier term now counts as ended when its leases are over and either a poll has failed after that, or the registry has been read and 2.5 s later has not listed it. A poll fails within its wait and a timeout and is repeated, so a dead worker holds the queue for at most two polls, or 2.5 s, longer than its leases. Before the registry is read there is no worker to start anything on. `worker-recovered` says for each worker why it is no longer waited for; it replaces `workers-unreported`, which gave a number only.

The model takes over in steps (commit, reading of rows, reading of the registry), lets entries of workers vanish, and delays reports.

--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -196,6 +196,7 @@
     fn apply_registry_update(&self, update: Update) {
         let now = self.node.clock.now();
         let scheduler = &mut *self.scheduler.borrow_mut();
+        let is_snapshot = matches!(update, Update::Snapshot(_));
         let rows = match update {
             Update::Snapshot(rows) => {
                 let present: BTreeSet<&str> =
@@ -219,6 +220,9 @@
                 None => scheduler.deregister_worker(&row.key.key),
             }
         }
+        if is_snapshot {
+            scheduler.on_registry_snapshot(now);
+        }
     }
 }
 
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -32,6 +32,7 @@
 mod roster;
 mod settings;
 mod start;
+mod unreported;
 mod watch;
 mod worker;
 
@@ -78,6 +79,10 @@
     /// Workers of an earlier term that may still run tasks, each with the latest time at which its
     /// leases expire.
     unreported_workers: BTreeMap<(String, i64), Duration>,
+    /// When the registry was first read completely in this term.
+    registry_read_at: Option<Duration>,
+    /// When the rows of the earlier term were recovered.
+    recovered_at: Duration,
     /// Whether orphaned tasks of recovered jobs wait for `unreported_workers`.
     is_recovering: bool,
     /// Jobs with changes that are not in a batch yet.
@@ -123,6 +128,8 @@
             workers: BTreeMap::new(),
             next_worker: 0,
             unreported_workers: BTreeMap::new(),
+            registry_read_at: None,
+            recovered_at: Duration::ZERO,
             is_recovering: false,
             dirty: BTreeSet::new(),
             pending: None,
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -70,6 +70,7 @@
                 .insert(key, finished_job(id, &stored.queue, phase, now));
         }
         self.is_recovering = true;
+        self.recovered_at = now;
         log::info!(
             "event=recovery-started pool={} term={} jobs={} workers={} wait_ms={}",
             self.pool,
@@ -149,23 +150,13 @@
         self.open_jobs.insert(key);
     }
 
-    /// Requeues orphaned tasks once every worker of an earlier term has reported or its leases have
-    /// expired.
+    /// Requeues orphaned tasks once every worker of an earlier term has reported or has certainly
+    /// ended.
     pub(super) fn finish_recovery(&mut self, now: Duration) {
         if !self.is_recovering {
             return;
         }
-        let unreported = self.unreported_workers.len();
-        self.unreported_workers
-            .retain(|_, lease_end| now < *lease_end);
-        let expired = unreported - self.unreported_workers.len();
-        if expired > 0 {
-            log::info!(
-                "event=workers-unreported pool={} expired={expired} left={}",
-                self.pool,
-                self.unreported_workers.len()
-            );
-        }
+        self.end_unreported_workers(now);
         if !self.unreported_workers.is_empty() {
             return;
         }
@@ -187,10 +178,11 @@
             self.finish_occurrences(key, now);
         }
         log::info!(
-            "event=recovered pool={} term={} jobs={} unlocated_tasks={requeued}",
+            "event=recovered pool={} term={} jobs={} unlocated_tasks={requeued} after_ms={}",
             self.pool,
             self.term,
-            self.open_jobs.len()
+            self.open_jobs.len(),
+            now.saturating_sub(self.recovered_at).as_millis()
         );
     }
 }
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -40,7 +40,6 @@
         // an error only makes a lease expire earlier.
         worker.clock_offset_ms = Some(report.clock_ms - now.as_millis() as i64);
         worker.acknowledged = worker.acknowledged.max(acknowledged);
-        let name = (worker.listing.id.clone(), worker.listing.incarnation);
         let is_first_report = !worker.has_reported;
         if is_first_report {
             worker.has_reported = true;
@@ -59,7 +58,7 @@
             self.reconcile_inherited_runs(key, sent_at);
         }
         self.release_unstarted_runs(key, &report.running, sent_at);
-        self.unreported_workers.remove(&name);
+        self.on_complete_report(key, now);
         if let Some(worker) = self.workers.get_mut(&key) {
             let deferred_stops = std::mem::take(&mut worker.deferred_stops);
             for (task, run) in deferred_stops {
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -13,10 +13,7 @@
     /// proves that the previous one no longer exists.
     pub fn register_worker(&mut self, listing: work::Worker, now: Duration) {
         let inherited = self.replace_incarnation(&listing, now);
-        let is_previous = |(id, incarnation): &(String, i64)| {
-            *id == listing.id && *incarnation != listing.incarnation
-        };
-        self.unreported_workers.retain(|name, _| !is_previous(name));
+        self.replace_unreported(&listing, now);
         if listing.pool != self.pool {
             self.deregister_worker(&listing.id);
             return;
@@ -139,7 +136,7 @@
         };
         self.removed_workers.insert(worker.row_name());
         let name = (worker.listing.id.clone(), worker.listing.incarnation);
-        self.unreported_workers.remove(&name);
+        self.on_unreported_terminated(&name, now);
         for task in worker.runs.keys() {
             self.requeue(*task, key);
         }
--- /dev/null
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -0,0 +1,120 @@
+use super::{Scheduler, WorkerKey};
+use hyssop_model::work;
+use std::time::Duration;
+use strum::Display;
+
+/// How long after the registry was read a live worker may still be missing from it: the platform
+/// restores entries that expired during an outage of its store within about two seconds.
+const RELISTING_TIME: Duration = Duration::from_millis(2_500);
+
+/// Why recovery no longer waits for a worker of an earlier term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+enum Reason {
+    /// It has reported all its runs and completions.
+    Reported,
+    /// Its leases have expired, and the registry has not listed it.
+    Unlisted,
+    /// Its leases have expired, and it does not answer.
+    Unreachable,
+    /// A later incarnation has taken its place.
+    Replaced,
+    /// Its instance was shut down, or another worker answers at its address.
+    Terminated,
+}
+
+impl Scheduler {
+    /// Notes that all workers of a complete reading of the registry have been registered.
+    pub fn on_registry_snapshot(&mut self, now: Duration) {
+        if self.registry_read_at.is_none() {
+            self.registry_read_at = Some(now);
+            log::info!(
+                "event=registry-read pool={} term={} workers={} unreported={} after_ms={}",
+                self.pool,
+                self.term,
+                self.workers.len(),
+                self.unreported_workers.len(),
+                now.saturating_sub(self.recovered_at).as_millis()
+            );
+        }
+    }
+
+    /// Stops waiting for workers of an earlier term that can neither run tasks nor report any more.
+    ///
+    /// The expiry of a worker's leases is computed from what its previous owner was entitled to.
+    /// A worker that runs tasks for longer, or whose completions are not acknowledged, can still
+    /// report them, so it also gets the chance to: it is waited for until the registry has been
+    /// read and doesn't list it, or until its latest report failed after its leases had expired.
+    /// Each poll ends within the wait and a timeout and is repeated soon, so a dead worker is
+    /// waited for only that much longer. Until the registry is read, no worker can be used.
+    pub(super) fn end_unreported_workers(&mut self, now: Duration) {
+        let Some(registry_read_at) = self.registry_read_at else {
+            return;
+        };
+        let mut ended = Vec::new();
+        for ((id, incarnation), lease_end) in &self.unreported_workers {
+            if now < *lease_end {
+                continue;
+            }
+            let worker = self
+                .worker_key(id, *incarnation)
+                .and_then(|key| self.workers.get(&key));
+            let reason = match worker {
+                Some(worker) => {
+                    let is_silent =
+                        worker.unreachable_since.is_some() && worker.polled_at >= *lease_end;
+                    is_silent.then_some(Reason::Unreachable)
+                }
+                None => (now >= registry_read_at + RELISTING_TIME).then_some(Reason::Unlisted),
+            };
+            if let Some(reason) = reason {
+                ended.push(((id.clone(), *incarnation), reason));
+            }
+        }
+        for (name, reason) in ended {
+            self.remove_unreported(&name, reason, now);
+        }
+    }
+
+    /// Stops waiting for a worker that has reported all its runs and completions.
+    pub(super) fn on_complete_report(&mut self, key: WorkerKey, now: Duration) {
+        if let Some(worker) = self.workers.get(&key) {
+            let name = (worker.listing.id.clone(), worker.listing.incarnation);
+            self.remove_unreported(&name, Reason::Reported, now);
+        }
+    }
+
+    /// Stops waiting for a worker that no longer exists.
+    pub(super) fn on_unreported_terminated(&mut self, name: &(String, i64), now: Duration) {
+        self.remove_unreported(name, Reason::Terminated, now);
+    }
+
+    /// Stops waiting for other incarnations of a registered worker.
+    pub(super) fn replace_unreported(&mut self, listing: &work::Worker, now: Duration) {
+        let replaced: Vec<(String, i64)> = self
+            .unreported_workers
+            .keys()
+            .filter(|(id, _)| *id == listing.id)
+            .filter(|(_, incarnation)| *incarnation != listing.incarnation)
+            .cloned()
+            .collect();
+        for name in replaced {
+            self.remove_unreported(&name, Reason::Replaced, now);
+        }
+    }
+
+    fn remove_unreported(&mut self, name: &(String, i64), reason: Reason, now: Duration) {
+        if self.unreported_workers.remove(name).is_none() {
+            return;
+        }
+        let (id, incarnation) = name;
+        log::info!(
+            "event=worker-recovered pool={} term={} worker={id} incarnation={incarnation} \
+             reason={reason} left={} after_ms={}",
+            self.pool,
+            self.term,
+            self.unreported_workers.len(),
+            now.saturating_sub(self.recovered_at).as_millis()
+        );
+    }
+}
--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -9,9 +9,11 @@
 mod availability;
 mod invariants;
 mod store;
+mod takeover;
 mod worker;
 mod world;
 
+pub use takeover::Takeover;
 pub use world::{Faults, World};
 
 /// Returns a job of `count` long-running tasks, at most one per worker, of which one may be
--- /dev/null
+++ b/crates/hyssop-policy/tests/model/takeover.rs
@@ -0,0 +1,15 @@
+/// How a takeover of the pool goes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Takeover {
+    /// The time from its start until the store commits it.
+    pub commit_ms: i64,
+    /// The time from the commit until the new owner's scheduler has read the rows.
+    pub read_ms: i64,
+    /// The time from the start of the scheduler until it has read the registry.
+    pub registry_ms: i64,
+    /// How long the previous owner goes on after the commit without learning of it.
+    pub authority_ms: i64,
+    /// Whether the authority of the previous owner is counted from the start of the takeover
+    /// instead of its commit.
+    pub counts_from_start: bool,
+}
--- a/crates/hyssop-policy/tests/model/worker.rs
+++ b/crates/hyssop-policy/tests/model/worker.rs
@@ -9,6 +9,10 @@
     /// Whether calls reach it. Runs continue while it is unreachable.
     pub is_reachable: bool,
     pub is_up: bool,
+    /// How long its reports take to arrive, beyond the usual time.
+    pub report_ms: i64,
+    /// Whether the registry has its entry.
+    pub is_listed: bool,
     /// Whether all of its runs fail.
     pub fails_all: bool,
     /// Whether its runs make no progress.
@@ -67,6 +71,8 @@
             },
             is_reachable: true,
             is_up: true,
+            report_ms: 0,
+            is_listed: true,
             fails_all: false,
             hangs: false,
             fence: 0,
@@ -83,6 +89,7 @@
     pub fn restart(&mut self, now_ms: i64) {
         let mut restarted = Self::new(&self.listing.id, 0, now_ms);
         restarted.listing.capacity = self.listing.capacity;
+        restarted.is_listed = self.is_listed;
         *self = restarted;
     }
 
--- a/crates/hyssop-policy/tests/model/world.rs
+++ b/crates/hyssop-policy/tests/model/world.rs
@@ -2,8 +2,9 @@
 use super::configuration;
 use super::invariants::Invariants;
 use super::store::FakeStore;
+use super::takeover::Takeover;
 use super::worker::{FakeWorker, RunEvent};
-use hyssop_model::work::{Outcome, Phase, Report, Submission, Task};
+use hyssop_model::work::{self, Outcome, Phase, Report, Submission, Task};
 use hyssop_platform::dialect::{Renewal, Start, StartOutcome};
 use hyssop_policy::owner::{
     Action, Admission, Batch, Notification, Scheduler, Settings, StartResult, TaskKey, WorkerKey,
@@ -47,6 +48,10 @@
     scheduler: Scheduler,
     is_paused: bool,
     is_cut_from_store: bool,
+    /// Whether it has read the registry and follows it.
+    follows_registry: bool,
+    /// When it stops to start tasks and to extend leases, once another owner has taken over.
+    authority_end_ms: Option<i64>,
 }
 
 enum Event {
@@ -64,6 +69,13 @@
     RenewalAnswered(u64, WorkerKey, Option<Option<Report>>, i64, u64),
     CommitArrives(u64, Batch),
     CommitAnswered(u64),
+    /// The store commits a takeover that started at the given time.
+    TakeoverArrives(Takeover, i64),
+    /// The process that took over starts the scheduler of its term. The times are those of the
+    /// takeover's start and of its confirmation.
+    SchedulerStarts(u64, Takeover, i64, i64),
+    /// The owner of a term has read the registry.
+    RegistryRead(u64),
 }
 
 const CALL_TIMEOUT_MS: i64 = 500;
@@ -116,27 +128,92 @@
     /// Starts a new owner with the next term. The processes of previous owners go on until they are
     /// killed.
     pub fn start_owner(&mut self) {
+        let now_ms = self.now_ms;
         self.store.term += 1;
-        self.trace("", || format!("term {} begins", self.store.term));
-        let mut scheduler = Scheduler::new("pool", self.store.term, Settings::default());
+        self.start_scheduler(self.store.term, Takeover::default(), now_ms, now_ms);
+        self.read_registry(self.store.term);
+    }
+
+    /// Begins a takeover, after which a new owner starts with the next term.
+    pub fn take_over(&mut self, takeover: Takeover) {
+        let arrival = Event::TakeoverArrives(takeover, self.now_ms);
+        self.schedule(takeover.commit_ms, arrival);
+    }
+
+    /// Starts the scheduler of `term`, unless a later term has begun meanwhile.
+    fn start_scheduler(
+        &mut self,
+        term: u64,
+        takeover: Takeover,
+        started_ms: i64,
+        confirmed_ms: i64,
+    ) {
+        if term != self.store.term {
+            return;
+        }
+        self.trace("", || format!("term {term} begins: {takeover:?}"));
+        let mut scheduler = Scheduler::new("pool", term, Settings::default());
         scheduler.configure(&configuration(false));
-        let authority_end = self.now() + Settings::default().authority;
+        let counted_from_ms = if takeover.counts_from_start {
+            started_ms
+        } else {
+            confirmed_ms
+        };
+        let counted_from = Duration::from_millis(counted_from_ms as u64);
+        let authority_end = counted_from + Settings::default().authority;
         scheduler.recover(
             &self.store.records(),
             authority_end,
-            self.now(),
+            counted_from,
             self.now_ms,
         );
-        for worker in &self.workers {
-            scheduler.register_worker(worker.listing.clone(), self.now());
-        }
         self.owners.push(OwnerProcess {
             scheduler,
             is_paused: false,
             is_cut_from_store: false,
+            follows_registry: false,
+            authority_end_ms: None,
         });
     }
 
+    /// Lets the owner of `term` read the registry.
+    fn read_registry(&mut self, term: u64) {
+        let now = self.now();
+        let listings: Vec<work::Worker> = self
+            .workers
+            .iter()
+            .filter(|worker| worker.is_listed)
+            .map(|worker| worker.listing.clone())
+            .collect();
+        let Some(process) = self.process(term) else {
+            return;
+        };
+        process.follows_registry = true;
+        for listing in listings {
+            process.scheduler.register_worker(listing, now);
+        }
+        process.scheduler.on_registry_snapshot(now);
+    }
+
+    /// Removes a worker's entry from the registry, or restores it.
+    pub fn set_listed(&mut self, worker: usize, is_listed: bool) {
+        self.workers[worker].is_listed = is_listed;
+        if is_listed {
+            self.register(worker);
+            return;
+        }
+        let id = self.workers[worker].listing.id.clone();
+        for process in self.owners.iter_mut().filter(|p| p.follows_registry) {
+            process.scheduler.deregister_worker(&id);
+        }
+    }
+
+    /// Returns whether a scheduler of the newest term runs.
+    pub fn has_owner(&self) -> bool {
+        let newest = self.owners.last();
+        newest.is_some_and(|process| process.scheduler.term() == self.store.term)
+    }
+
     /// Kills the newest owner's process.
     pub fn kill_owner(&mut self) {
         self.owners.pop();
@@ -175,7 +252,10 @@
     pub fn register(&mut self, worker: usize) {
         let listing = self.workers[worker].listing.clone();
         let now = self.now();
-        for process in &mut self.owners {
+        if !self.workers[worker].is_listed {
+            return;
+        }
+        for process in self.owners.iter_mut().filter(|p| p.follows_registry) {
             process.scheduler.register_worker(listing.clone(), now);
         }
     }
@@ -350,7 +430,10 @@
         let Some(process) = self.process(term) else {
             return;
         };
+        let has_authority = process.authority_end_ms.is_none_or(|end| now_ms < end);
         match action {
+            // The scheduler orders the start again while it has no answer.
+            Action::Start { .. } if !has_authority => {}
             Action::Start { worker, task, run } => {
                 if let Some(order) = process.scheduler.order(worker, task, run, now) {
                     let delayed = self.faults.delayed_starts;
@@ -383,6 +466,7 @@
                 wait,
                 extends,
             } => {
+                let extends = extends && has_authority;
                 if let Some(renewal) = process.scheduler.lease_renewal(worker, wait, extends, now) {
                     // Long polling is not modelled: the report arrives after a tenth of the wait.
                     let delay = HOP_MS + renewal.wait_ms as i64 / 10;
@@ -451,9 +535,11 @@
                 }
             }
             Event::RenewalArrives(term, key, renewal, sent_ms) => {
+                let mut report_ms = 0;
                 let report = match self.find_reachable(&renewal.worker) {
                     Some(number) => {
                         let worker = &mut self.workers[number];
+                        report_ms = worker.report_ms;
                         let report = worker.renew(&renewal, self.now_ms);
                         let is_accepted = report.is_some();
                         let (id, incarnation) =
@@ -473,7 +559,11 @@
                     }
                     None => None,
                 };
-                let delay = if report.is_some() { HOP_MS } else { 600 };
+                let delay = if report.is_some() {
+                    HOP_MS + report_ms
+                } else {
+                    600
+                };
                 let answer =
                     Event::RenewalAnswered(term, key, report, sent_ms, renewal.acknowledged);
                 self.schedule(delay, answer);
@@ -522,6 +612,26 @@
                     process.scheduler.depose();
                 }
             }
+            Event::TakeoverArrives(takeover, started_ms) => {
+                if !self.is_store_up {
+                    self.schedule(100, Event::TakeoverArrives(takeover, started_ms));
+                    return;
+                }
+                self.store.term += 1;
+                let term = self.store.term;
+                let end_ms = self.now_ms + takeover.authority_ms;
+                for process in &mut self.owners {
+                    process.authority_end_ms.get_or_insert(end_ms);
+                }
+                let confirmed_ms = self.now_ms + HOP_MS;
+                let start = Event::SchedulerStarts(term, takeover, started_ms, confirmed_ms);
+                self.schedule(HOP_MS + takeover.read_ms, start);
+            }
+            Event::SchedulerStarts(term, takeover, started_ms, confirmed_ms) => {
+                self.start_scheduler(term, takeover, started_ms, confirmed_ms);
+                self.schedule(takeover.registry_ms, Event::RegistryRead(term));
+            }
+            Event::RegistryRead(term) => self.read_registry(term),
             Event::CommitAnswered(term) => {
                 let now_ms = self.now_ms;
                 let Some(process) = self.process(term) else {
--- /dev/null
+++ b/crates/hyssop-policy/tests/recovery.rs
@@ -0,0 +1,95 @@
+//! Recovery of a pool's jobs after a failover, run against the model's workers and store.
+
+#![allow(clippy::unwrap_used)]
+
+mod model;
+
+use hyssop_model::work::Phase;
+use model::{job, Takeover, World};
+
+const ID: &str = "00000000000000aa";
+
+const TASKS: usize = 6;
+
+/// Returns a pool of three workers, of which two can run all tasks of the job that runs there.
+fn busy_pool(seed: u64, task_ms: u64) -> World {
+    let mut world = World::new(seed, 3, 4);
+    world.run(200);
+    world.submit(ID, job(1, TASKS as u32, task_ms));
+    world.run(500);
+    world
+}
+
+/// A takeover that had taken longer than the leases ended the recovery at once, before the registry
+/// was read, and every task was started again on the first worker that reported.
+#[test]
+fn slow_takeover_starts_no_task_before_workers_could_report() {
+    for registry_ms in [0, 20, 300, 3_000] {
+        let mut world = busy_pool(31, 20_000);
+        for worker in &mut world.workers {
+            worker.report_ms = 100 * worker.running().count().min(1) as i64;
+        }
+        world.take_over(Takeover {
+            commit_ms: 8_000,
+            read_ms: 500,
+            registry_ms,
+            authority_ms: 2_000,
+            counts_from_start: true,
+        });
+        world.run(28_000);
+        assert_eq!(world.phase(ID), Some(Phase::Done));
+        assert_eq!(
+            world.invariants.starts, TASKS,
+            "tasks started, with the registry read after {registry_ms} ms"
+        );
+    }
+}
+
+/// The tasks of a worker whose entry was missing when the registry was read were started again.
+#[test]
+fn waits_for_entry_that_returns_soon_after_registry_was_read() {
+    let mut world = busy_pool(32, 20_000);
+    world.take_over(Takeover {
+        commit_ms: 8_000,
+        read_ms: 500,
+        registry_ms: 100,
+        authority_ms: 2_000,
+        counts_from_start: true,
+    });
+    world.run(8_000);
+    world.set_listed(1, false);
+    world.run(2_600);
+    world.set_listed(1, true);
+    world.run(18_000);
+    assert_eq!(world.phase(ID), Some(Phase::Done));
+    assert_eq!(world.invariants.starts, TASKS);
+}
+
+/// Returns how long after the start of a new owner all tasks of a job have been started again, with
+/// one of three workers dead.
+fn time_to_restart(is_listed: bool) -> i64 {
+    let mut world = busy_pool(33, 15_000);
+    world.kill_owner();
+    let is_busy = |number: &usize| world.workers[*number].running().count() > 0;
+    let dead = (0..3).find(is_busy).unwrap();
+    let orphans = world.workers[dead].running().count();
+    world.workers[dead].is_up = false;
+    world.set_listed(dead, is_listed);
+    world.take_over(Takeover::default());
+    let started_ms = world.now_ms;
+    while world.invariants.starts < TASKS + orphans {
+        world.run(50);
+        assert!(world.now_ms < started_ms + 20_000, "the queue is held");
+    }
+    world.now_ms - started_ms
+}
+
+#[test]
+fn dead_worker_holds_queue_no_longer_than_its_lease_and_two_polls() {
+    let lease_end_ms = 5_838;
+    for is_listed in [false, true] {
+        let ms = time_to_restart(is_listed);
+        assert!(ms >= lease_end_ms, "{ms} ms, listed: {is_listed}");
+        assert!(ms <= lease_end_ms + 1_500, "{ms} ms, listed: {is_listed}");
+    }
+}
