Keep waiting for a worker whose registry entry is outdated

Callers would see a task run twice: the registry listed an earlier incarnation than the one whose row the previous owner had stored, the new owner took the later one for replaced, and started its tasks at once.

Only a later incarnation proves that an earlier one has ended. A listing with an earlier one now leaves the wait as it is, which ends with the worker's report or its leases.

After: passed.

--- a/crates/hyssop-policy/src/owner/unreported.rs
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -89,13 +89,14 @@
         self.remove_unreported(name, Reason::Terminated, now);
     }
 
-    /// Stops waiting for other incarnations of a registered worker.
+    /// Stops waiting for earlier incarnations of a worker. A listing may be older than the row that
+    /// the previous owner has stored, and proves nothing then.
     pub(super) fn replace_unreported(&mut self, listing: &work::Worker, now: Duration) {
         let replaced: Vec<(String, i64)> = self
             .unreported_workers
             .keys()
             .filter(|(id, _)| *id == listing.id)
-            .filter(|(_, incarnation)| *incarnation != listing.incarnation)
+            .filter(|(_, incarnation)| *incarnation < listing.incarnation)
             .cloned()
             .collect();
         for name in replaced {
--- a/crates/hyssop-policy/tests/model/world.rs
+++ b/crates/hyssop-policy/tests/model/world.rs
@@ -208,6 +208,13 @@
         }
     }
 
+    /// Returns the keys of the stored rows of workers, each an identifier and an incarnation.
+    pub fn recorded_workers(&self) -> Vec<String> {
+        let records = self.store.records().into_iter();
+        let workers = records.filter(|record| record.table == "crew");
+        workers.map(|record| record.key).collect()
+    }
+
     /// Returns whether a scheduler of the newest term runs.
     pub fn has_owner(&self) -> bool {
         let newest = self.owners.last();
--- a/crates/hyssop-policy/tests/recovery.rs
+++ b/crates/hyssop-policy/tests/recovery.rs
@@ -6,6 +6,7 @@
 
 use hyssop_model::work::Phase;
 use model::{job, Takeover, World};
+use std::time::Duration;
 
 const ID: &str = "00000000000000aa";
 
@@ -70,8 +71,7 @@
 fn time_to_restart(is_listed: bool) -> i64 {
     let mut world = busy_pool(33, 15_000);
     world.kill_owner();
-    let is_busy = |number: &usize| world.workers[*number].running().count() > 0;
-    let dead = (0..3).find(is_busy).unwrap();
+    let dead = busy_worker(&world);
     let orphans = world.workers[dead].running().count();
     world.workers[dead].is_up = false;
     world.set_listed(dead, is_listed);
@@ -93,3 +93,29 @@
         assert!(ms <= lease_end_ms + 1_500, "{ms} ms, listed: {is_listed}");
     }
 }
+
+/// Returns the number of a worker that runs tasks.
+fn busy_worker(world: &World) -> usize {
+    let is_busy = |number: &usize| world.workers[*number].running().count() > 0;
+    (0..world.workers.len()).find(is_busy).unwrap()
+}
+
+/// An outdated registry entry ended the wait for a later incarnation, which still ran tasks.
+#[test]
+fn outdated_entry_does_not_replace_later_incarnation() {
+    let mut world = busy_pool(37, 20_000);
+    let cut = busy_worker(&world);
+    world.workers[cut].is_reachable = false;
+    world.set_listed(cut, false);
+    world.kill_owner();
+    world.start_owner();
+    let now = Duration::from_millis(world.now_ms as u64);
+    let mut outdated = world.workers[cut].listing.clone();
+    outdated.incarnation -= 500;
+    world.scheduler().register_worker(outdated, now);
+    world.run(1_000);
+    let row = format!("w{cut}@1000");
+    assert!(world.recorded_workers().contains(&row), "{row}");
+    world.run(20_000);
+    assert!(world.invariants.starts > TASKS);
+}
