Delete the rows of workers that ended before a failover

Callers would see all tasks of a pool held for 5.8 s after each failover: the rows of workers that had gone before a failover, and of incarnations that a later one had replaced, were never deleted, so each later owner waited for their leases again.

Only workers registered in this term had their rows deleted when they went. Now the row is also deleted when recovery no longer waits for a worker that isn't registered. If it is listed later, register_worker takes the row off the deletions, and it is recorded again before it is given tasks, as before.

Before (tests/recovery.rs): gone_worker_delays_only_one_failover "left: 3 right: 2" rows; row_of_replaced_incarnation_is_deleted "left: 4 right: 3" with w0@1000 beside w0@1700. After: both passed.

--- a/crates/hyssop-policy/src/owner/unreported.rs
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -1,3 +1,4 @@
+use super::worker::row_name;
 use super::{Scheduler, WorkerKey};
 use hyssop_model::work;
 use std::time::Duration;
@@ -104,11 +105,17 @@
         }
     }
 
+    /// Removes a worker from those that are waited for, and deletes its row if it is not registered:
+    /// otherwise each later owner would wait for its leases again. A registered worker may be given
+    /// tasks, and its row is deleted when it is removed.
     fn remove_unreported(&mut self, name: &(String, i64), reason: Reason, now: Duration) {
         if self.unreported_workers.remove(name).is_none() {
             return;
         }
         let (id, incarnation) = name;
+        if self.worker_key(id, *incarnation).is_none() {
+            self.removed_workers.insert(row_name(id, *incarnation));
+        }
         log::info!(
             "event=worker-recovered pool={} term={} worker={id} incarnation={incarnation} \
              reason={reason} left={} after_ms={}",
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -55,6 +55,11 @@
     pub(super) deferred_stops: BTreeMap<String, u64>,
 }
 
+/// Returns the key of the row of a worker's incarnation.
+pub(super) fn row_name(id: &str, incarnation: i64) -> String {
+    format!("{id}@{incarnation}")
+}
+
 impl Worker {
     pub(super) fn new(listing: work::Worker) -> Self {
         Self {
@@ -106,7 +111,7 @@
 
     /// Returns the key of the worker's row, which is unique to this incarnation.
     pub(super) fn row_name(&self) -> String {
-        format!("{}@{}", self.listing.id, self.listing.incarnation)
+        row_name(&self.listing.id, self.listing.incarnation)
     }
 
     pub(super) fn is_evacuating(&self, now: Duration) -> bool {
--- a/crates/hyssop-policy/tests/recovery.rs
+++ b/crates/hyssop-policy/tests/recovery.rs
@@ -100,6 +100,43 @@
     (0..world.workers.len()).find(is_busy).unwrap()
 }
 
+/// The row of a worker that was gone before a failover was kept, and each later failover waited for
+/// the worker's leases again.
+#[test]
+fn gone_worker_delays_only_one_failover() {
+    let mut world = busy_pool(34, 30_000);
+    let gone = busy_worker(&world);
+    world.workers[gone].is_up = false;
+    world.set_listed(gone, false);
+    world.kill_owner();
+    world.start_owner();
+    world.run(7_000);
+    let starts = world.invariants.starts;
+    assert!(starts > TASKS, "the tasks of the gone worker were started");
+    world.kill_owner();
+    world.start_owner();
+    world.run(100);
+    world.submit("00000000000000bb", job(1, 1, 100));
+    world.run(500);
+    assert_eq!(world.recorded_workers().len(), 2);
+    assert_eq!(world.phase("00000000000000bb"), Some(Phase::Done));
+}
+
+/// The row of an incarnation that a later one had replaced was kept.
+#[test]
+fn row_of_replaced_incarnation_is_deleted() {
+    let mut world = busy_pool(35, 10_000);
+    let number = busy_worker(&world);
+    world.kill_owner();
+    let now_ms = world.now_ms;
+    world.workers[number].restart(now_ms);
+    world.start_owner();
+    world.run(1_000);
+    let rows = world.recorded_workers();
+    assert_eq!(rows.len(), 3, "{rows:?}");
+    assert!(rows.contains(&format!("w{number}@{now_ms}")), "{rows:?}");
+}
+
 /// An outdated registry entry ended the wait for a later incarnation, which still ran tasks.
 #[test]
 fn outdated_entry_does_not_replace_later_incarnation() {
