Keep the row of an unlisted worker until its inherited leases expire

Callers would see a task run twice after two failovers in a row: a worker that was listed when the first new owner read the registry, didn't answer it and then left the registry was removed with its row at once, since this term had granted it no lease. The second new owner didn't know of it and started its tasks while they ran there.

A worker that recovery waits for is now registered with the end of the leases that an earlier owner may have granted, so expire_leases keeps it, and its row, that long.

After: passed.

--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -35,6 +35,7 @@
         let key = WorkerKey(self.next_worker);
         self.next_worker += 1;
         let mut worker = Worker::new(listing);
+        worker.lease_end = self.inherited_lease_end(&worker);
         for (task, run, lease_end) in inherited {
             worker.lease_end = worker.lease_end.max(lease_end);
             if let Some(entry) = self.task_mut(task) {
--- a/crates/hyssop-policy/src/owner/unreported.rs
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -1,5 +1,5 @@
 use super::worker::row_name;
-use super::{Scheduler, WorkerKey};
+use super::{Scheduler, Worker, WorkerKey};
 use hyssop_model::work;
 use std::time::Duration;
 use strum::Display;
@@ -90,6 +90,16 @@
         self.remove_unreported(name, Reason::Terminated, now);
     }
 
+    /// Returns when the leases that an earlier owner granted to a worker have certainly expired; zero
+    /// if there are none.
+    ///
+    /// Until then the worker's row is kept, even if it is neither listed nor reachable.
+    pub(super) fn inherited_lease_end(&self, worker: &Worker) -> Duration {
+        let name = (worker.listing.id.clone(), worker.listing.incarnation);
+        let lease_end = self.unreported_workers.get(&name).copied();
+        lease_end.unwrap_or(Duration::ZERO)
+    }
+
     /// Stops waiting for earlier incarnations of a worker. A listing may be older than the row that
     /// the previous owner has stored, and proves nothing then.
     pub(super) fn replace_unreported(&mut self, listing: &work::Worker, now: Duration) {
--- a/crates/hyssop-policy/tests/recovery.rs
+++ b/crates/hyssop-policy/tests/recovery.rs
@@ -137,6 +137,24 @@
     assert!(rows.contains(&format!("w{number}@{now_ms}")), "{rows:?}");
 }
 
+/// A worker that became unreachable and left the registry lost its row while it still ran tasks, so
+/// the next owner didn't wait for it.
+#[test]
+fn row_of_unlisted_worker_is_kept_until_its_leases_expire() {
+    let mut world = busy_pool(36, 20_000);
+    let cut = busy_worker(&world);
+    world.workers[cut].is_reachable = false;
+    world.kill_owner();
+    world.start_owner();
+    world.run(300);
+    world.set_listed(cut, false);
+    world.run(1_200);
+    world.kill_owner();
+    world.start_owner();
+    world.run(20_000);
+    assert!(world.invariants.starts > TASKS);
+}
+
 /// An outdated registry entry ended the wait for a later incarnation, which still ran tasks.
 #[test]
 fn outdated_entry_does_not_replace_later_incarnation() {
