Wait for completions that don't fit into a worker's report

Callers would see a finished task run again after a failover: a worker returns its ends 500 at a time, and one with more counted as fully reported after its first report, so tasks whose success was among the rest were started on other workers.

Such a report is applied, but the worker counts as unreported, and runs that are missing from it are not given up, until one with fewer ends has come. The worker is polled meanwhile: each report's ends are acknowledged once stored, and the next ones follow.

The initializers of Report in tests/pace.rs and hyssop-lab got the new field, set to false as their reports are complete; no check changed.

--- a/crates/hyssop-lab/src/measure/owner.rs
+++ b/crates/hyssop-lab/src/measure/owner.rs
@@ -202,6 +202,7 @@
                 incarnation: Some(1),
                 running: Vec::new(),
                 completions,
+                has_more_completions: false,
             };
             let acknowledged = scheduler.worker(worker).map_or(0, |w| w.acknowledgeable());
             stopwatch.run(|| scheduler.receive(worker, report, now, acknowledged, now));
--- a/crates/hyssop-model/src/work/report.rs
+++ b/crates/hyssop-model/src/work/report.rs
@@ -11,6 +11,9 @@
     pub running: Vec<Running>,
     /// The finished runs not yet acknowledged.
     pub completions: Vec<Completion>,
+    /// Whether the worker may have more such completions, which it reports once these are
+    /// acknowledged.
+    pub has_more_completions: bool,
 }
 
 /// One run in progress.
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -40,7 +40,9 @@
         // an error only makes a lease expire earlier.
         worker.clock_offset_ms = Some(report.clock_ms - now.as_millis() as i64);
         worker.acknowledged = worker.acknowledged.max(acknowledged);
-        let is_first_report = !worker.has_reported;
+        // A run that is missing from an incomplete report may be among the completions that follow.
+        let is_complete = !report.has_more_completions;
+        let is_first_report = !worker.has_reported && is_complete;
         if is_first_report {
             worker.has_reported = true;
             self.is_placement_due = true;
@@ -57,8 +59,10 @@
         if is_first_report {
             self.reconcile_inherited_runs(key, sent_at);
         }
-        self.release_unstarted_runs(key, &report.running, sent_at);
-        self.on_complete_report(key, now);
+        if is_complete {
+            self.release_unstarted_runs(key, &report.running, sent_at);
+            self.on_complete_report(key, now);
+        }
         if let Some(worker) = self.workers.get_mut(&key) {
             let deferred_stops = std::mem::take(&mut worker.deferred_stops);
             for (task, run) in deferred_stops {
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -12,7 +12,8 @@
     pub(super) is_listed: bool,
     /// Whether its row is stored, so that the next owner knows that it may run tasks.
     pub(super) is_recorded: bool,
-    /// Whether it has reported in this term, and has therefore seen the term's fencing token.
+    /// Whether it has reported all its runs and completions in this term, and has therefore seen the
+    /// term's fencing token.
     pub(super) has_reported: bool,
     /// The worker's clock minus the owner's, in milliseconds, from the newest report.
     pub(super) clock_offset_ms: Option<i64>,
--- a/crates/hyssop-policy/tests/model/worker.rs
+++ b/crates/hyssop-policy/tests/model/worker.rs
@@ -9,6 +9,8 @@
     /// Whether calls reach it. Runs continue while it is unreachable.
     pub is_reachable: bool,
     pub is_up: bool,
+    /// The maximum number of completions in a report.
+    pub max_completions: usize,
     /// How long its reports take to arrive, beyond the usual time.
     pub report_ms: i64,
     /// Whether the registry has its entry.
@@ -71,6 +73,7 @@
             },
             is_reachable: true,
             is_up: true,
+            max_completions: 500,
             report_ms: 0,
             is_listed: true,
             fails_all: false,
@@ -226,7 +229,11 @@
                     gauge: None,
                 })
                 .collect(),
-            completions: self.completions.clone(),
+            completions: {
+                let reported = self.completions.iter().take(self.max_completions);
+                reported.cloned().collect()
+            },
+            has_more_completions: self.completions.len() >= self.max_completions,
         })
     }
 
--- a/crates/hyssop-policy/tests/pace.rs
+++ b/crates/hyssop-policy/tests/pace.rs
@@ -50,6 +50,7 @@
         incarnation: None,
         running: vec![running(0, tail_ms), running(1, 900.0)],
         completions: Vec::new(),
+        has_more_completions: false,
     };
     let at = Duration::from_millis(at_ms);
     scheduler.receive(key, report, at, 0, at);
--- a/crates/hyssop-policy/tests/recovery.rs
+++ b/crates/hyssop-policy/tests/recovery.rs
@@ -174,3 +174,23 @@
     world.run(20_000);
     assert!(world.invariants.starts > TASKS);
 }
+
+/// Tasks whose success was among the completions that didn't fit into a worker's first report were
+/// started again.
+#[test]
+fn waits_for_completions_beyond_first_report() {
+    let mut world = World::new(38, 2, 12);
+    world.run(200);
+    world.submit(ID, job(1, 12, 500));
+    world.run(300);
+    let busy = busy_worker(&world);
+    world.workers[busy].max_completions = 3;
+    world.is_store_up = false;
+    world.run(700);
+    world.kill_owner();
+    world.is_store_up = true;
+    world.start_owner();
+    world.run(2_000);
+    assert_eq!(world.phase(ID), Some(Phase::Done));
+    assert_eq!(world.invariants.starts, 12);
+}
