--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -40,8 +40,9 @@
         // an error only makes a lease expire earlier.
         worker.clock_offset_ms = Some(report.clock_ms - now.as_millis() as i64);
         worker.acknowledged = worker.acknowledged.max(acknowledged);
-        let name = (worker.listing.id.clone(), worker.listing.incarnation);
-        let is_first_report = !worker.has_reported;
+        // A run that is missing from an incomplete report may be among the completions that follow.
+        let is_complete = !report.has_more_completions;
+        let is_first_report = !worker.has_reported && is_complete;
         if is_first_report {
             worker.has_reported = true;
             self.is_placement_due = true;
@@ -58,8 +59,10 @@
         if is_first_report {
             self.reconcile_inherited_runs(key, sent_at);
         }
-        self.release_unstarted_runs(key, &report.running, sent_at);
-        self.unreported_workers.remove(&name);
+        if is_complete {
+            self.release_unstarted_runs(key, &report.running, sent_at);
+            self.on_complete_report(key, now);
+        }
         if let Some(worker) = self.workers.get_mut(&key) {
             let deferred_stops = std::mem::take(&mut worker.deferred_stops);
             for (task, run) in deferred_stops {
@@ -141,6 +144,7 @@
                 entry.checkpoint.clone_from(&running.checkpoint);
             }
         }
+        let conflict = (!may_adopt && !is_final).then_some(entry.state);
         worker.reserve(
             task,
             Run {
@@ -159,11 +163,40 @@
                 serving_since: (running.percent >= 100.0).then_some(now),
             },
         );
+        if let Some(state) = conflict {
+            self.log_run_conflict(key, &running.task, running.run, state);
+        }
         if !may_adopt {
             self.actions.push(stop());
         }
     }
 
+    /// Logs that a worker has reported a run of a task that is done or assigned to another worker.
+    pub(super) fn log_run_conflict(
+        &self,
+        key: WorkerKey,
+        task: &work::Task,
+        run: u64,
+        state: State,
+    ) {
+        let id = |key: WorkerKey| {
+            let worker = self.workers.get(&key);
+            worker.map_or("removed", |worker| worker.listing.id.as_str())
+        };
+        let (state, other) = match state {
+            State::Placed(assigned) => ("assigned", id(assigned)),
+            State::Done => ("done", "none"),
+            State::Waiting | State::Orphaned => ("waiting", "none"),
+        };
+        log::warn!(
+            "event=run-conflict pool={} term={} task={task} run={run} worker={} state={state} \
+             other_worker={other}",
+            self.pool,
+            self.term,
+            id(key)
+        );
+    }
+
     /// Polls workers for reports: those with runs, those that have not reported in this term, and
     /// those with stored completions that are not acknowledged.
     pub(super) fn poll_workers(&mut self, now: Duration) {
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -13,10 +13,7 @@
     /// proves that the previous one no longer exists.
     pub fn register_worker(&mut self, listing: work::Worker, now: Duration) {
         let inherited = self.replace_incarnation(&listing, now);
-        let is_previous = |(id, incarnation): &(String, i64)| {
-            *id == listing.id && *incarnation != listing.incarnation
-        };
-        self.unreported_workers.retain(|name, _| !is_previous(name));
+        self.replace_unreported(&listing, now);
         if listing.pool != self.pool {
             self.deregister_worker(&listing.id);
             return;
@@ -38,6 +35,7 @@
         let key = WorkerKey(self.next_worker);
         self.next_worker += 1;
         let mut worker = Worker::new(listing);
+        worker.lease_end = self.inherited_lease_end(&worker);
         for (task, run, lease_end) in inherited {
             worker.lease_end = worker.lease_end.max(lease_end);
             if let Some(entry) = self.task_mut(task) {
@@ -139,7 +137,7 @@
         };
         self.removed_workers.insert(worker.row_name());
         let name = (worker.listing.id.clone(), worker.listing.incarnation);
-        self.unreported_workers.remove(&name);
+        self.on_unreported_terminated(&name, now);
         for task in worker.runs.keys() {
             self.requeue(*task, key);
         }
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -12,7 +12,8 @@
     pub(super) is_listed: bool,
     /// Whether its row is stored, so that the next owner knows that it may run tasks.
     pub(super) is_recorded: bool,
-    /// Whether it has reported in this term, and has therefore seen the term's fencing token.
+    /// Whether it has reported all its runs and completions in this term, and has therefore seen the
+    /// term's fencing token.
     pub(super) has_reported: bool,
     /// The worker's clock minus the owner's, in milliseconds, from the newest report.
     pub(super) clock_offset_ms: Option<i64>,
@@ -55,6 +56,11 @@
     pub(super) deferred_stops: BTreeMap<String, u64>,
 }
 
+/// Returns the key of the row of a worker's incarnation.
+pub(super) fn row_name(id: &str, incarnation: i64) -> String {
+    format!("{id}@{incarnation}")
+}
+
 impl Worker {
     pub(super) fn new(listing: work::Worker) -> Self {
         Self {
@@ -106,7 +112,7 @@
 
     /// Returns the key of the worker's row, which is unique to this incarnation.
     pub(super) fn row_name(&self) -> String {
-        format!("{}@{}", self.listing.id, self.listing.incarnation)
+        row_name(&self.listing.id, self.listing.incarnation)
     }
 
     pub(super) fn is_evacuating(&self, now: Duration) -> bool {
