owner: give a worker's next incarnation no task of the previous one

Cause: replace_incarnation reserved the starts that no report had listed on the next incarnation, whatever its labels and capacity, and resend_starts ordered them there before its first report. The hand-over exists because a start on its way reaches the next incarnation, which has the same identifier.

Such runs are now kept as stray: they hold their capacity and keep their task from starting elsewhere, but are never ordered. A report that was requested after the start could last arrive (time of the last sending, now recorded, + IN_FLIGHT) and doesn't list the run frees the task for placement. A listed one is adopted if labels, spread and room suit it, and stopped otherwise; its task waits for its end. The same check applies to any adopted run. Stops are repeated on the next incarnation. A start that was never sent frees its task at once. A next incarnation in another pool can't be asked, so its strays wait for the longest lease; before, their tasks started elsewhere at once. Its lease may be as long as the worker permits, since its clock starts anew.

Evidence: 9 of the 10 tests of incarnations.rs failed before, e.g. start_is_not_repeated_on_next_incarnation: left: [(WorkerKey(1), TaskKey { .. }, 1), ..] right: [] and task_whose_start_may_reach_next_incarnation_in_another_pool_waits_..: left: [(WorkerKey(1), TaskKey { .. }, 2), ..] right: []

--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -52,6 +52,7 @@
     Timing {
         scheduler: owner::Settings {
             lease: LEASE.min(max_lease),
+            max_lease,
             job_retention: Duration::from_secs_f64(settings.bounds.status_s)
                 + Duration::from_secs(10),
             ..owner::Settings::default()
--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -133,15 +133,17 @@
         let job = self.jobs.get(&task.job)?;
         let state = self.workers.get_mut(&worker)?;
         let is_wanted = !job.phase.is_final()
-            && state
-                .runs
-                .get(&task)
-                .is_some_and(|entry| entry.number == run && entry.stopping_at.is_none());
+            && state.runs.get(&task).is_some_and(|entry| {
+                entry.number == run && entry.stopping_at.is_none() && !entry.is_stray
+            });
         if !is_wanted {
             return None;
         }
         let until_ms = state.clock_ms(now)? + lease.as_millis() as i64;
         state.lease_end = state.lease_end.max(now + span);
+        if let Some(entry) = state.runs.get_mut(&task) {
+            entry.sent_at = Some(now);
+        }
         let stage = job.stage(task.occurrence, task.step)?;
         Some(dialect::Start {
             worker: state.listing.id.clone(),
--- a/crates/hyssop-policy/src/owner/permit.rs
+++ b/crates/hyssop-policy/src/owner/permit.rs
@@ -1,3 +1,4 @@
+use super::residual::free_cpu;
 use super::{Action, Scheduler, TaskKey, WorkerKey};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -63,7 +64,7 @@
                 worker.accepts_tasks(now)
                     && (!permit.answered_workers.contains(key) || is_expired(key))
             })
-            .map(|(key, worker)| (worker.listing.capacity.cpu - worker.used.cpu, *key))
+            .map(|(key, worker)| (free_cpu(worker), *key))
             .collect();
         candidates.sort_unstable_by(|a, b| b.cmp(a));
         let workers: Vec<WorkerKey> = candidates
--- a/crates/hyssop-policy/src/owner/placement.rs
+++ b/crates/hyssop-policy/src/owner/placement.rs
@@ -295,6 +295,8 @@
                     may_have_started: false,
                     is_confirmed: false,
                     is_reported: false,
+                    sent_at: None,
+                    is_stray: false,
                     stopping_at: None,
                     stop_confirmed_at: None,
                     percent: 0.0,
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -55,9 +55,7 @@
         for completion in completions {
             self.apply_completion(key, completion, now);
         }
-        if is_first_report {
-            self.reconcile_inherited_runs(key, sent_at);
-        }
+        self.settle_strays(key, sent_at);
         self.release_unstarted_runs(key, &report.running, sent_at);
         self.unreported_workers.remove(&name);
         if let Some(worker) = self.workers.get_mut(&key) {
@@ -108,6 +106,7 @@
             if run.number == running.run {
                 run.is_confirmed = true;
                 run.is_reported = true;
+                let was_stray = std::mem::take(&mut run.is_stray);
                 if running.percent != run.percent {
                     run.percent = running.percent;
                     run.progressed_at = now;
@@ -117,6 +116,9 @@
                 } else {
                     run.serving_since = None;
                 }
+                if was_stray && !self.is_suitable(key, task) {
+                    self.stop_task(key, task, now);
+                }
                 return;
             }
             if run.number > running.run {
@@ -151,6 +153,8 @@
                 may_have_started: false,
                 is_confirmed: true,
                 is_reported: true,
+                sent_at: None,
+                is_stray: false,
                 stopping_at: (!may_adopt).then_some(now),
                 stop_confirmed_at: None,
                 percent: running.percent,
@@ -161,14 +165,52 @@
         );
         if !may_adopt {
             self.actions.push(stop());
+        } else if !self.is_suitable(key, task) {
+            self.stop_task(key, task, now);
+        }
+    }
+
+    /// Returns whether a worker that runs a task satisfies the task's requirements.
+    ///
+    /// It need not if the start was sent to a previous incarnation, which may have been of another
+    /// kind.
+    fn is_suitable(&self, key: WorkerKey, task: TaskKey) -> bool {
+        let (Some(worker), Some(job)) = (self.workers.get(&key), self.jobs.get(&task.job)) else {
+            return false;
+        };
+        let Some(step) = job.step(task.step) else {
+            return false;
+        };
+        let has_label = step
+            .label
+            .as_ref()
+            .is_none_or(|label| worker.listing.labels.contains(label));
+        let siblings = worker.runs.range(task.siblings());
+        let siblings = siblings
+            .filter(|(_, run)| run.stopping_at.is_none())
+            .count();
+        let is_spread = step.max_per_worker == 0 || siblings <= step.max_per_worker as usize;
+        let is_suitable = has_label && is_spread && worker.has_room_for_runs();
+        if !is_suitable {
+            log::info!(
+                "event=run-unsuitable pool={} worker={} incarnation={} job={} step={} index={} \
+                 has_label={has_label} is_spread={is_spread}",
+                self.pool,
+                worker.listing.id,
+                worker.listing.incarnation,
+                job.id,
+                task.step,
+                task.index
+            );
         }
+        is_suitable
     }
 
     /// Polls workers for reports: those with runs, those that have not reported in this term, and
     /// those with stored completions that are not acknowledged.
     pub(super) fn poll_workers(&mut self, now: Duration) {
         for (key, worker) in &mut self.workers {
-            if worker.is_polling {
+            if worker.is_polling || worker.has_departed {
                 continue;
             }
             let since = now.saturating_sub(worker.polled_at);
@@ -201,6 +243,10 @@
             } else {
                 Duration::ZERO
             };
+            // The report is requested as soon as it can show what became of stray runs.
+            let wait = worker
+                .strays_settle_at()
+                .map_or(wait, |at| wait.min(at.saturating_sub(now)));
             self.actions.push(Action::Renew {
                 worker: *key,
                 wait,
--- a/crates/hyssop-policy/src/owner/residual.rs
+++ b/crates/hyssop-policy/src/owner/residual.rs
@@ -46,6 +46,7 @@
     }
 }
 
-fn free_cpu(worker: &Worker) -> u64 {
+/// Returns a worker's free CPU, 0 if its runs take more than its capacity.
+pub(super) fn free_cpu(worker: &Worker) -> u64 {
     worker.listing.capacity.cpu.saturating_sub(worker.used.cpu)
 }
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -4,21 +4,20 @@
 use hyssop_model::work;
 use std::time::Duration;
 
-/// The longest time that an order can be in flight; after it, the order has arrived or its
-/// connection is broken.
-const IN_FLIGHT: Duration = Duration::from_millis(700);
-
 impl Scheduler {
     /// Registers a worker or updates its registration. A new incarnation under the same identifier
     /// proves that the previous one no longer exists.
     pub fn register_worker(&mut self, listing: work::Worker, now: Duration) {
-        let inherited = self.replace_incarnation(&listing, now);
+        let strays = self.replace_incarnation(&listing, now);
         let is_previous = |(id, incarnation): &(String, i64)| {
             *id == listing.id && *incarnation != listing.incarnation
         };
         self.unreported_workers.retain(|name, _| !is_previous(name));
         if listing.pool != self.pool {
             self.deregister_worker(&listing.id);
+            if !strays.is_empty() {
+                self.insert_departed_worker(listing, strays, now);
+            }
             return;
         }
         if self
@@ -35,30 +34,38 @@
             }
             return;
         }
+        let key = self.insert_worker(Worker::new(listing));
+        self.assign_strays(key, strays, now);
+    }
+
+    fn insert_worker(&mut self, worker: Worker) -> WorkerKey {
         let key = WorkerKey(self.next_worker);
         self.next_worker += 1;
-        let mut worker = Worker::new(listing);
-        for (task, run, lease_end) in inherited {
-            worker.lease_end = worker.lease_end.max(lease_end);
-            if let Some(entry) = self.task_mut(task) {
-                entry.state = State::Placed(key);
-            }
-            worker.reserve(task, run);
-        }
         self.removed_workers.remove(&worker.row_name());
         self.workers.insert(key, worker);
+        key
     }
 
-    /// Removes the previous incarnations of a worker.
+    /// Keeps the tasks that a worker may run although it has joined another pool, until their leases
+    /// have expired.
     ///
-    /// Runs that one of their reports has listed are gone. A start that no report has listed may
-    /// have reached the new incarnation, which has the same identifier. Such runs are returned with
-    /// the expiry times of their leases, and reconciled by the first report of the new incarnation.
-    fn replace_incarnation(
-        &mut self,
-        listing: &work::Worker,
-        now: Duration,
-    ) -> Vec<(TaskKey, Run, Duration)> {
+    /// It is not polled: the fencing token of this pool's owner means nothing to the other's.
+    fn insert_departed_worker(&mut self, listing: work::Worker, strays: Vec<Stray>, now: Duration) {
+        let worker = Worker {
+            is_listed: false,
+            has_departed: true,
+            unreachable_since: Some(now),
+            ..Worker::new(listing)
+        };
+        let key = self.insert_worker(worker);
+        self.assign_strays(key, strays, now);
+    }
+
+    /// Removes the previous incarnations of a worker and returns their runs that may have started on
+    /// the new incarnation, which has the same identifier.
+    ///
+    /// All other runs of them are gone.
+    fn replace_incarnation(&mut self, listing: &work::Worker, now: Duration) -> Vec<Stray> {
         let previous: Vec<WorkerKey> = self
             .workers
             .iter()
@@ -66,43 +73,84 @@
             .filter(|(_, worker)| worker.listing.incarnation != listing.incarnation)
             .map(|(key, _)| *key)
             .collect();
-        let is_same_pool = listing.pool == self.pool;
-        let mut inherited = Vec::new();
+        let mut strays = Vec::new();
         for key in previous {
-            let unreported: Vec<TaskKey> = self.workers[&key]
+            let Some(worker) = self.workers.get_mut(&key) else {
+                continue;
+            };
+            let tasks: Vec<TaskKey> = worker
                 .runs
                 .iter()
-                .filter(|(_, run)| is_same_pool && !run.is_reported && run.stopping_at.is_none())
+                .filter(|(_, run)| run.may_reach_next(now))
                 .map(|(task, _)| *task)
                 .collect();
-            for task in unreported {
-                let Some(worker) = self.workers.get_mut(&key) else {
-                    continue;
-                };
-                let lease_end = worker.lease_end;
-                if let Some(mut run) = worker.unreserve(task) {
-                    run.is_confirmed = false;
-                    run.may_have_started = true;
-                    inherited.push((task, run, lease_end));
+            for task in tasks {
+                if let Some(run) = worker.unreserve(task) {
+                    strays.push(Stray {
+                        task,
+                        run,
+                        previous: key,
+                    });
                 }
             }
             self.remove_worker(key, now);
         }
-        inherited
+        strays
     }
 
-    /// Requeues the inherited runs that are missing from the first report of a new incarnation.
+    /// Assigns stray runs to the worker's new incarnation, so that their tasks are not started
+    /// elsewhere until a report shows what became of them.
     ///
-    /// Starts ordered too shortly before that report are repeated instead, with the same run
-    /// number.
-    pub(super) fn reconcile_inherited_runs(&mut self, key: WorkerKey, sent_at: Duration) {
+    /// They are not ordered there: only placement gives tasks to an incarnation. Stops are repeated,
+    /// so that a start that arrives later is rejected.
+    fn assign_strays(&mut self, key: WorkerKey, strays: Vec<Stray>, now: Duration) {
+        let max_lease_span = self.settings.max_lease_span();
+        for stray in strays {
+            let Stray {
+                task,
+                run,
+                previous,
+            } = stray;
+            if let Some(entry) = self.task_mut(task) {
+                if entry.state == State::Placed(previous) {
+                    entry.state = State::Placed(key);
+                }
+            }
+            let is_stopping = run.stopping_at.is_some();
+            let Some(worker) = self.workers.get_mut(&key) else {
+                return;
+            };
+            if let Some(until) = run.arrives_until() {
+                worker.lease_end = worker.lease_end.max(until + max_lease_span);
+            }
+            worker.reserve(
+                task,
+                Run {
+                    is_stray: true,
+                    is_confirmed: false,
+                    is_reported: false,
+                    stopping_at: None,
+                    stop_confirmed_at: None,
+                    ..run
+                },
+            );
+            if is_stopping && !worker.has_departed {
+                self.stop_task(key, task, now);
+            }
+        }
+    }
+
+    /// Requeues the stray runs that are missing from a report requested after their starts could
+    /// last arrive.
+    pub(super) fn settle_strays(&mut self, key: WorkerKey, sent_at: Duration) {
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
         let missing: Vec<TaskKey> = worker
             .runs
             .iter()
-            .filter(|(_, run)| !run.is_reported && run.start_attempted_at + IN_FLIGHT <= sent_at)
+            .filter(|(_, run)| run.is_stray)
+            .filter(|(_, run)| run.arrives_until().is_none_or(|until| until <= sent_at))
             .map(|(task, _)| *task)
             .collect();
         for task in missing {
@@ -241,3 +289,10 @@
         }
     }
 }
+
+/// A run whose start was sent to a previous incarnation of a worker.
+struct Stray {
+    task: TaskKey,
+    run: Run,
+    previous: WorkerKey,
+}
--- a/crates/hyssop-policy/src/owner/settings.rs
+++ b/crates/hyssop-policy/src/owner/settings.rs
@@ -5,6 +5,9 @@
 pub struct Settings {
     /// The duration of a worker's lease, counted from each extension.
     pub lease: Duration,
+    /// The bound that workers set to a lease. A lease granted in the time of a previous incarnation's
+    /// clock may last as long.
+    pub max_lease: Duration,
     /// Added to the end of a lease before the runs of an unreachable worker count as ended; covers
     /// the error in the estimate of the worker's clock.
     pub lease_slack: Duration,
@@ -35,6 +38,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(3_500),
+            max_lease: Duration::from_millis(6_000),
             lease_slack: Duration::from_millis(250),
             clock_drift: 1.025,
             authority: Duration::from_millis(2_000),
@@ -54,4 +58,10 @@
     pub fn lease_span(&self) -> Duration {
         self.lease.mul_f64(self.clock_drift) + self.lease_slack
     }
+
+    /// Returns the time after the arrival of an order at which any lease granted by it has certainly
+    /// expired, whatever its end on the worker's clock.
+    pub fn max_lease_span(&self) -> Duration {
+        self.max_lease.mul_f64(self.clock_drift) + self.lease_slack
+    }
 }
--- a/crates/hyssop-policy/src/owner/start.rs
+++ b/crates/hyssop-policy/src/owner/start.rs
@@ -175,6 +175,7 @@
                 };
                 if run.stopping_at.is_none()
                     && !run.is_confirmed
+                    && !run.is_stray
                     && now.saturating_sub(run.start_attempted_at) >= pause
                 {
                     // Leaves time for the call, so that the start is not repeated meanwhile.
@@ -233,14 +234,14 @@
             return;
         };
         let name = super::order::task_name(job, task);
-        let Some(run) = self
-            .workers
-            .get_mut(&key)
-            .and_then(|worker| worker.runs.get_mut(&task))
-        else {
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
+        let has_departed = worker.has_departed;
+        let Some(run) = worker.runs.get_mut(&task) else {
             return;
         };
-        if run.stopping_at.is_some() {
+        if run.stopping_at.is_some() || has_departed {
             return;
         }
         run.stopping_at = Some(now);
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -10,6 +10,8 @@
     pub listing: work::Worker,
     /// Whether the registry still lists the worker.
     pub(super) is_listed: bool,
+    /// Whether this incarnation belongs to another pool and is kept only for its stray runs.
+    pub(super) has_departed: bool,
     /// Whether its row is stored, so that the next owner knows that it may run tasks.
     pub(super) is_recorded: bool,
     /// Whether it has reported in this term, and has therefore seen the term's fencing token.
@@ -60,6 +62,7 @@
         Self {
             listing,
             is_listed: true,
+            has_departed: false,
             is_recorded: false,
             has_reported: false,
             clock_offset_ms: None,
@@ -143,6 +146,24 @@
         }
     }
 
+    /// Returns whether the worker has the capacity for all of its runs but those being stopped.
+    pub(super) fn has_room_for_runs(&self) -> bool {
+        let mut used = work::Resources::default();
+        for run in self.runs.values().filter(|run| run.stopping_at.is_none()) {
+            used.add(&run.reserved);
+        }
+        self.listing
+            .capacity
+            .fits(&used, &work::Resources::default())
+    }
+
+    /// Returns the earliest time at which a report shows whether a stray run has started, `None` if
+    /// there is no such run.
+    pub(super) fn strays_settle_at(&self) -> Option<Duration> {
+        let strays = self.runs.values().filter(|run| run.is_stray);
+        strays.filter_map(Run::arrives_until).min()
+    }
+
     pub(super) fn unreserve(&mut self, task: TaskKey) -> Option<Run> {
         let run = self.runs.remove(&task)?;
         self.used.remove(&run.reserved);
@@ -150,6 +171,10 @@
     }
 }
 
+/// The longest time that an order can be in flight; after it, the order has arrived or its
+/// connection is broken.
+const IN_FLIGHT: Duration = Duration::from_millis(700);
+
 /// A run on a worker, from its start order until its outcome is reported.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
@@ -164,6 +189,11 @@
     pub(super) is_confirmed: bool,
     /// Whether a report has listed it, which proves that this incarnation runs it.
     pub(super) is_reported: bool,
+    /// When its start was last sent in this term, `None` if never.
+    pub(super) sent_at: Option<Duration>,
+    /// Whether its start was sent to a previous incarnation of the worker and may have reached this
+    /// one, which was not given the task.
+    pub(super) is_stray: bool,
     /// When it was first ordered to stop.
     pub(super) stopping_at: Option<Duration>,
     /// When the worker confirmed the stop. A report requested later lists the run or its
@@ -177,3 +207,18 @@
     /// When its progress reached 100 percent; a long-running task serves from then on.
     pub(super) serving_since: Option<Duration>,
 }
+
+impl Run {
+    /// Returns the time after which its start can't reach a worker any more, `None` if it was never
+    /// sent in this term.
+    pub(super) fn arrives_until(&self) -> Option<Duration> {
+        self.sent_at.map(|sent_at| sent_at + IN_FLIGHT)
+    }
+
+    /// Returns whether its start may reach the worker's next incarnation, which has the same
+    /// identifier, or has done so.
+    pub(super) fn may_reach_next(&self, now: Duration) -> bool {
+        self.arrives_until()
+            .is_some_and(|until| !self.is_reported || now < until)
+    }
+}
--- /dev/null
+++ b/crates/hyssop-policy/tests/incarnations.rs
@@ -0,0 +1,362 @@
+//! Workers that start again under the identifier that they had.
+
+mod model;
+
+use hyssop_model::work::{self, Completion, Outcome, Report, Running, Submission, Task};
+use hyssop_platform::dialect::StartOutcome;
+use hyssop_policy::owner::{Action, Scheduler, Settings, StartResult, TaskKey, WorkerKey};
+use model::{configuration, job};
+use std::time::Duration;
+
+const ID: &str = "00000000000000aa";
+/// The start of the first incarnation of every worker, in Unix milliseconds.
+const FIRST_BORN: i64 = 1_000;
+const NEXT_BORN: i64 = 1_100;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Returns the registration of a worker's incarnation.
+fn listing(id: &str, born: i64) -> work::Worker {
+    work::Worker {
+        incarnation: born,
+        ..model::worker(id)
+    }
+}
+
+fn report(born: i64) -> Report {
+    Report {
+        clock_ms: 10,
+        incarnation: Some(born),
+        ..Report::default()
+    }
+}
+
+fn task() -> Task {
+    Task {
+        job: ID.to_owned(),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
+
+fn running(run: u64) -> Running {
+    Running {
+        task: task(),
+        run,
+        checkpoint: String::new(),
+        percent: 10.0,
+        gauge: None,
+    }
+}
+
+fn ended(run: u64, outcome: Outcome) -> Completion {
+    Completion {
+        number: 1,
+        task: task(),
+        run,
+        outcome,
+        checkpoint: String::new(),
+    }
+}
+
+/// A scheduler with one worker `w0`, and the start of the only task of a job that was sent to it.
+struct Setting {
+    scheduler: Scheduler,
+    worker: WorkerKey,
+    task: TaskKey,
+    run: u64,
+}
+
+impl Setting {
+    fn new(submission: Submission) -> Self {
+        let mut setting = Self::unsent(submission);
+        let (worker, task, run) = (setting.worker, setting.task, setting.run);
+        let order = setting.scheduler.order(worker, task, run, at(1_020));
+        assert!(order.is_some(), "the start is sent");
+        setting
+    }
+
+    /// As `new`, with a start that was ordered but not sent yet.
+    fn unsent(submission: Submission) -> Self {
+        let mut scheduler = Scheduler::new("pool", 1, Settings::default());
+        scheduler.configure(&configuration(false));
+        scheduler.register_worker(listing("w0", FIRST_BORN), at(1_000));
+        let first = report(FIRST_BORN);
+        scheduler.receive(WorkerKey(0), first, at(1_000), 0, at(1_000));
+        let mut setting = Self {
+            scheduler,
+            worker: WorkerKey(0),
+            task: TaskKey {
+                job: hyssop_policy::owner::JobKey(0),
+                occurrence: 0,
+                step: 0,
+                index: 0,
+            },
+            run: 0,
+        };
+        setting.commit(1_000);
+        setting
+            .scheduler
+            .submit(ID, "queue", submission, Duration::ZERO, at(1_000), 1_000);
+        setting.commit(1_000);
+        let starts = setting.starts(1_020);
+        assert_eq!(starts.len(), 1);
+        (setting.worker, setting.task, setting.run) = starts[0];
+        setting
+    }
+
+    /// Stores all changes.
+    fn commit(&mut self, ms: u64) {
+        while self.scheduler.next_batch(at(ms)).is_some() {
+            self.scheduler.on_commit(at(ms));
+        }
+    }
+
+    /// Registers a worker that has reported and may be given tasks.
+    fn join(&mut self, listing: work::Worker, ms: u64) -> WorkerKey {
+        let (id, born) = (listing.id.clone(), listing.incarnation);
+        self.scheduler.register_worker(listing, at(ms));
+        let key = self.key(&id, born);
+        self.scheduler.receive(key, report(born), at(ms), 0, at(ms));
+        self.commit(ms);
+        key
+    }
+
+    /// Returns the key of a worker's incarnation.
+    fn key(&self, id: &str, born: i64) -> WorkerKey {
+        self.find(id, born).expect("a known incarnation")
+    }
+
+    fn find(&self, id: &str, born: i64) -> Option<WorkerKey> {
+        (0..100).map(WorkerKey).find(|key| {
+            self.scheduler
+                .worker(*key)
+                .is_some_and(|worker| worker.listing.id == id && worker.listing.incarnation == born)
+        })
+    }
+
+    fn advance(&mut self, ms: u64) -> Vec<Action> {
+        self.commit(ms);
+        self.scheduler.advance(at(ms), ms as i64)
+    }
+
+    /// Returns the starts ordered at `ms`.
+    fn starts(&mut self, ms: u64) -> Vec<(WorkerKey, TaskKey, u64)> {
+        let start = |action| match action {
+            Action::Start { worker, task, run } => Some((worker, task, run)),
+            _ => None,
+        };
+        self.advance(ms).into_iter().filter_map(start).collect()
+    }
+
+    /// Returns the starts ordered from `from` to `to`.
+    fn starts_within(&mut self, from: u64, to: u64) -> Vec<(WorkerKey, TaskKey, u64)> {
+        (from..=to)
+            .step_by(20)
+            .flat_map(|ms| self.starts(ms))
+            .collect()
+    }
+
+    fn receive(&mut self, key: WorkerKey, report: Report, sent: u64, now: u64) {
+        self.scheduler.receive(key, report, at(sent), 0, at(now));
+    }
+}
+
+/// A start was repeated on the next incarnation, which lacked the label, before its first report.
+#[test]
+fn start_is_not_repeated_on_next_incarnation() {
+    let mut submission = job(1, 1, 900);
+    submission.steps[0].label = Some("kind".to_owned());
+    let mut setting = Setting::new(submission);
+    let mut next = listing("w0", NEXT_BORN);
+    next.labels[0] = "other".to_owned();
+    setting.scheduler.register_worker(next, at(1_100));
+    assert_eq!(setting.starts_within(1_100, 4_000), []);
+}
+
+#[test]
+fn start_that_was_never_sent_does_not_wait_for_next_incarnation() {
+    let mut setting = Setting::unsent(job(1, 1, 900));
+    let other = setting.join(listing("w1", FIRST_BORN), 1_050);
+    let next = listing("w0", NEXT_BORN);
+    setting.scheduler.register_worker(next, at(1_100));
+    let starts = setting.starts_within(1_100, 1_140);
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].0, other);
+}
+
+/// A report was taken for proof that a start had not arrived although it could still arrive.
+#[test]
+fn task_whose_start_may_reach_next_incarnation_is_not_started_elsewhere() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    let other = setting.join(listing("w1", FIRST_BORN), 1_050);
+    let next = listing("w0", NEXT_BORN);
+    setting.scheduler.register_worker(next, at(1_100));
+    let key = setting.key("w0", NEXT_BORN);
+    setting.receive(key, report(NEXT_BORN), 1_100, 1_105);
+    assert_eq!(setting.starts_within(1_110, 1_500), []);
+    setting.receive(key, report(NEXT_BORN), 1_700, 1_705);
+    assert_eq!(setting.starts_within(1_710, 1_750), [], "sent too soon");
+    setting.receive(key, report(NEXT_BORN), 1_730, 1_760);
+    let starts = setting.starts_within(1_770, 1_830);
+    assert_eq!(starts.len(), 1, "the start has not arrived");
+    assert!(starts[0].0 == other || starts[0].0 == key);
+    assert!(starts[0].2 > setting.run, "a start of its own: {starts:?}");
+}
+
+/// Runs of the previous incarnation were polled for at the pace of running tasks.
+#[test]
+fn next_incarnation_is_asked_as_soon_as_no_start_can_arrive() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    let next = listing("w0", NEXT_BORN);
+    setting.scheduler.register_worker(next, at(1_100));
+    let key = setting.key("w0", NEXT_BORN);
+    setting.advance(1_100);
+    setting.receive(key, report(NEXT_BORN), 1_100, 1_105);
+    let waits: Vec<Duration> = setting
+        .advance(1_400)
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Renew { worker, wait, .. } if worker == key => Some(wait),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(waits, [at(320)], "1,020 + 700 - 1,400");
+}
+
+/// Returns a setting whose start has reached the next incarnation, and the key of that.
+fn arrived(submission: Submission, next: work::Worker) -> (Setting, WorkerKey) {
+    let mut setting = Setting::new(submission);
+    setting.join(listing("w1", FIRST_BORN), 1_050);
+    setting.scheduler.register_worker(next, at(1_100));
+    let key = setting.key("w0", NEXT_BORN);
+    let listed = Report {
+        running: vec![running(setting.run)],
+        ..report(NEXT_BORN)
+    };
+    setting.receive(key, listed, 1_200, 1_205);
+    (setting, key)
+}
+
+#[test]
+fn run_that_reached_suitable_next_incarnation_goes_on() {
+    let (mut setting, _) = arrived(job(1, 1, 900), listing("w0", NEXT_BORN));
+    let actions = setting.advance(1_210);
+    let is_order = |action: &Action| matches!(action, Action::Start { .. } | Action::Stop { .. });
+    assert!(!actions.iter().any(is_order), "{actions:?}");
+}
+
+/// Checks that a run on the next incarnation is stopped, and that its task starts elsewhere only
+/// after the end of the run.
+fn check_is_stopped(mut setting: Setting, key: WorkerKey) {
+    let run = setting.run;
+    let stops: Vec<Action> = setting
+        .advance(1_210)
+        .into_iter()
+        .filter(|action| matches!(action, Action::Start { .. } | Action::Stop { .. }))
+        .collect();
+    let stop = Action::Stop {
+        worker: key,
+        task: format!("{ID}.0.0.0"),
+        run,
+    };
+    assert_eq!(stops, [stop]);
+    let listed = Report {
+        running: vec![running(run)],
+        ..report(NEXT_BORN)
+    };
+    setting.receive(key, listed, 1_900, 1_905);
+    assert_eq!(setting.starts_within(1_910, 2_000), []);
+    let stopped = Report {
+        completions: vec![ended(run, Outcome::Stopped)],
+        ..report(NEXT_BORN)
+    };
+    setting.receive(key, stopped, 2_000, 2_005);
+    let starts = setting.starts_within(2_010, 2_050);
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].0, setting.key("w1", FIRST_BORN));
+}
+
+/// A run that reached an incarnation without the required label was left there.
+#[test]
+fn run_on_next_incarnation_without_label_is_stopped() {
+    let mut submission = job(1, 1, 900);
+    submission.steps[0].label = Some("kind".to_owned());
+    let mut next = listing("w0", NEXT_BORN);
+    next.labels[0] = "other".to_owned();
+    let (setting, key) = arrived(submission, next);
+    check_is_stopped(setting, key);
+}
+
+/// A run that reached an incarnation with too little capacity was left there.
+#[test]
+fn run_on_next_incarnation_without_room_is_stopped() {
+    let mut next = listing("w0", NEXT_BORN);
+    next.capacity.cpu = 500;
+    let (setting, key) = arrived(job(1, 1, 900), next);
+    check_is_stopped(setting, key);
+}
+
+/// A run that was being stopped was taken for gone, and could start on the next incarnation.
+#[test]
+fn stop_is_repeated_on_next_incarnation() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    setting.scheduler.cancel(ID, at(1_050));
+    setting.advance(1_060);
+    let next = listing("w0", NEXT_BORN);
+    setting.scheduler.register_worker(next, at(1_100));
+    let stop = Action::Stop {
+        worker: setting.key("w0", NEXT_BORN),
+        task: format!("{ID}.0.0.0"),
+        run: setting.run,
+    };
+    assert!(setting.advance(1_110).contains(&stop));
+}
+
+/// A worker that had joined another pool was taken for unable to run an order on its way.
+#[test]
+fn task_whose_start_may_reach_next_incarnation_in_another_pool_waits_for_its_lease() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    let other = setting.join(listing("w1", FIRST_BORN), 1_050);
+    let mut next = listing("w0", NEXT_BORN);
+    next.pool = "another".to_owned();
+    setting.scheduler.register_worker(next, at(1_100));
+    assert_eq!(setting.starts_within(1_100, 4_800), []);
+    let starts = setting.starts_within(4_820, 9_000);
+    assert_eq!(starts.len(), 1, "the lease is over at 8,120 ms");
+    assert_eq!(starts[0].0, other);
+}
+
+/// An answer to an order to the previous incarnation must not count for the next one.
+#[test]
+fn late_answers_of_previous_incarnation_change_nothing() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    setting.join(listing("w1", FIRST_BORN), 1_050);
+    let previous = setting.worker;
+    let next = listing("w0", NEXT_BORN);
+    setting.scheduler.register_worker(next, at(1_100));
+    let key = setting.key("w0", NEXT_BORN);
+    let (task, run) = (setting.task, setting.run);
+    for result in [
+        StartResult::Answered(StartOutcome::Done(Some(5))),
+        StartResult::Answered(StartOutcome::Full),
+        StartResult::Unsent,
+    ] {
+        let scheduler = &mut setting.scheduler;
+        scheduler.on_start_result(previous, task, run, result, at(1_110));
+    }
+    let name = format!("{ID}.0.0.0");
+    let scheduler = &mut setting.scheduler;
+    scheduler.on_stop_result(previous, &name, run, true, at(1_120));
+    let late = Report {
+        completions: vec![ended(run, Outcome::Failed)],
+        ..report(FIRST_BORN)
+    };
+    setting.receive(previous, late, 1_090, 1_130);
+    assert!(setting.scheduler.order(key, task, run, at(1_130)).is_none());
+    assert_eq!(setting.starts_within(1_130, 1_500), []);
+    assert_eq!(setting.find("w0", FIRST_BORN), None);
+}
