owner: an earlier incarnation does not replace the live one

Callers would see subtasks run twice: when the registry was behind (after its history was lost, or an entry written late), the entry of an ended incarnation replaced the live one, whose runs were started elsewhere while they went on. A new owner dropped a recorded incarnation from those it waits for when an older entry was read. And a worker known only from its report was given tasks by the labels of its previous incarnation, although a new one may be of another kind.

Cause: register_worker took any different incarnation for a newer one.

Only a later incarnation replaces an earlier one now. A worker's clock may be set back before it starts again, so an earlier one is kept as a rival: the worker is polled at once, gets no task meanwhile, and its next report, requested after that, decides; the loser is not believed again. A report always decides, since the worker itself answers now, but its incarnation gets tasks only when the registry has listed it with its labels. A report also ends the wait for all recorded incarnations of its worker; a registration only for earlier ones.

Evidence: seven tests of incarnations.rs failed before, e.g. older_registration_does_not_replace_live_incarnation: left: [(WorkerKey(1), TaskKey { .. }, 2)] right: [] restarted_worker_with_clock_set_back_is_found_by_its_report: left: [WorkerKey(1)] right: [WorkerKey(0)]

--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -2,7 +2,7 @@
 use super::job::State;
 use super::worker::Run;
 use super::{Action, Scheduler, TaskKey, WorkerKey};
-use hyssop_model::work::{self, Report, Running};
+use hyssop_model::work::{Report, Running};
 use std::time::Duration;
 
 /// How long completions may wait for the store before the worker is polled regardless.
@@ -24,23 +24,23 @@
         };
         worker.is_polling = false;
         worker.polled_at = now;
-        if report
+        let other = report
             .incarnation
-            .is_some_and(|incarnation| incarnation != worker.listing.incarnation)
-        {
-            let listing = work::Worker {
-                incarnation: report.incarnation.unwrap_or_default(),
-                ..worker.listing.clone()
-            };
-            self.register_worker(listing, now);
+            .filter(|incarnation| *incarnation != worker.listing.incarnation);
+        if let Some(incarnation) = other {
+            self.on_other_incarnation(key, incarnation, now);
             return;
         }
         worker.unreachable_since = None;
+        if worker.disputed_at.is_some_and(|at| at <= sent_at) {
+            worker.disputed_at = None;
+            self.is_placement_due = true;
+        }
         // Reports may arrive out of order, and the delay of a report makes the offset too small, so
         // an error only makes a lease expire earlier.
         worker.clock_offset_ms = Some(report.clock_ms - now.as_millis() as i64);
         worker.acknowledged = worker.acknowledged.max(acknowledged);
-        let name = (worker.listing.id.clone(), worker.listing.incarnation);
+        let id = worker.listing.id.clone();
         let is_first_report = !worker.has_reported;
         if is_first_report {
             worker.has_reported = true;
@@ -57,7 +57,8 @@
         }
         self.settle_strays(key, sent_at);
         self.release_unstarted_runs(key, &report.running, sent_at);
-        self.unreported_workers.remove(&name);
+        // No other incarnation of a worker lives that has answered in this term.
+        self.unreported_workers.retain(|(other, _), _| *other != id);
         if let Some(worker) = self.workers.get_mut(&key) {
             let deferred_stops = std::mem::take(&mut worker.deferred_stops);
             for (task, run) in deferred_stops {
@@ -223,7 +224,10 @@
                 // The commit of the completion is in flight; the next renewal acknowledges it.
                 since >= UNSTORED_PAUSE
             } else {
-                extends || !worker.has_reported || worker.acknowledged < worker.stored
+                extends
+                    || !worker.has_reported
+                    || worker.disputed_at.is_some()
+                    || worker.acknowledged < worker.stored
             };
             if !is_due {
                 continue;
@@ -233,7 +237,8 @@
             let is_starting = worker.runs.iter().any(|(task, run)| {
                 run.is_confirmed && run.serving_since.is_none() && is_long_running(jobs, *task)
             });
-            let wait = if extends && worker.has_reported && !is_unreachable {
+            let is_incarnation_known = worker.has_reported && worker.disputed_at.is_none();
+            let wait = if extends && is_incarnation_known && !is_unreachable {
                 // Other tasks of a long-running step may have to wait until this one is serving.
                 if is_starting {
                     self.settings.start_wait
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -5,14 +5,87 @@
 use std::time::Duration;
 
 impl Scheduler {
-    /// Registers a worker or updates its registration. A new incarnation under the same identifier
+    /// Registers a worker or updates its registration. A later incarnation under the same identifier
     /// proves that the previous one no longer exists.
+    ///
+    /// The registry may be behind, so an earlier incarnation is not believed before the worker itself
+    /// reports it.
     pub fn register_worker(&mut self, listing: work::Worker, now: Duration) {
-        let strays = self.replace_incarnation(&listing, now);
-        let is_previous = |(id, incarnation): &(String, i64)| {
-            *id == listing.id && *incarnation != listing.incarnation
+        let name = (listing.id.clone(), listing.incarnation);
+        if self.terminated_workers.contains(&name) {
+            return;
+        }
+        let doubting = self.workers.iter().find(|(_, worker)| {
+            worker.listing.id == listing.id
+                && !worker.has_departed
+                && worker.doubts(listing.incarnation)
+        });
+        if let Some(key) = doubting.map(|(key, _)| *key) {
+            self.dispute_incarnation(key, listing, now);
+            return;
+        }
+        let is_previous = |incarnation: i64| incarnation < listing.incarnation;
+        let strays = self.replace_incarnations(&listing.id, is_previous, now);
+        self.unreported_workers
+            .retain(|(id, incarnation), _| *id != listing.id || !is_previous(*incarnation));
+        self.insert_incarnation(listing, strays, now);
+    }
+
+    /// Records that the registry lists another incarnation than the known one, whose next report
+    /// decides: a worker's clock may have been set back before it started again.
+    fn dispute_incarnation(&mut self, key: WorkerKey, listing: work::Worker, now: Duration) {
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
         };
-        self.unreported_workers.retain(|name, _| !is_previous(name));
+        let is_known = worker
+            .rival
+            .as_ref()
+            .is_some_and(|rival| rival.incarnation == listing.incarnation);
+        if !is_known {
+            log::info!(
+                "event=registration-disputed pool={} worker={} incarnation={} listed={} at_ms={}",
+                self.pool,
+                listing.id,
+                worker.listing.incarnation,
+                listing.incarnation,
+                now.as_millis()
+            );
+            worker.disputed_at = Some(now);
+        }
+        worker.rival = Some(listing);
+    }
+
+    /// Replaces a worker's known incarnation by the one that has reported.
+    ///
+    /// Its labels and capacity are unknown until the registry lists it, unless it has done so.
+    pub(super) fn on_other_incarnation(&mut self, key: WorkerKey, incarnation: i64, now: Duration) {
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
+        let name = (worker.listing.id.clone(), incarnation);
+        if self.terminated_workers.contains(&name) {
+            worker.unreachable_since.get_or_insert(now);
+            return;
+        }
+        let previous = worker.listing.clone();
+        let rival = worker.rival.take();
+        let listed = rival.filter(|rival| rival.incarnation == incarnation);
+        let is_listed = listed.is_some();
+        let listing = listed.unwrap_or_else(|| work::Worker {
+            incarnation,
+            ..previous.clone()
+        });
+        let strays = self.replace_incarnations(&name.0, |other| other != incarnation, now);
+        self.insert_incarnation(listing, strays, now);
+        let key = self.worker_key(&name.0, incarnation);
+        if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
+            worker.is_listed &= is_listed;
+            worker.rival = Some(previous);
+        }
+    }
+
+    /// Inserts a worker's incarnation or updates its registration.
+    fn insert_incarnation(&mut self, listing: work::Worker, strays: Vec<Stray>, now: Duration) {
         if listing.pool != self.pool {
             self.deregister_worker(&listing.id);
             if !strays.is_empty() {
@@ -20,12 +93,6 @@
             }
             return;
         }
-        if self
-            .terminated_workers
-            .contains(&(listing.id.clone(), listing.incarnation))
-        {
-            return;
-        }
         self.is_placement_due = true;
         if let Some(key) = self.worker_key(&listing.id, listing.incarnation) {
             if let Some(worker) = self.workers.get_mut(&key) {
@@ -65,12 +132,17 @@
     /// the new incarnation, which has the same identifier.
     ///
     /// All other runs of them are gone.
-    fn replace_incarnation(&mut self, listing: &work::Worker, now: Duration) -> Vec<Stray> {
+    fn replace_incarnations(
+        &mut self,
+        id: &str,
+        is_previous: impl Fn(i64) -> bool,
+        now: Duration,
+    ) -> Vec<Stray> {
         let previous: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.listing.id == listing.id)
-            .filter(|(_, worker)| worker.listing.incarnation != listing.incarnation)
+            .filter(|(_, worker)| worker.listing.id == id)
+            .filter(|(_, worker)| is_previous(worker.listing.incarnation))
             .map(|(key, _)| *key)
             .collect();
         let mut strays = Vec::new();
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -10,6 +10,10 @@
     pub listing: work::Worker,
     /// Whether the registry still lists the worker.
     pub(super) is_listed: bool,
+    /// The last registration of another incarnation that no report has confirmed.
+    pub(super) rival: Option<work::Worker>,
+    /// When `rival` became known, until a report requested later shows which incarnation lives.
+    pub(super) disputed_at: Option<Duration>,
     /// Whether this incarnation belongs to another pool and is kept only for its stray runs.
     pub(super) has_departed: bool,
     /// Whether its row is stored, so that the next owner knows that it may run tasks.
@@ -62,6 +66,8 @@
         Self {
             listing,
             is_listed: true,
+            rival: None,
+            disputed_at: None,
             has_departed: false,
             is_recorded: false,
             has_reported: false,
@@ -94,6 +100,14 @@
             .map(|offset| now.as_millis() as i64 + offset)
     }
 
+    /// Returns whether the registration of another incarnation proves nothing: it is an earlier one, or
+    /// did not live when this one reported.
+    pub(super) fn doubts(&self, incarnation: i64) -> bool {
+        let rival = self.rival.as_ref();
+        incarnation < self.listing.incarnation
+            || rival.is_some_and(|rival| rival.incarnation == incarnation)
+    }
+
     /// Returns the number up to which completions may be acknowledged.
     pub fn acknowledgeable(&self) -> u64 {
         self.stored
@@ -132,6 +146,7 @@
         self.has_reported
             && self.is_recorded
             && self.is_listed
+            && self.disputed_at.is_none()
             && !self.listing.is_draining
             && self.unreachable_since.is_none()
             && self.excluded_until <= now
--- a/crates/hyssop-policy/tests/incarnations.rs
+++ b/crates/hyssop-policy/tests/incarnations.rs
@@ -5,7 +5,7 @@
 use hyssop_model::work::{self, Completion, Outcome, Report, Running, Submission, Task};
 use hyssop_platform::dialect::StartOutcome;
 use hyssop_policy::owner::{Action, Scheduler, Settings, StartResult, TaskKey, WorkerKey};
-use model::{configuration, job};
+use model::{configuration, job, FakeStore};
 use std::time::Duration;
 
 const ID: &str = "00000000000000aa";
@@ -68,6 +68,7 @@
     worker: WorkerKey,
     task: TaskKey,
     run: u64,
+    store: FakeStore,
 }
 
 impl Setting {
@@ -96,6 +97,7 @@
                 index: 0,
             },
             run: 0,
+            store: FakeStore::default(),
         };
         setting.commit(1_000);
         setting
@@ -110,7 +112,8 @@
 
     /// Stores all changes.
     fn commit(&mut self, ms: u64) {
-        while self.scheduler.next_batch(at(ms)).is_some() {
+        while let Some(batch) = self.scheduler.next_batch(at(ms)) {
+            self.store.commit(0, &batch);
             self.scheduler.on_commit(at(ms));
         }
     }
@@ -160,6 +163,26 @@
             .collect()
     }
 
+    /// Replaces the scheduler by that of the next owner, which has read the stored rows.
+    fn fail_over(&mut self, ms: u64) {
+        self.commit(ms);
+        self.scheduler = Scheduler::new("pool", 2, Settings::default());
+        self.scheduler.configure(&configuration(false));
+        let authority_end = at(ms) + Settings::default().authority;
+        let records = self.store.records();
+        self.scheduler
+            .recover(&records, authority_end, at(ms), ms as i64);
+    }
+
+    /// Returns the workers that are polled at `ms`.
+    fn polled(&mut self, ms: u64) -> Vec<WorkerKey> {
+        let polled = |action| match action {
+            Action::Renew { worker, .. } => Some(worker),
+            _ => None,
+        };
+        self.advance(ms).into_iter().filter_map(polled).collect()
+    }
+
     fn receive(&mut self, key: WorkerKey, report: Report, sent: u64, now: u64) {
         self.scheduler.receive(key, report, at(sent), 0, at(now));
     }
@@ -360,3 +383,164 @@
     assert_eq!(setting.starts_within(1_130, 1_500), []);
     assert_eq!(setting.find("w0", FIRST_BORN), None);
 }
+
+/// The entry of an incarnation that had ended replaced the live one, whose run was repeated.
+#[test]
+fn older_registration_does_not_replace_live_incarnation() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    setting.join(listing("w1", FIRST_BORN), 1_050);
+    let listed = Report {
+        running: vec![running(setting.run)],
+        ..report(FIRST_BORN)
+    };
+    let worker = setting.worker;
+    setting.receive(worker, listed.clone(), 1_900, 1_905);
+    let older = listing("w0", FIRST_BORN - 100);
+    setting.scheduler.register_worker(older, at(2_000));
+    assert_eq!(setting.starts_within(2_000, 2_100), []);
+    setting.receive(worker, listed, 2_050, 2_110);
+    assert_eq!(setting.starts_within(2_110, 3_000), []);
+}
+
+#[test]
+fn older_registration_in_another_pool_does_not_remove_live_incarnation() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    setting.join(listing("w1", FIRST_BORN), 1_050);
+    let listed = Report {
+        running: vec![running(setting.run)],
+        ..report(FIRST_BORN)
+    };
+    let worker = setting.worker;
+    setting.receive(worker, listed, 1_900, 1_905);
+    let mut older = listing("w0", FIRST_BORN - 100);
+    older.pool = "another".to_owned();
+    setting.scheduler.register_worker(older, at(2_000));
+    assert_eq!(setting.starts_within(2_000, 12_000), []);
+    assert!(setting.find("w0", FIRST_BORN).is_some());
+}
+
+/// Returns a setting with a worker that starts again with a clock that was set back, so that its
+/// registration looks older than the known incarnation.
+fn set_back() -> (Setting, WorkerKey) {
+    let mut setting = Setting::new(job(1, 1, 900));
+    let worker = setting.worker;
+    let done = Report {
+        completions: vec![ended(setting.run, Outcome::Done)],
+        ..report(FIRST_BORN)
+    };
+    setting.receive(worker, done, 1_900, 1_905);
+    setting.commit(1_910);
+    setting.advance(1_910);
+    setting
+        .scheduler
+        .receive(worker, report(FIRST_BORN), at(1_910), 1, at(1_915));
+    assert_eq!(setting.polled(1_920), [], "an idle worker is not polled");
+    let mut restarted = listing("w0", FIRST_BORN - 100);
+    restarted.labels[0] = "other".to_owned();
+    setting.scheduler.register_worker(restarted, at(2_000));
+    (setting, worker)
+}
+
+fn submit_second(setting: &mut Setting, label: &str, ms: u64) {
+    let mut submission = job(1, 1, 900);
+    submission.steps[0].label = Some(label.to_owned());
+    let id = "00000000000000bb";
+    setting
+        .scheduler
+        .submit(id, "queue", submission, Duration::ZERO, at(ms), ms as i64);
+}
+
+/// A worker whose clock was set back must not be ignored for ever.
+#[test]
+fn restarted_worker_with_clock_set_back_is_found_by_its_report() {
+    let (mut setting, worker) = set_back();
+    submit_second(&mut setting, "other", 2_010);
+    assert_eq!(setting.polled(2_020), [worker]);
+    setting.receive(worker, report(FIRST_BORN - 100), 2_020, 2_025);
+    let key = setting.key("w0", FIRST_BORN - 100);
+    assert_eq!(setting.polled(2_030), [key]);
+    setting.receive(key, report(FIRST_BORN - 100), 2_030, 2_035);
+    setting.commit(2_040);
+    let starts = setting.starts_within(2_040, 2_200);
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].0, key);
+    assert_eq!(setting.find("w0", FIRST_BORN), None);
+    let outdated = listing("w0", FIRST_BORN);
+    setting.scheduler.register_worker(outdated, at(2_210));
+    assert_eq!(setting.key("w0", FIRST_BORN - 100), key);
+    assert_eq!(setting.find("w0", FIRST_BORN), None);
+}
+
+/// A task was placed by the labels of the known incarnation while another one was registered.
+#[test]
+fn worker_is_given_no_task_until_it_has_told_its_incarnation() {
+    let (mut setting, worker) = set_back();
+    submit_second(&mut setting, "kind", 2_010);
+    assert_eq!(setting.starts_within(2_010, 2_300), []);
+    setting.receive(worker, report(FIRST_BORN), 1_990, 2_310);
+    assert_eq!(setting.starts_within(2_320, 2_500), [], "sent before");
+    setting.receive(worker, report(FIRST_BORN), 2_320, 2_510);
+    let starts = setting.starts_within(2_520, 2_640);
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].0, worker);
+    let listed = Report {
+        running: vec![running(starts[0].2)],
+        ..report(FIRST_BORN)
+    };
+    setting.receive(worker, listed, 2_600, 2_645);
+    let older = listing("w0", FIRST_BORN - 100);
+    setting.scheduler.register_worker(older, at(2_650));
+    let wait = setting
+        .advance(2_660)
+        .into_iter()
+        .find_map(|action| match action {
+            Action::Renew { wait, .. } => Some(wait),
+            _ => None,
+        });
+    assert_eq!(
+        wait,
+        Some(Settings::default().report_wait),
+        "known to be old"
+    );
+}
+
+/// An incarnation known only from a report was given tasks by the labels of the previous one.
+#[test]
+fn incarnation_known_only_from_its_report_is_given_no_task() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    let worker = setting.worker;
+    setting.receive(worker, report(NEXT_BORN), 1_100, 1_105);
+    let key = setting.key("w0", NEXT_BORN);
+    setting.receive(key, report(NEXT_BORN), 2_000, 2_005);
+    assert_eq!(setting.starts_within(2_010, 2_500), []);
+    let key = setting.join(listing("w0", NEXT_BORN), 2_510);
+    let starts = setting.starts_within(2_520, 2_640);
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].0, key);
+}
+
+/// A new owner did not wait for an incarnation that an older registration seemed to replace.
+#[test]
+fn new_owner_waits_for_recorded_incarnation_despite_older_registration() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    setting.fail_over(1_200);
+    let older = listing("w0", FIRST_BORN - 100);
+    setting.scheduler.register_worker(older, at(1_250));
+    setting.join(listing("w1", FIRST_BORN), 1_260);
+    assert_eq!(
+        setting.starts_within(1_270, 6_900),
+        [],
+        "leases end at 7,037 ms"
+    );
+    assert_eq!(setting.starts_within(7_040, 7_300).len(), 1);
+}
+
+#[test]
+fn report_of_another_incarnation_ends_wait_for_recorded_one() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    setting.fail_over(1_200);
+    let mut restarted = listing("w0", FIRST_BORN - 100);
+    restarted.labels[0] = "other".to_owned();
+    setting.join(restarted, 1_250);
+    assert_eq!(setting.starts_within(1_260, 1_400).len(), 1);
+}
