owner: recovery waits for the next incarnation of a recorded worker

Callers would see a subtask run twice after a failover beside a crash: a start that the previous owner sent reaches the worker's next incarnation, which has the same identifier, while the new owner starts the task on another worker.

Cause: the registration of the next incarnation dropped the recorded one from the workers that recovery waits for, and nothing took its place.

The wait is handed to the next incarnation, which ends it with its first report (the worker rejects the previous owner from then on), or with the expiry of the leases as before.

Evidence: new_owner_waits_for_next_incarnation_of_recorded_worker failed before: left: [(WorkerKey(0), TaskKey { .. }, 10001), ..] right: []

--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -25,9 +25,8 @@
             return;
         }
         let is_previous = |incarnation: i64| incarnation < listing.incarnation;
+        self.rename_unreported(&name, is_previous);
         let strays = self.replace_incarnations(&listing.id, is_previous, now);
-        self.unreported_workers
-            .retain(|(id, incarnation), _| *id != listing.id || !is_previous(*incarnation));
         self.insert_incarnation(listing, strays, now);
     }
 
@@ -75,7 +74,9 @@
             incarnation,
             ..previous.clone()
         });
-        let strays = self.replace_incarnations(&name.0, |other| other != incarnation, now);
+        let is_previous = |other| other != incarnation;
+        self.rename_unreported(&name, is_previous);
+        let strays = self.replace_incarnations(&name.0, is_previous, now);
         self.insert_incarnation(listing, strays, now);
         let key = self.worker_key(&name.0, incarnation);
         if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
@@ -128,6 +129,23 @@
         self.assign_strays(key, strays, now);
     }
 
+    /// Lets recovery wait for a worker's new incarnation instead of recorded previous ones, since a
+    /// start that the previous owner sent may have reached it.
+    fn rename_unreported(&mut self, name: &(String, i64), is_previous: impl Fn(i64) -> bool) {
+        let previous: Vec<(String, i64)> = self
+            .unreported_workers
+            .keys()
+            .filter(|(id, incarnation)| *id == name.0 && is_previous(*incarnation))
+            .cloned()
+            .collect();
+        for previous in previous {
+            if let Some(lease_end) = self.unreported_workers.remove(&previous) {
+                let entry = self.unreported_workers.entry(name.clone()).or_default();
+                *entry = (*entry).max(lease_end);
+            }
+        }
+    }
+
     /// Removes the previous incarnations of a worker and returns their runs that may have started on
     /// the new incarnation, which has the same identifier.
     ///
--- a/crates/hyssop-policy/tests/incarnations.rs
+++ b/crates/hyssop-policy/tests/incarnations.rs
@@ -544,3 +544,21 @@
     setting.join(restarted, 1_250);
     assert_eq!(setting.starts_within(1_260, 1_400).len(), 1);
 }
+
+/// A start of the previous owner may reach the next incarnation, for which a new owner did not wait.
+#[test]
+fn new_owner_waits_for_next_incarnation_of_recorded_worker() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    setting.fail_over(1_200);
+    setting.join(listing("w1", FIRST_BORN), 1_250);
+    let next = listing("w0", NEXT_BORN);
+    setting.scheduler.register_worker(next, at(1_260));
+    assert_eq!(setting.starts_within(1_270, 3_000), []);
+    let key = setting.key("w0", NEXT_BORN);
+    let listed = Report {
+        running: vec![running(setting.run)],
+        ..report(NEXT_BORN)
+    };
+    setting.receive(key, listed, 3_000, 3_005);
+    assert_eq!(setting.starts_within(3_010, 3_800), []);
+}
