owner: acknowledge completions only to an incarnation known to live

Callers would see a finished subtask start again: an acknowledgement meant for a worker's previous incarnation reached the next one, which numbers its completions anew, and made it forget ends that nobody had read.

Cause: every renewal repeated the number stored last, long after it had been acknowledged and also to workers that had not answered for a while.

A renewal now acknowledges only completions that the worker hasn't forgotten yet, and only if it is reachable and its last report is at most 250 ms old; otherwise a report is requested at once.

--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -4,6 +4,11 @@
 use hyssop_platform::dialect;
 use std::time::Duration;
 
+/// The age of the last report up to which it shows which incarnation an acknowledgement reaches;
+/// shorter than the time in which a worker starts again and ends a run. Reports come more often
+/// while completions wait to be stored.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(250);
+
 /// Returns the name of a task as workers know it.
 pub(super) fn task_name(job: &Job, task: TaskKey) -> String {
     work::Task {
@@ -183,11 +188,23 @@
         if until_ms.is_some() {
             state.lease_end = state.lease_end.max(now + span);
         }
+        // The next incarnation numbers its completions anew, and would forget those that nobody has
+        // read. So completions are acknowledged once, while the incarnation is known to live.
+        let is_report_recent = state.has_reported
+            && state.unreachable_since.is_none()
+            && state.disputed_at.is_none()
+            && now.saturating_sub(state.polled_at) <= MAX_REPORT_AGE;
+        let has_unacknowledged = state.acknowledged < state.stored;
+        let (acknowledged, wait) = match (has_unacknowledged, is_report_recent) {
+            (false, _) => (0, wait),
+            (true, true) => (state.stored, wait),
+            (true, false) => (0, Duration::ZERO),
+        };
         Some(dialect::Renewal {
             worker: state.listing.id.clone(),
             until_ms,
             fence,
-            acknowledged: state.stored,
+            acknowledged,
             wait_ms: wait.as_millis() as u64,
         })
     }
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -28,7 +28,7 @@
             .incarnation
             .filter(|incarnation| *incarnation != worker.listing.incarnation);
         if let Some(incarnation) = other {
-            self.on_other_incarnation(key, incarnation, now);
+            self.on_other_incarnation(key, incarnation, acknowledged, now);
             return;
         }
         worker.unreachable_since = None;
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -54,10 +54,17 @@
         worker.rival = Some(listing);
     }
 
-    /// Replaces a worker's known incarnation by the one that has reported.
+    /// Replaces a worker's known incarnation by the one that has reported, to a renewal that
+    /// acknowledged completions up to number `acknowledged`.
     ///
     /// Its labels and capacity are unknown until the registry lists it, unless it has done so.
-    pub(super) fn on_other_incarnation(&mut self, key: WorkerKey, incarnation: i64, now: Duration) {
+    pub(super) fn on_other_incarnation(
+        &mut self,
+        key: WorkerKey,
+        incarnation: i64,
+        acknowledged: u64,
+        now: Duration,
+    ) {
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
@@ -77,6 +84,15 @@
         let is_previous = |other| other != incarnation;
         self.rename_unreported(&name, is_previous);
         let strays = self.replace_incarnations(&name.0, is_previous, now);
+        if acknowledged > 0 && !strays.is_empty() {
+            log::warn!(
+                "event=completions-lost pool={} worker={} incarnation={incarnation} \
+                 acknowledged={acknowledged} runs={} reason=acknowledged-to-next-incarnation",
+                self.pool,
+                name.0,
+                strays.len()
+            );
+        }
         self.insert_incarnation(listing, strays, now);
         let key = self.worker_key(&name.0, incarnation);
         if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
--- a/crates/hyssop-policy/tests/incarnations.rs
+++ b/crates/hyssop-policy/tests/incarnations.rs
@@ -5,7 +5,7 @@
 use hyssop_model::work::{self, Completion, Outcome, Report, Running, Submission, Task};
 use hyssop_platform::dialect::StartOutcome;
 use hyssop_policy::owner::{Action, Scheduler, Settings, StartResult, TaskKey, WorkerKey};
-use model::{configuration, job, FakeStore};
+use model::{configuration, job, FakeStore, World};
 use std::time::Duration;
 
 const ID: &str = "00000000000000aa";
@@ -562,3 +562,58 @@
     setting.receive(key, listed, 3_000, 3_005);
     assert_eq!(setting.starts_within(3_010, 3_800), []);
 }
+
+/// The number of seeded simulations.
+const SEEDS: u64 = 300;
+
+/// The shortest time from a worker's crash until its next incarnation takes orders.
+const MIN_RESTART_MS: u64 = 300;
+
+/// Simulates a pool whose workers crash at any moment and start again, with clocks that may be set
+/// back, while the registry lists the new incarnations late and the old ones once more.
+fn simulate(seed: u64) -> World {
+    const WORKERS: u64 = 3;
+    let mut world = World::new(seed, WORKERS as usize, 4);
+    world.commit_ms = world.pick(5..300) as i64;
+    world.faults.lost_answers = 0.05;
+    let mut outdated: Vec<work::Worker> = Vec::new();
+    for number in 0..60 {
+        let count = world.pick(1..5) as u32;
+        let ms = world.pick(10..200);
+        world.submit(&format!("{number:016x}"), job(1, count, ms));
+        let worker = world.pick(0..WORKERS) as usize;
+        match world.pick(0..8) {
+            0..3 => {
+                outdated.push(world.workers[worker].listing.clone());
+                world.workers[worker].is_up = false;
+                let restart = world.pick(MIN_RESTART_MS..1_500) as i64;
+                world.run(restart);
+                let now_ms = world.now_ms;
+                let set_back = world.pick(0..2) as i64 * world.pick(1..5_000) as i64;
+                world.workers[worker].restart(now_ms - set_back);
+            }
+            3 | 4 => world.register(worker),
+            5 => {
+                if let Some(listing) = outdated.pop() {
+                    let now = at(world.now_ms as u64);
+                    world.scheduler().register_worker(listing, now);
+                }
+            }
+            6 if number % 4 == 0 => world.start_owner(),
+            _ => {}
+        }
+        let pause = world.pick(10..300) as i64;
+        world.run(pause);
+    }
+    world.finish();
+    world
+}
+
+/// An acknowledgement meant for the previous incarnation made the next one forget its ends.
+#[test]
+fn invariants_hold_while_workers_start_again() {
+    let starts: usize = (0..SEEDS)
+        .map(|seed| simulate(seed).invariants.starts)
+        .sum();
+    assert!(starts > 10_000, "only {starts} tasks were started");
+}
