owner: a release holds for the instance, whichever worker runs there

Operators would see a long-running task ended by maintenance beyond its budget: a worker that was released for disruption starts again, the next incarnation is given tasks, and the fleet's owner shuts the instance down on the release that it was told of, which holds for 2.5 s.

Cause: release, evacuation and pending maintenance were kept with the incarnation, and the next one began without them.

They are now taken over from the worker known on the same instance.

Evidence: next_incarnation_on_released_instance_is_given_no_task failed before: left: [(WorkerKey(2), TaskKey { .. }, 2), ..] right: [] The commit also adds run_on_next_incarnation_beyond_spread_is_stopped, a further case of the check of adopted runs.

--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -26,8 +26,9 @@
         }
         let is_previous = |incarnation: i64| incarnation < listing.incarnation;
         self.rename_unreported(&name, is_previous);
+        let interruption = self.interruption(&listing.instance);
         let strays = self.replace_incarnations(&listing.id, is_previous, now);
-        self.insert_incarnation(listing, strays, now);
+        self.insert_incarnation(listing, interruption, strays, now);
     }
 
     /// Records that the registry lists another incarnation than the known one, whose next report
@@ -83,6 +84,7 @@
         });
         let is_previous = |other| other != incarnation;
         self.rename_unreported(&name, is_previous);
+        let interruption = self.interruption(&listing.instance);
         let strays = self.replace_incarnations(&name.0, is_previous, now);
         if acknowledged > 0 && !strays.is_empty() {
             log::warn!(
@@ -93,7 +95,7 @@
                 strays.len()
             );
         }
-        self.insert_incarnation(listing, strays, now);
+        self.insert_incarnation(listing, interruption, strays, now);
         let key = self.worker_key(&name.0, incarnation);
         if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
             worker.is_listed &= is_listed;
@@ -102,7 +104,13 @@
     }
 
     /// Inserts a worker's incarnation or updates its registration.
-    fn insert_incarnation(&mut self, listing: work::Worker, strays: Vec<Stray>, now: Duration) {
+    fn insert_incarnation(
+        &mut self,
+        listing: work::Worker,
+        interruption: Interruption,
+        strays: Vec<Stray>,
+        now: Duration,
+    ) {
         if listing.pool != self.pool {
             self.deregister_worker(&listing.id);
             if !strays.is_empty() {
@@ -118,10 +126,30 @@
             }
             return;
         }
-        let key = self.insert_worker(Worker::new(listing));
+        let key = self.insert_worker(Worker {
+            evacuating_until: interruption.evacuating_until,
+            released_until: interruption.released_until,
+            maintenance_due_until: interruption.maintenance_due_until,
+            ..Worker::new(listing)
+        });
         self.assign_strays(key, strays, now);
     }
 
+    /// Returns what the fleet's owner intends for an instance. It concerns the instance, whichever
+    /// worker runs there.
+    fn interruption(&self, instance: &str) -> Interruption {
+        let workers = self.workers.values().filter(|worker| {
+            !instance.is_empty() && worker.listing.instance == instance && !worker.has_departed
+        });
+        workers.fold(Interruption::default(), |known, worker| Interruption {
+            evacuating_until: known.evacuating_until.max(worker.evacuating_until),
+            released_until: known.released_until.max(worker.released_until),
+            maintenance_due_until: known
+                .maintenance_due_until
+                .max(worker.maintenance_due_until),
+        })
+    }
+
     fn insert_worker(&mut self, worker: Worker) -> WorkerKey {
         let key = WorkerKey(self.next_worker);
         self.next_worker += 1;
@@ -402,3 +430,11 @@
     run: Run,
     previous: WorkerKey,
 }
+
+/// The ends of the periods in which the fleet's owner may shut down an instance or wants it empty.
+#[derive(Default)]
+struct Interruption {
+    evacuating_until: Option<Duration>,
+    released_until: Option<Duration>,
+    maintenance_due_until: Option<Duration>,
+}
--- a/crates/hyssop-policy/tests/incarnations.rs
+++ b/crates/hyssop-policy/tests/incarnations.rs
@@ -563,6 +563,63 @@
     assert_eq!(setting.starts_within(3_010, 3_800), []);
 }
 
+/// The next incarnation on an instance that the fleet's owner may still shut down was given tasks.
+#[test]
+fn next_incarnation_on_released_instance_is_given_no_task() {
+    let mut submission = model::long_running_job(1);
+    submission.steps[0].max_per_worker = 0;
+    let mut setting = Setting::new(submission);
+    let listed = Report {
+        running: vec![Running {
+            percent: 100.0,
+            ..running(setting.run)
+        }],
+        ..report(FIRST_BORN)
+    };
+    let worker = setting.worker;
+    setting.receive(worker, listed, 1_900, 1_905);
+    setting.join(listing("w1", FIRST_BORN), 1_910);
+    setting.scheduler.evacuate("w0", at(2_500));
+    setting.advance(2_000);
+    let loads = setting.scheduler.demand(at(2_000)).loads;
+    assert!(loads[0].is_released_for_disruption, "until 4,500 ms");
+    setting.scheduler.deregister_worker("w1");
+    let next = setting.join(listing("w0", NEXT_BORN), 2_600);
+    assert_eq!(setting.starts_within(2_600, 4_480), []);
+    let starts = setting.starts_within(4_500, 4_700);
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].0, next);
+}
+
+/// A run beyond the limit per worker that reached the next incarnation was left there.
+#[test]
+fn run_on_next_incarnation_beyond_spread_is_stopped() {
+    let mut submission = job(1, 2, 900);
+    submission.steps[0].max_per_worker = 1;
+    let mut setting = Setting::new(submission);
+    let listed = Report {
+        running: vec![running(setting.run)],
+        ..report(FIRST_BORN)
+    };
+    let worker = setting.worker;
+    setting.receive(worker, listed, 1_900, 1_905);
+    let late = Running {
+        task: Task { index: 1, ..task() },
+        ..running(1)
+    };
+    let both = Report {
+        running: vec![running(setting.run), late],
+        ..report(FIRST_BORN)
+    };
+    setting.receive(worker, both, 1_950, 1_955);
+    let stop = Action::Stop {
+        worker,
+        task: format!("{ID}.0.0.1"),
+        run: 1,
+    };
+    assert!(setting.advance(1_960).contains(&stop));
+}
+
 /// The number of seeded simulations.
 const SEEDS: u64 = 300;
 
