--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -24,18 +24,18 @@
         };
         worker.is_polling = false;
         worker.polled_at = now;
-        if report
+        let other = report
             .incarnation
-            .is_some_and(|incarnation| incarnation != worker.listing.incarnation)
-        {
-            let listing = work::Worker {
-                incarnation: report.incarnation.unwrap_or_default(),
-                ..worker.listing.clone()
-            };
-            self.register_worker(listing, now);
+            .filter(|incarnation| *incarnation != worker.listing.incarnation);
+        if let Some(incarnation) = other {
+            self.on_other_incarnation(key, incarnation, acknowledged, now);
             return;
         }
         worker.unreachable_since = None;
+        if worker.disputed_at.is_some_and(|at| at <= sent_at) {
+            worker.disputed_at = None;
+            self.is_placement_due = true;
+        }
         // Reports may arrive out of order, and the delay of a report makes the offset too small, so
         // an error only makes a lease expire earlier.
         worker.clock_offset_ms = Some(report.clock_ms - now.as_millis() as i64);
@@ -56,10 +56,8 @@
         for completion in completions {
             self.apply_completion(key, completion, now);
         }
-        if is_first_report {
-            self.reconcile_inherited_runs(key, sent_at);
-        }
         if is_complete {
+            self.settle_strays(key, sent_at);
             self.release_unstarted_runs(key, &report.running, sent_at);
             self.on_complete_report(key, now);
         }
@@ -111,6 +109,7 @@
             if run.number == running.run {
                 run.is_confirmed = true;
                 run.is_reported = true;
+                let was_stray = std::mem::take(&mut run.is_stray);
                 if running.percent != run.percent {
                     run.percent = running.percent;
                     run.progressed_at = now;
@@ -120,6 +119,9 @@
                 } else {
                     run.serving_since = None;
                 }
+                if was_stray && !self.is_suitable(key, task) {
+                    self.stop_task(key, task, now);
+                }
                 return;
             }
             if run.number > running.run {
@@ -155,6 +157,8 @@
                 may_have_started: false,
                 is_confirmed: true,
                 is_reported: true,
+                sent_at: None,
+                is_stray: false,
                 stopping_at: (!may_adopt).then_some(now),
                 stop_confirmed_at: None,
                 percent: running.percent,
@@ -168,6 +172,8 @@
         }
         if !may_adopt {
             self.actions.push(stop());
+        } else if !self.is_suitable(key, task) {
+            self.stop_task(key, task, now);
         }
     }
 
@@ -197,11 +203,47 @@
         );
     }
 
+    /// Returns whether a worker that runs a task satisfies the task's requirements.
+    ///
+    /// It need not if the start was sent to a previous incarnation, which may have been of another
+    /// kind.
+    fn is_suitable(&self, key: WorkerKey, task: TaskKey) -> bool {
+        let (Some(worker), Some(job)) = (self.workers.get(&key), self.jobs.get(&task.job)) else {
+            return false;
+        };
+        let Some(step) = job.step(task.step) else {
+            return false;
+        };
+        let has_label = step
+            .label
+            .as_ref()
+            .is_none_or(|label| worker.listing.labels.contains(label));
+        let siblings = worker.runs.range(task.siblings());
+        let siblings = siblings
+            .filter(|(_, run)| run.stopping_at.is_none())
+            .count();
+        let is_spread = step.max_per_worker == 0 || siblings <= step.max_per_worker as usize;
+        let is_suitable = has_label && is_spread && worker.has_room_for_runs();
+        if !is_suitable {
+            log::info!(
+                "event=run-unsuitable pool={} worker={} incarnation={} job={} step={} index={} \
+                 has_label={has_label} is_spread={is_spread}",
+                self.pool,
+                worker.listing.id,
+                worker.listing.incarnation,
+                job.id,
+                task.step,
+                task.index
+            );
+        }
+        is_suitable
+    }
+
     /// Polls workers for reports: those with runs, those that have not reported in this term, and
     /// those with stored completions that are not acknowledged.
     pub(super) fn poll_workers(&mut self, now: Duration) {
         for (key, worker) in &mut self.workers {
-            if worker.is_polling {
+            if worker.is_polling || worker.has_departed {
                 continue;
             }
             let since = now.saturating_sub(worker.polled_at);
@@ -214,7 +256,10 @@
                 // The commit of the completion is in flight; the next renewal acknowledges it.
                 since >= UNSTORED_PAUSE
             } else {
-                extends || !worker.has_reported || worker.acknowledged < worker.stored
+                extends
+                    || !worker.has_reported
+                    || worker.disputed_at.is_some()
+                    || worker.acknowledged < worker.stored
             };
             if !is_due {
                 continue;
@@ -224,7 +269,8 @@
             let is_starting = worker.runs.iter().any(|(task, run)| {
                 run.is_confirmed && run.serving_since.is_none() && is_long_running(jobs, *task)
             });
-            let wait = if extends && worker.has_reported && !is_unreachable {
+            let is_incarnation_known = worker.has_reported && worker.disputed_at.is_none();
+            let wait = if extends && is_incarnation_known && !is_unreachable {
                 // Other tasks of a long-running step may have to wait until this one is serving.
                 if is_starting {
                     self.settings.start_wait
@@ -234,6 +280,10 @@
             } else {
                 Duration::ZERO
             };
+            // The report is requested as soon as it can show what became of stray runs.
+            let wait = worker
+                .strays_settle_at()
+                .map_or(wait, |at| wait.min(at.saturating_sub(now)));
             self.actions.push(Action::Renew {
                 worker: *key,
                 wait,
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -4,24 +4,118 @@
 use hyssop_model::work;
 use std::time::Duration;
 
-/// The longest time that an order can be in flight; after it, the order has arrived or its
-/// connection is broken.
-const IN_FLIGHT: Duration = Duration::from_millis(700);
-
 impl Scheduler {
-    /// Registers a worker or updates its registration. A new incarnation under the same identifier
+    /// Registers a worker or updates its registration. A later incarnation under the same identifier
     /// proves that the previous one no longer exists.
+    ///
+    /// The registry may be behind, so an earlier incarnation is not believed before the worker itself
+    /// reports it.
     pub fn register_worker(&mut self, listing: work::Worker, now: Duration) {
-        let inherited = self.replace_incarnation(&listing, now);
-        self.replace_unreported(&listing, now);
-        if listing.pool != self.pool {
-            self.deregister_worker(&listing.id);
+        let name = (listing.id.clone(), listing.incarnation);
+        if self.terminated_workers.contains(&name) {
+            return;
+        }
+        let doubting = self.workers.iter().find(|(_, worker)| {
+            worker.listing.id == listing.id
+                && !worker.has_departed
+                && worker.doubts(listing.incarnation)
+        });
+        if let Some(key) = doubting.map(|(key, _)| *key) {
+            self.dispute_incarnation(key, listing, now);
+            return;
+        }
+        let is_previous = |incarnation: i64| incarnation < listing.incarnation;
+        self.replace_unreported(&name, is_previous, now);
+        let interruption = self.interruption(&listing.instance);
+        let strays = self.replace_incarnations(&listing.id, is_previous, now);
+        self.insert_incarnation(listing, interruption, strays, now);
+    }
+
+    /// Records that the registry lists another incarnation than the known one, whose next report
+    /// decides: a worker's clock may have been set back before it started again.
+    fn dispute_incarnation(&mut self, key: WorkerKey, listing: work::Worker, now: Duration) {
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
+        let is_known = worker
+            .rival
+            .as_ref()
+            .is_some_and(|rival| rival.incarnation == listing.incarnation);
+        if !is_known {
+            log::info!(
+                "event=registration-disputed pool={} worker={} incarnation={} listed={} at_ms={}",
+                self.pool,
+                listing.id,
+                worker.listing.incarnation,
+                listing.incarnation,
+                now.as_millis()
+            );
+            worker.disputed_at = Some(now);
+        }
+        worker.rival = Some(listing);
+    }
+
+    /// Replaces a worker's known incarnation by the one that has reported, to a renewal that
+    /// acknowledged completions up to number `acknowledged`.
+    ///
+    /// Its labels and capacity are unknown until the registry lists it, unless it has done so.
+    pub(super) fn on_other_incarnation(
+        &mut self,
+        key: WorkerKey,
+        incarnation: i64,
+        acknowledged: u64,
+        now: Duration,
+    ) {
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
+        let name = (worker.listing.id.clone(), incarnation);
+        if self.terminated_workers.contains(&name) {
+            worker.unreachable_since.get_or_insert(now);
             return;
         }
-        if self
-            .terminated_workers
-            .contains(&(listing.id.clone(), listing.incarnation))
-        {
+        let previous = worker.listing.clone();
+        let rival = worker.rival.take();
+        let listed = rival.filter(|rival| rival.incarnation == incarnation);
+        let is_listed = listed.is_some();
+        let listing = listed.unwrap_or_else(|| work::Worker {
+            incarnation,
+            ..previous.clone()
+        });
+        let is_previous = |other| other != incarnation;
+        self.replace_unreported(&name, is_previous, now);
+        let interruption = self.interruption(&listing.instance);
+        let strays = self.replace_incarnations(&name.0, is_previous, now);
+        if acknowledged > 0 && !strays.is_empty() {
+            log::warn!(
+                "event=completions-lost pool={} worker={} incarnation={incarnation} \
+                 acknowledged={acknowledged} runs={} reason=acknowledged-to-next-incarnation",
+                self.pool,
+                name.0,
+                strays.len()
+            );
+        }
+        self.insert_incarnation(listing, interruption, strays, now);
+        let key = self.worker_key(&name.0, incarnation);
+        if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
+            worker.is_listed &= is_listed;
+            worker.rival = Some(previous);
+        }
+    }
+
+    /// Inserts a worker's incarnation or updates its registration.
+    fn insert_incarnation(
+        &mut self,
+        listing: work::Worker,
+        interruption: Interruption,
+        strays: Vec<Stray>,
+        now: Duration,
+    ) {
+        if listing.pool != self.pool {
+            self.deregister_worker(&listing.id);
+            if !strays.is_empty() {
+                self.insert_departed_worker(listing, strays, now);
+            }
             return;
         }
         self.is_placement_due = true;
@@ -32,75 +126,149 @@
             }
             return;
         }
+        let key = self.insert_worker(Worker {
+            evacuating_until: interruption.evacuating_until,
+            released_until: interruption.released_until,
+            maintenance_due_until: interruption.maintenance_due_until,
+            ..Worker::new(listing)
+        });
+        self.assign_strays(key, strays, now);
+    }
+
+    /// Returns what the fleet's owner intends for an instance. It concerns the instance, whichever
+    /// worker runs there.
+    fn interruption(&self, instance: &str) -> Interruption {
+        let workers = self.workers.values().filter(|worker| {
+            !instance.is_empty() && worker.listing.instance == instance && !worker.has_departed
+        });
+        workers.fold(Interruption::default(), |known, worker| Interruption {
+            evacuating_until: known.evacuating_until.max(worker.evacuating_until),
+            released_until: known.released_until.max(worker.released_until),
+            maintenance_due_until: known
+                .maintenance_due_until
+                .max(worker.maintenance_due_until),
+        })
+    }
+
+    fn insert_worker(&mut self, mut worker: Worker) -> WorkerKey {
         let key = WorkerKey(self.next_worker);
         self.next_worker += 1;
-        let mut worker = Worker::new(listing);
-        worker.lease_end = self.inherited_lease_end(&worker);
-        for (task, run, lease_end) in inherited {
-            worker.lease_end = worker.lease_end.max(lease_end);
-            if let Some(entry) = self.task_mut(task) {
-                entry.state = State::Placed(key);
-            }
-            worker.reserve(task, run);
-        }
+        worker.lease_end = worker.lease_end.max(self.inherited_lease_end(&worker));
         self.removed_workers.remove(&worker.row_name());
         self.workers.insert(key, worker);
+        key
     }
 
-    /// Removes the previous incarnations of a worker.
+    /// Keeps the tasks that a worker may run although it has joined another pool, until their leases
+    /// have expired.
     ///
-    /// Runs that one of their reports has listed are gone. A start that no report has listed may
-    /// have reached the new incarnation, which has the same identifier. Such runs are returned with
-    /// the expiry times of their leases, and reconciled by the first report of the new incarnation.
-    fn replace_incarnation(
+    /// It is not polled: the fencing token of this pool's owner means nothing to the other's.
+    fn insert_departed_worker(&mut self, listing: work::Worker, strays: Vec<Stray>, now: Duration) {
+        let worker = Worker {
+            is_listed: false,
+            has_departed: true,
+            unreachable_since: Some(now),
+            ..Worker::new(listing)
+        };
+        let key = self.insert_worker(worker);
+        self.assign_strays(key, strays, now);
+    }
+
+    /// Removes the previous incarnations of a worker and returns their runs that may have started on
+    /// the new incarnation, which has the same identifier.
+    ///
+    /// All other runs of them are gone.
+    fn replace_incarnations(
         &mut self,
-        listing: &work::Worker,
+        id: &str,
+        is_previous: impl Fn(i64) -> bool,
         now: Duration,
-    ) -> Vec<(TaskKey, Run, Duration)> {
+    ) -> Vec<Stray> {
         let previous: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.listing.id == listing.id)
-            .filter(|(_, worker)| worker.listing.incarnation != listing.incarnation)
+            .filter(|(_, worker)| worker.listing.id == id)
+            .filter(|(_, worker)| is_previous(worker.listing.incarnation))
             .map(|(key, _)| *key)
             .collect();
-        let is_same_pool = listing.pool == self.pool;
-        let mut inherited = Vec::new();
+        let mut strays = Vec::new();
         for key in previous {
-            let unreported: Vec<TaskKey> = self.workers[&key]
+            let Some(worker) = self.workers.get_mut(&key) else {
+                continue;
+            };
+            let tasks: Vec<TaskKey> = worker
                 .runs
                 .iter()
-                .filter(|(_, run)| is_same_pool && !run.is_reported && run.stopping_at.is_none())
+                .filter(|(_, run)| run.may_reach_next(now))
                 .map(|(task, _)| *task)
                 .collect();
-            for task in unreported {
-                let Some(worker) = self.workers.get_mut(&key) else {
-                    continue;
-                };
-                let lease_end = worker.lease_end;
-                if let Some(mut run) = worker.unreserve(task) {
-                    run.is_confirmed = false;
-                    run.may_have_started = true;
-                    inherited.push((task, run, lease_end));
+            for task in tasks {
+                if let Some(run) = worker.unreserve(task) {
+                    strays.push(Stray {
+                        task,
+                        run,
+                        previous: key,
+                    });
                 }
             }
             self.remove_worker(key, now);
         }
-        inherited
+        strays
     }
 
-    /// Requeues the inherited runs that are missing from the first report of a new incarnation.
+    /// Assigns stray runs to the worker's new incarnation, so that their tasks are not started
+    /// elsewhere until a report shows what became of them.
     ///
-    /// Starts ordered too shortly before that report are repeated instead, with the same run
-    /// number.
-    pub(super) fn reconcile_inherited_runs(&mut self, key: WorkerKey, sent_at: Duration) {
+    /// They are not ordered there: only placement gives tasks to an incarnation. Stops are repeated,
+    /// so that a start that arrives later is rejected.
+    fn assign_strays(&mut self, key: WorkerKey, strays: Vec<Stray>, now: Duration) {
+        let max_lease_span = self.settings.max_lease_span();
+        for stray in strays {
+            let Stray {
+                task,
+                run,
+                previous,
+            } = stray;
+            if let Some(entry) = self.task_mut(task) {
+                if entry.state == State::Placed(previous) {
+                    entry.state = State::Placed(key);
+                }
+            }
+            let is_stopping = run.stopping_at.is_some();
+            let Some(worker) = self.workers.get_mut(&key) else {
+                return;
+            };
+            if let Some(until) = run.arrives_until() {
+                worker.lease_end = worker.lease_end.max(until + max_lease_span);
+            }
+            worker.reserve(
+                task,
+                Run {
+                    is_stray: true,
+                    is_confirmed: false,
+                    is_reported: false,
+                    stopping_at: None,
+                    stop_confirmed_at: None,
+                    ..run
+                },
+            );
+            if is_stopping && !worker.has_departed {
+                self.stop_task(key, task, now);
+            }
+        }
+    }
+
+    /// Requeues the stray runs that are missing from a report requested after their starts could
+    /// last arrive.
+    pub(super) fn settle_strays(&mut self, key: WorkerKey, sent_at: Duration) {
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
         let missing: Vec<TaskKey> = worker
             .runs
             .iter()
-            .filter(|(_, run)| !run.is_reported && run.start_attempted_at + IN_FLIGHT <= sent_at)
+            .filter(|(_, run)| run.is_stray)
+            .filter(|(_, run)| run.arrives_until().is_none_or(|until| until <= sent_at))
             .map(|(task, _)| *task)
             .collect();
         for task in missing {
@@ -239,3 +407,18 @@
         }
     }
 }
+
+/// A run whose start was sent to a previous incarnation of a worker.
+struct Stray {
+    task: TaskKey,
+    run: Run,
+    previous: WorkerKey,
+}
+
+/// The ends of the periods in which the fleet's owner may shut down an instance or wants it empty.
+#[derive(Default)]
+struct Interruption {
+    evacuating_until: Option<Duration>,
+    released_until: Option<Duration>,
+    maintenance_due_until: Option<Duration>,
+}
--- a/crates/hyssop-policy/src/owner/unreported.rs
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -1,6 +1,5 @@
 use super::worker::row_name;
 use super::{Scheduler, Worker, WorkerKey};
-use hyssop_model::work;
 use std::time::Duration;
 use strum::Display;
 
@@ -82,6 +81,10 @@
         if let Some(worker) = self.workers.get(&key) {
             let name = (worker.listing.id.clone(), worker.listing.incarnation);
             self.remove_unreported(&name, Reason::Reported, now);
+            // No other incarnation of a worker lives that has answered in this term.
+            for other in self.unreported_incarnations(&name.0, |_| true) {
+                self.remove_unreported(&other, Reason::Replaced, now);
+            }
         }
     }
 
@@ -100,19 +103,39 @@
         lease_end.unwrap_or(Duration::ZERO)
     }
 
-    /// Stops waiting for earlier incarnations of a worker. A listing may be older than the row that
-    /// the previous owner has stored, and proves nothing then.
-    pub(super) fn replace_unreported(&mut self, listing: &work::Worker, now: Duration) {
-        let replaced: Vec<(String, i64)> = self
-            .unreported_workers
+    /// Waits for a worker's new incarnation instead of recorded previous ones, since a start that the
+    /// previous owner sent may have reached it.
+    pub(super) fn replace_unreported(
+        &mut self,
+        name: &(String, i64),
+        is_previous: impl Fn(i64) -> bool,
+        now: Duration,
+    ) {
+        let has_reported = self
+            .worker_key(&name.0, name.1)
+            .and_then(|key| self.workers.get(&key))
+            .is_some_and(|worker| worker.has_reported);
+        for previous in self.unreported_incarnations(&name.0, is_previous) {
+            let lease_end = self.unreported_workers.get(&previous).copied();
+            self.remove_unreported(&previous, Reason::Replaced, now);
+            if !has_reported {
+                let entry = self.unreported_workers.entry(name.clone()).or_default();
+                *entry = (*entry).max(lease_end.unwrap_or_default());
+            }
+        }
+    }
+
+    /// Returns the unreported incarnations of a worker that meet `is_wanted`.
+    fn unreported_incarnations(
+        &self,
+        id: &str,
+        is_wanted: impl Fn(i64) -> bool,
+    ) -> Vec<(String, i64)> {
+        self.unreported_workers
             .keys()
-            .filter(|(id, _)| *id == listing.id)
-            .filter(|(_, incarnation)| *incarnation < listing.incarnation)
+            .filter(|(other, incarnation)| other == id && is_wanted(*incarnation))
             .cloned()
-            .collect();
-        for name in replaced {
-            self.remove_unreported(&name, Reason::Replaced, now);
-        }
+            .collect()
     }
 
     /// Removes a worker from those that are waited for, and deletes its row if it is not registered:
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -10,6 +10,12 @@
     pub listing: work::Worker,
     /// Whether the registry still lists the worker.
     pub(super) is_listed: bool,
+    /// The last registration of another incarnation that no report has confirmed.
+    pub(super) rival: Option<work::Worker>,
+    /// When `rival` became known, until a report requested later shows which incarnation lives.
+    pub(super) disputed_at: Option<Duration>,
+    /// Whether this incarnation belongs to another pool and is kept only for its stray runs.
+    pub(super) has_departed: bool,
     /// Whether its row is stored, so that the next owner knows that it may run tasks.
     pub(super) is_recorded: bool,
     /// Whether it has reported all its runs and completions in this term, and has therefore seen the
@@ -66,6 +72,9 @@
         Self {
             listing,
             is_listed: true,
+            rival: None,
+            disputed_at: None,
+            has_departed: false,
             is_recorded: false,
             has_reported: false,
             clock_offset_ms: None,
@@ -97,6 +106,14 @@
             .map(|offset| now.as_millis() as i64 + offset)
     }
 
+    /// Returns whether the registration of another incarnation proves nothing: it is an earlier one, or
+    /// did not live when this one reported.
+    pub(super) fn doubts(&self, incarnation: i64) -> bool {
+        let rival = self.rival.as_ref();
+        incarnation < self.listing.incarnation
+            || rival.is_some_and(|rival| rival.incarnation == incarnation)
+    }
+
     /// Returns the number up to which completions may be acknowledged.
     pub fn acknowledgeable(&self) -> u64 {
         self.stored
@@ -135,6 +152,7 @@
         self.has_reported
             && self.is_recorded
             && self.is_listed
+            && self.disputed_at.is_none()
             && !self.listing.is_draining
             && self.unreachable_since.is_none()
             && self.excluded_until <= now
@@ -149,6 +167,24 @@
         }
     }
 
+    /// Returns whether the worker has the capacity for all of its runs but those being stopped.
+    pub(super) fn has_room_for_runs(&self) -> bool {
+        let mut used = work::Resources::default();
+        for run in self.runs.values().filter(|run| run.stopping_at.is_none()) {
+            used.add(&run.reserved);
+        }
+        self.listing
+            .capacity
+            .fits(&used, &work::Resources::default())
+    }
+
+    /// Returns the earliest time at which a report shows whether a stray run has started, `None` if
+    /// there is no such run.
+    pub(super) fn strays_settle_at(&self) -> Option<Duration> {
+        let strays = self.runs.values().filter(|run| run.is_stray);
+        strays.filter_map(Run::arrives_until).min()
+    }
+
     pub(super) fn unreserve(&mut self, task: TaskKey) -> Option<Run> {
         let run = self.runs.remove(&task)?;
         self.used.remove(&run.reserved);
@@ -156,6 +192,10 @@
     }
 }
 
+/// The longest time that an order can be in flight; after it, the order has arrived or its
+/// connection is broken.
+const IN_FLIGHT: Duration = Duration::from_millis(700);
+
 /// A run on a worker, from its start order until its outcome is reported.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
@@ -170,6 +210,11 @@
     pub(super) is_confirmed: bool,
     /// Whether a report has listed it, which proves that this incarnation runs it.
     pub(super) is_reported: bool,
+    /// When its start was last sent in this term, `None` if never.
+    pub(super) sent_at: Option<Duration>,
+    /// Whether its start was sent to a previous incarnation of the worker and may have reached this
+    /// one, which was not given the task.
+    pub(super) is_stray: bool,
     /// When it was first ordered to stop.
     pub(super) stopping_at: Option<Duration>,
     /// When the worker confirmed the stop. A report requested later lists the run or its
@@ -183,3 +228,18 @@
     /// When its progress reached 100 percent; a long-running task serves from then on.
     pub(super) serving_since: Option<Duration>,
 }
+
+impl Run {
+    /// Returns the time after which its start can't reach a worker any more, `None` if it was never
+    /// sent in this term.
+    pub(super) fn arrives_until(&self) -> Option<Duration> {
+        self.sent_at.map(|sent_at| sent_at + IN_FLIGHT)
+    }
+
+    /// Returns whether its start may reach the worker's next incarnation, which has the same
+    /// identifier, or has done so.
+    pub(super) fn may_reach_next(&self, now: Duration) -> bool {
+        self.arrives_until()
+            .is_some_and(|until| !self.is_reported || now < until)
+    }
+}
--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -13,6 +13,7 @@
 mod worker;
 mod world;
 
+pub use store::FakeStore;
 pub use takeover::Takeover;
 pub use world::{Faults, World};
 
