Wait for the incarnation that replaces an unreported worker

Callers would see a task run twice: a worker restarted around a failover, and a late order of the previous owner reached its next incarnation, which has the same identifier and has seen no fencing token. The new owner dropped the earlier incarnation from its wait and didn't wait for the next one, so recovery ended and the task was started elsewhere before the next one reported the run.

The wait now passes to the incarnation that replaces one, with the same end of the leases, unless it has already reported in this term. It is polled at once, so the wait lasts one report. It passes before the earlier incarnation is removed, which used to end the wait when that one was registered.

--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -12,8 +12,9 @@
     /// Registers a worker or updates its registration. A new incarnation under the same identifier
     /// proves that the previous one no longer exists.
     pub fn register_worker(&mut self, listing: work::Worker, now: Duration) {
-        let inherited = self.replace_incarnation(&listing, now);
+        // The wait passes to this incarnation before its earlier ones are removed.
         self.replace_unreported(&listing, now);
+        let inherited = self.replace_incarnation(&listing, now);
         if listing.pool != self.pool {
             self.deregister_worker(&listing.id);
             return;
--- a/crates/hyssop-policy/src/owner/unreported.rs
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -100,8 +100,9 @@
         lease_end.unwrap_or(Duration::ZERO)
     }
 
-    /// Stops waiting for earlier incarnations of a worker. A listing may be older than the row that
-    /// the previous owner has stored, and proves nothing then.
+    /// Waits for a worker's incarnation instead of its earlier ones, which have ended: orders of the
+    /// previous owner may have reached it, since both have the same identifier. A listing may be
+    /// older than the row that the previous owner has stored, and proves nothing then.
     pub(super) fn replace_unreported(&mut self, listing: &work::Worker, now: Duration) {
         let replaced: Vec<(String, i64)> = self
             .unreported_workers
@@ -110,8 +111,19 @@
             .filter(|(_, incarnation)| *incarnation < listing.incarnation)
             .cloned()
             .collect();
+        let has_reported = self
+            .worker_key(&listing.id, listing.incarnation)
+            .and_then(|key| self.workers.get(&key))
+            .is_some_and(|worker| worker.has_reported);
         for name in replaced {
+            let lease_end = self.unreported_workers.get(&name).copied();
             self.remove_unreported(&name, Reason::Replaced, now);
+            if let Some(lease_end) =
+                lease_end.filter(|_| listing.pool == self.pool && !has_reported)
+            {
+                self.unreported_workers
+                    .insert((listing.id.clone(), listing.incarnation), lease_end);
+            }
         }
     }
 
--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -14,6 +14,7 @@
 mod world;
 
 pub use takeover::Takeover;
+pub use worker::FakeWorker;
 pub use world::{Faults, World};
 
 /// Returns a job of `count` long-running tasks, at most one per worker, of which one may be
--- a/crates/hyssop-policy/tests/recovery.rs
+++ b/crates/hyssop-policy/tests/recovery.rs
@@ -5,7 +5,8 @@
 mod model;
 
 use hyssop_model::work::Phase;
-use model::{job, Takeover, World};
+use hyssop_platform::dialect::Start;
+use model::{job, FakeWorker, Takeover, World};
 use std::time::Duration;
 
 const ID: &str = "00000000000000aa";
@@ -223,3 +224,52 @@
 fn authority_counted_from_start_of_takeover_runs_tasks_twice() {
     take_over_from_active_owner(true);
 }
+
+/// Returns the number of runs of a task after a failover, of which one was started by a late order of
+/// the previous owner on the next incarnation of a worker. The new owner learns of that incarnation
+/// before or after it has read the registry.
+fn runs_after_late_order(is_read_before: bool) -> usize {
+    let mut world = busy_pool(40, 20_000);
+    let restarted = busy_worker(&world);
+    let task = world.workers[restarted].running().next().unwrap().0.clone();
+    world.kill_owner();
+    if is_read_before {
+        world.workers[restarted].is_reachable = false;
+        world.start_owner();
+        world.run(100);
+    }
+    let now_ms = world.now_ms;
+    world.workers[restarted].restart(now_ms);
+    let late = Start {
+        worker: world.workers[restarted].listing.id.clone(),
+        task: task.clone(),
+        run: 2,
+        specification: "20000".to_owned(),
+        until_ms: now_ms + 5_000,
+        fence: 1,
+        checkpoint: String::new(),
+        ticket: None,
+    };
+    world.workers[restarted].start(&late, now_ms);
+    world.workers[restarted].report_ms = 200;
+    if is_read_before {
+        world.register(restarted);
+    } else {
+        world.start_owner();
+    }
+    world.run(2_000);
+    let is_running = |worker: &&FakeWorker| worker.running().any(|(name, _)| *name == task);
+    world.workers.iter().filter(is_running).count()
+}
+
+/// Recovery ended before the next incarnation of a worker, which has the same identifier, had
+/// reported a run that a late order of the previous owner had started there.
+#[test]
+fn waits_for_report_of_replacing_incarnation() {
+    assert_eq!(runs_after_late_order(false), 1);
+}
+
+#[test]
+fn waits_for_report_of_incarnation_that_replaces_registered_one() {
+    assert_eq!(runs_after_late_order(true), 1);
+}
