--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -15,6 +15,7 @@
 
 pub use store::FakeStore;
 pub use takeover::Takeover;
+pub use worker::FakeWorker;
 pub use world::{Faults, World};
 
 /// Returns a job of `count` long-running tasks, at most one per worker, of which one may be
--- a/crates/hyssop-policy/tests/takeover_model.rs
+++ b/crates/hyssop-policy/tests/takeover_model.rs
@@ -107,11 +107,9 @@
                 world.hide(number, ms);
             }
             15 => world.workers[number].report_ms = world.pick(0..400) as i64,
-            16 => {
-                if submitted > 0 && world.has_owner() {
-                    let job = world.pick(0..submitted);
-                    world.cancel(&format!("{job:016x}"));
-                }
+            16 if submitted > 0 && world.has_owner() => {
+                let job = world.pick(0..submitted);
+                world.cancel(&format!("{job:016x}"));
             }
             _ => {}
         }
