owner: start an occurrence only once a stored row names it

Also, a completion of an occurrence that the successor had not opened yet, as with a clock behind, was acknowledged and dropped, and the occurrence was started again after its end was taken note of.

Cause: occurrences were placed before the progress row that names them was stored.

Occurrences are now opened 1 to 3 s before they are due, several in one row write, and placed once they are due and the committed row names them. So what a successor opens beyond the stored rows has certainly not been started, and the store's time delays no start. A report about an unopened occurrence opens it first, as one that may run while the recovery lasts. The row of a new job names the first occurrences at its acceptance. During an outage of the store no further occurrence starts.

tests/placement.rs: scheduled_occurrences_start_when_due expected a start without a commit of the row, which is the fault. It now asserts that there is none before the commit, and the same starts as before after it.

--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -119,6 +119,7 @@
             id: id.to_owned(),
             queue: queue.to_owned(),
             next_occurrence: u32::from(submission.schedule.is_none()),
+            stored_occurrences: u32::from(submission.schedule.is_none()),
             submission,
             submitted_at,
             submitted_wall_ms: wall_ms.saturating_sub(age.as_millis() as i64),
@@ -134,6 +135,7 @@
         self.jobs.insert(key, job);
         self.open_jobs.insert(key);
         self.dirty.insert(key);
+        self.open_occurrences(key, now, wall_ms);
         Admission::Pending
     }
 
--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -34,8 +34,8 @@
 /// The effects of the batch in flight, applied once it is committed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pending {
-    /// Jobs in the batch, with the phases written.
-    jobs: BTreeMap<JobKey, Phase>,
+    /// Jobs in the batch, with the phases written and the occurrences that the rows name.
+    jobs: BTreeMap<JobKey, (Phase, u32)>,
     /// Highest completion number of each worker that this batch or an earlier one covers.
     applied: Vec<(WorkerKey, u64)>,
     recorded_workers: Vec<WorkerKey>,
@@ -51,6 +51,8 @@
     Final,
     /// A new job, whose caller waits for its acceptance.
     New,
+    /// An occurrence, which starts once it is stored.
+    Occurrence,
     /// The progress of a job that goes on.
     Progress,
 }
@@ -61,6 +63,8 @@
             Self::New
         } else if job.phase.is_final() {
             Self::Final
+        } else if job.stored_occurrences < job.next_occurrence {
+            Self::Occurrence
         } else {
             Self::Progress
         }
@@ -156,14 +160,16 @@
             };
             batch.writes.push((JOBS, job.id.clone(), encode(&accepted)));
         }
-        let is_unstarted = is_new && !job.phase.is_final() && !job.has_started;
-        if !is_unstarted {
+        let names_occurrences = job.submission.schedule.is_some() && job.next_occurrence > 0;
+        let has_progress = job.phase.is_final() || job.has_started || names_occurrences;
+        if !is_new || has_progress {
             let progress = Progress::of(job);
             batch
                 .writes
                 .push((PROGRESS, job.id.clone(), encode(&progress)));
         }
-        pending.jobs.insert(key, job.phase);
+        let written = (job.phase, job.next_occurrence);
+        pending.jobs.insert(key, written);
     }
 
     /// Adds the removal of submissions of finished jobs as far as there is room. Nothing waits for
@@ -187,8 +193,8 @@
     ///
     /// When the store is slow, a batch takes only part of the changes. Final phases come first,
     /// since a job counts only once its result is stored; then new jobs, whose callers wait; then
-    /// the progress of running jobs, which only a new owner needs, and which workers report again
-    /// until it is stored.
+    /// occurrences, which start only once they are stored; then the progress of running jobs, which
+    /// only a new owner needs, and which workers report again until it is stored.
     fn dirty_by_urgency(&self) -> Vec<JobKey> {
         let mut keys: Vec<(Urgency, JobKey)> = self
             .dirty
@@ -226,10 +232,14 @@
             return Vec::new();
         };
         let mut notifications = Vec::new();
-        for (key, phase) in pending.jobs {
+        for (key, (phase, next_occurrence)) in pending.jobs {
             let Some(job) = self.jobs.get_mut(&key) else {
                 continue;
             };
+            if job.stored_occurrences < next_occurrence {
+                job.stored_occurrences = next_occurrence;
+                self.is_placement_due = true;
+            }
             if !job.is_stored {
                 job.is_stored = true;
                 self.is_placement_due = true;
--- a/crates/hyssop-policy/src/owner/budget.rs
+++ b/crates/hyssop-policy/src/owner/budget.rs
@@ -235,8 +235,7 @@
             .filter_map(|key| Some((*key, self.jobs.get(key)?)))
             .flat_map(|(key, job)| {
                 let is_runnable = job.is_stored && !job.phase.is_final();
-                job.occurrences
-                    .iter()
+                job.startable_occurrences()
                     .filter(move |_| is_runnable)
                     .flat_map(move |(&occurrence, state)| {
                         job.submission
--- a/crates/hyssop-policy/src/owner/completion.rs
+++ b/crates/hyssop-policy/src/owner/completion.rs
@@ -26,6 +26,12 @@
         worker.applied = completion.number;
         self.is_placement_due = true;
         let found = self.job_keys.get(&completion.task.job).copied();
+        if let Some(job_key) = found {
+            self.open_reported_occurrence(job_key, completion.task.occurrence, now);
+        }
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
         let Some((job_key, job)) = found.and_then(|k| Some((k, self.jobs.get_mut(&k)?))) else {
             return;
         };
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -62,6 +62,9 @@
     pub(super) has_started: bool,
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
     pub(super) next_occurrence: u32,
+    /// The stored `next_occurrence`. A new owner takes all later occurrences for not started, so
+    /// their tasks must not be.
+    pub(super) stored_occurrences: u32,
     /// The number of finished occurrences before `next_occurrence`.
     pub(super) finished_occurrences: u32,
     /// When the job finished, on the owner's clock.
@@ -88,6 +91,13 @@
         self.submission.steps.get(number as usize)
     }
 
+    /// Returns the occurrences whose tasks may be started: those that are due and stored.
+    pub(super) fn startable_occurrences(&self) -> impl Iterator<Item = (&u32, &Occurrence)> {
+        self.occurrences
+            .range(..self.stored_occurrences)
+            .filter(|(_, occurrence)| occurrence.is_due)
+    }
+
     pub(super) fn stage(&self, occurrence: u32, step: u32) -> Option<&Stage> {
         self.occurrences.get(&occurrence)?.stages.get(step as usize)
     }
@@ -103,12 +113,15 @@
 /// One occurrence of a job.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Occurrence {
-    /// When the occurrence was due, on the owner's clock.
+    /// When the occurrence is due, on the owner's clock.
     pub(super) due_at: Duration,
+    /// Whether the occurrence is due by the wall clock.
+    pub(super) is_due: bool,
     pub(super) stages: Vec<Stage>,
 }
 
 impl Occurrence {
+    /// Creates an occurrence without progress. Only that of a job without a schedule is due at once.
     pub(super) fn new(submission: &Submission, due_at: Duration, initial: State) -> Self {
         let stage = |step: &Step| Stage {
             tasks: vec![
@@ -122,6 +135,7 @@
         };
         Self {
             due_at,
+            is_due: submission.schedule.is_none(),
             stages: submission.steps.iter().map(stage).collect(),
         }
     }
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -9,6 +9,8 @@
 //!
 //! - The term is the fencing token of every order; a worker that has seen a newer term rejects it.
 //! - A task is restarted only when its run has ended or its lease has certainly expired.
+//! - An occurrence of a scheduled job is started only after a stored row names it, so a new owner
+//!   knows that all others have not been started.
 //! - A completion is acknowledged to its worker only after it is stored.
 //! - Callers see `done`, `failed` and `cancelled` only after the phase is stored.
 
@@ -184,7 +186,7 @@
         if now.saturating_sub(self.last_check_at) >= WATCH_INTERVAL {
             self.last_check_at = now;
             self.expire_leases(now);
-            self.open_occurrences(now, wall_ms);
+            self.watch_schedules(now, wall_ms);
             self.watch_runs(now);
             self.evacuate_workers(now);
         }
--- a/crates/hyssop-policy/src/owner/placement.rs
+++ b/crates/hyssop-policy/src/owner/placement.rs
@@ -48,7 +48,7 @@
             return;
         }
         let mut waiting: Vec<TaskKey> = Vec::new();
-        for (&occurrence, state) in &job.occurrences {
+        for (&occurrence, state) in job.startable_occurrences() {
             for (number, step) in job.submission.steps.iter().enumerate() {
                 let stage = &state.stages[number];
                 if stage.is_done() || !state.are_steps_done(&step.after) {
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -127,6 +127,9 @@
                 BTreeMap::from([(0, occurrence)])
             }
         };
+        let next_occurrence = stored
+            .as_ref()
+            .map_or(u32::from(!is_scheduled), |stored| stored.next_occurrence);
         let job = Job {
             id: record.key.clone(),
             queue: accepted.queue,
@@ -137,9 +140,8 @@
             is_stored: true,
             first_started_at: None,
             has_started: stored.as_ref().is_some_and(|stored| stored.has_started),
-            next_occurrence: stored
-                .as_ref()
-                .map_or(u32::from(!is_scheduled), |stored| stored.next_occurrence),
+            next_occurrence,
+            stored_occurrences: next_occurrence,
             finished_occurrences: stored.map_or(0, |stored| stored.finished_occurrences),
             occurrences,
             submission,
@@ -210,6 +212,7 @@
         has_started: true,
         occurrences: BTreeMap::new(),
         next_occurrence: 0,
+        stored_occurrences: 0,
         finished_occurrences: 0,
         finished_at: Some(now),
     }
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -89,10 +89,13 @@
             task: running.task.to_string(),
             run: running.run,
         };
+        let found = self.job_keys.get(&running.task.job).copied();
+        if let Some(job_key) = found {
+            self.open_reported_occurrence(job_key, running.task.occurrence, now);
+        }
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
-        let found = self.job_keys.get(&running.task.job).copied();
         let Some((job_key, job)) = found.and_then(|k| Some((k, self.jobs.get_mut(&k)?))) else {
             // All accepted jobs are known, so this run does not belong to one.
             self.actions.push(stop());
--- a/crates/hyssop-policy/src/owner/watch.rs
+++ b/crates/hyssop-policy/src/owner/watch.rs
@@ -1,5 +1,5 @@
 use super::job::{Occurrence, State};
-use super::{Scheduler, TaskKey, WorkerKey};
+use super::{JobKey, Scheduler, TaskKey, WorkerKey};
 use std::time::Duration;
 
 /// A run is stalled when it makes no progress for this share of its expected duration, and for at
@@ -7,34 +7,86 @@
 const STALL_SHARE: f64 = 0.5;
 const MIN_STALL: Duration = Duration::from_millis(1_200);
 
+/// An occurrence is opened at least this long before it is due, which covers the time that a slow
+/// store takes to store it.
+const MIN_OPEN_AHEAD: Duration = Duration::from_millis(1_000);
+/// Occurrences that are due within this time are opened together, which saves writes of the row.
+const MAX_OPEN_AHEAD: Duration = Duration::from_millis(3_000);
+
 impl Scheduler {
-    /// Opens the occurrences of scheduled jobs that are due at `wall_ms`, in Unix milliseconds.
-    pub(super) fn open_occurrences(&mut self, now: Duration, wall_ms: i64) {
-        for key in &self.open_jobs {
-            let Some(job) = self.jobs.get_mut(key) else {
+    /// Opens and starts the time of occurrences of scheduled jobs; `wall_ms` is in Unix
+    /// milliseconds.
+    pub(super) fn watch_schedules(&mut self, now: Duration, wall_ms: i64) {
+        for key in self.open_jobs.clone() {
+            self.open_occurrences(key, now, wall_ms);
+            let Some(job) = self.jobs.get_mut(&key) else {
                 continue;
             };
             let Some(schedule) = job.submission.schedule else {
                 continue;
             };
-            if job.phase.is_final() {
-                continue;
-            }
-            while job.next_occurrence < schedule.count
-                && schedule.due_ms(job.next_occurrence) <= wall_ms
-            {
-                let due_ms = schedule.due_ms(job.next_occurrence);
-                let delay = Duration::from_millis((wall_ms - due_ms).unsigned_abs());
-                let due_at = now.saturating_sub(delay);
-                let occurrence = Occurrence::new(&job.submission, due_at, State::Waiting);
-                job.occurrences.insert(job.next_occurrence, occurrence);
-                job.next_occurrence += 1;
-                self.dirty.insert(*key);
-                self.is_placement_due = true;
+            for (number, occurrence) in &mut job.occurrences {
+                let due_ms = schedule.due_ms(*number);
+                if !occurrence.is_due && due_ms <= wall_ms {
+                    let delay = Duration::from_millis((wall_ms - due_ms).unsigned_abs());
+                    occurrence.due_at = now.saturating_sub(delay);
+                    occurrence.is_due = true;
+                    self.is_placement_due = true;
+                }
             }
         }
     }
 
+    /// Opens the occurrences of a scheduled job that are due soon, several at a time, so that they
+    /// are stored before their tasks may start.
+    pub(super) fn open_occurrences(&mut self, key: JobKey, now: Duration, wall_ms: i64) {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let Some(schedule) = job.submission.schedule else {
+            return;
+        };
+        let is_due_within = |number: u32, span: Duration| {
+            number < schedule.count && schedule.due_ms(number) - wall_ms <= span.as_millis() as i64
+        };
+        if job.phase.is_final() || !is_due_within(job.next_occurrence, MIN_OPEN_AHEAD) {
+            return;
+        }
+        while is_due_within(job.next_occurrence, MAX_OPEN_AHEAD) {
+            let ahead_ms = (schedule.due_ms(job.next_occurrence) - wall_ms).max(0);
+            let due_at = now + Duration::from_millis(ahead_ms.unsigned_abs());
+            let occurrence = Occurrence::new(&job.submission, due_at, State::Waiting);
+            job.occurrences.insert(job.next_occurrence, occurrence);
+            job.next_occurrence += 1;
+            self.dirty.insert(key);
+        }
+    }
+
+    /// Opens the occurrences of a scheduled job up to `number`, which a worker has reported.
+    ///
+    /// A previous owner whose clock is ahead, or of a version that started occurrences before they
+    /// were stored, may have started them.
+    pub(super) fn open_reported_occurrence(&mut self, key: JobKey, number: u32, now: Duration) {
+        let initial = if self.is_recovering {
+            State::Orphaned
+        } else {
+            State::Waiting
+        };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let count = job.submission.schedule.map_or(0, |schedule| schedule.count);
+        if job.phase.is_final() || number < job.next_occurrence || number >= count {
+            return;
+        }
+        for opened in job.next_occurrence..=number {
+            let occurrence = Occurrence::new(&job.submission, now, initial);
+            job.occurrences.insert(opened, occurrence);
+        }
+        job.next_occurrence = number + 1;
+        self.dirty.insert(key);
+    }
+
     /// Stops stalled runs, so that their tasks resume elsewhere, and resends unanswered starts.
     ///
     /// Tasks on some workers hang while the worker reports as usual. The stop doesn't count as a
--- a/crates/hyssop-policy/tests/placement.rs
+++ b/crates/hyssop-policy/tests/placement.rs
@@ -217,6 +217,11 @@
         starts(&mut scheduler, 4_990).is_empty(),
         "the first occurrence is not due"
     );
+    assert!(
+        starts(&mut scheduler, 5_030).is_empty(),
+        "the first occurrence is not stored"
+    );
+    commit(&mut scheduler, 5_030);
     let first = starts(&mut scheduler, 5_040);
     assert_eq!(first.len(), 1);
     let (worker, task, run) = first[0];
