owner: keep rows and calls within the store's limits

Cause: all occurrences due at once were opened at once, no row had a limit, and a batch was limited by rows, not by bytes.

Now at most 128 occurrences of a job are open, fewer if their progress takes more than a row whatever it becomes; past ones follow as earlier ones end. A batch ends before 600,000 bytes, which are below 1 MB as base64. A row that still is too large, as for a job that was accepted under other limits, is not written: the job goes on, its completions stay unacknowledged, its final phase is stored. A completion of an occurrence beyond the open ones waits, unacknowledged, until it is opened.

The model's store now also checks the platform's limits at each commit.

--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -1,9 +1,15 @@
 use super::job::{Job, Occurrence, State};
+use super::progress::{JobRow, Progress};
 use super::{Action, JobKey, Scheduler};
 use hyssop_model::work::{Phase, Submission};
+use hyssop_platform::rows::encode;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// The maximum number of open occurrences of a job, which bounds the memory and the row of one with
+/// many past occurrences. More than that rarely overlap.
+const MAX_OPEN_OCCURRENCES: usize = 128;
+
 /// The outcome of a submission.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -106,6 +112,19 @@
                 Admission::Pending
             };
         }
+        let submitted_wall_ms = wall_ms.saturating_sub(age.as_millis() as i64);
+        let row = JobRow {
+            queue: queue.to_owned(),
+            submitted_wall_ms,
+            submission,
+        };
+        let row_bytes = encode(&row).len();
+        let submission = row.submission;
+        let max_open_occurrences = self.max_open_occurrences(queue, &submission);
+        if let Some(reason) = self.size_refusal(row_bytes, max_open_occurrences) {
+            log::info!("event=job-too-large job={id} queue={queue} bytes={row_bytes}");
+            return Admission::Refused(reason);
+        }
         let key = self.allocate_key(id);
         let submitted_at = now.saturating_sub(age);
         let mut occurrences = BTreeMap::new();
@@ -119,10 +138,11 @@
             id: id.to_owned(),
             queue: queue.to_owned(),
             next_occurrence: u32::from(submission.schedule.is_none()),
+            max_open_occurrences,
             stored_occurrences: u32::from(submission.schedule.is_none()),
             submission,
             submitted_at,
-            submitted_wall_ms: wall_ms.saturating_sub(age.as_millis() as i64),
+            submitted_wall_ms,
             phase: Phase::Queued,
             stored_phase: None,
             is_stored: false,
@@ -130,6 +150,7 @@
             has_started: false,
             occurrences,
             finished_occurrences: 0,
+            is_oversized: false,
             finished_at: None,
         };
         self.jobs.insert(key, job);
@@ -139,6 +160,30 @@
         Admission::Pending
     }
 
+    /// Returns why a job can't be stored, `None` if all of its rows fit whatever its progress.
+    fn size_refusal(&self, row_bytes: usize, max_open_occurrences: usize) -> Option<String> {
+        let limit = self.settings.row_limit();
+        if row_bytes > limit {
+            return Some(format!(
+                "the job takes {row_bytes} bytes to store, the maximum is {limit}; \
+                 submit it with fewer steps or a shorter specification"
+            ));
+        }
+        (max_open_occurrences == 0).then(|| {
+            format!(
+                "the progress of the job may take more than {limit} bytes to store; \
+                 split it into jobs with fewer tasks"
+            )
+        })
+    }
+
+    /// Returns the maximum number of open occurrences of a job, 0 if not even one can be stored.
+    pub(super) fn max_open_occurrences(&self, queue: &str, submission: &Submission) -> usize {
+        let max_attempts = self.rules.get(queue).map_or(1, |rule| rule.max_attempts);
+        let limit = self.settings.row_limit();
+        Progress::max_occurrences(queue, submission, max_attempts, limit).min(MAX_OPEN_OCCURRENCES)
+    }
+
     /// Withdraws a submission that has certainly not reached the store, so that the job never runs.
     ///
     /// Returns whether the job is withdrawn; a job that may have been stored stays.
--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -15,16 +15,29 @@
 /// The most rows that the changes of one job take: its submission and its progress.
 const MAX_JOB_ROWS: usize = 2;
 
+/// A row to write: table, key and value.
+type RowWrite = (&'static str, String, Vec<u8>);
+
+fn row_bytes((_, key, value): &RowWrite) -> usize {
+    key.len() + value.len()
+}
+
 /// Changes to rows of the pool's shard, to be committed in one transaction.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
     /// Rows to write: table, key and value.
-    pub writes: Vec<(&'static str, String, Vec<u8>)>,
+    pub writes: Vec<RowWrite>,
     /// Rows to delete: table and key.
     pub removes: Vec<(&'static str, String)>,
 }
 
 impl Batch {
+    /// Returns the size of the keys and values.
+    fn bytes(&self) -> usize {
+        let removed: usize = self.removes.iter().map(|(_, key)| key.len()).sum();
+        removed + self.writes.iter().map(row_bytes).sum::<usize>()
+    }
+
     /// Returns the number of rows that the batch writes or deletes.
     fn len(&self) -> usize {
         self.writes.len() + self.removes.len()
@@ -94,8 +107,20 @@
             if batch.len() + MAX_JOB_ROWS > self.settings.max_batch_rows {
                 break;
             }
+            let Some(rows) = self.job_rows(key) else {
+                continue;
+            };
+            if batch.bytes() + rows.iter().map(row_bytes).sum::<usize>()
+                > self.settings.max_batch_bytes
+            {
+                break;
+            }
             self.dirty.remove(&key);
-            self.batch_job(key, &mut batch, &mut pending);
+            batch.writes.extend(rows);
+            if let Some(job) = self.jobs.get(&key) {
+                let written = (job.phase, job.next_occurrence);
+                pending.jobs.insert(key, written);
+            }
         }
         self.batch_finished_submissions(&mut batch, &mut pending);
         pending.applied = self
@@ -147,29 +172,35 @@
         }
     }
 
-    fn batch_job(&mut self, key: JobKey, batch: &mut Batch, pending: &mut Pending) {
-        let Some(job) = self.jobs.get(&key) else {
-            return;
-        };
+    /// Returns the rows to write for a job, `None` if its progress can't be stored at present.
+    ///
+    /// That happens only to jobs that were accepted under other limits. They go on, the completions
+    /// of their tasks stay unacknowledged, and their final phase is stored.
+    fn job_rows(&mut self, key: JobKey) -> Option<Vec<RowWrite>> {
+        let limit = self.settings.row_limit();
+        let job = self.jobs.get_mut(&key)?;
         let is_new = !job.is_stored;
+        let mut rows = Vec::new();
         if is_new {
-            let accepted = JobRow {
-                queue: job.queue.clone(),
-                submitted_wall_ms: job.submitted_wall_ms,
-                submission: job.submission.clone(),
-            };
-            batch.writes.push((JOBS, job.id.clone(), encode(&accepted)));
+            rows.push((JOBS, job.id.clone(), encode(&JobRow::of(job))));
         }
         let names_occurrences = job.submission.schedule.is_some() && job.next_occurrence > 0;
         let has_progress = job.phase.is_final() || job.has_started || names_occurrences;
         if !is_new || has_progress {
-            let progress = Progress::of(job);
-            batch
-                .writes
-                .push((PROGRESS, job.id.clone(), encode(&progress)));
+            rows.push((PROGRESS, job.id.clone(), Progress::row(job, limit)));
+        }
+        let largest = rows.iter().map(|(_, _, value)| value.len()).max()?;
+        if largest > limit {
+            if !std::mem::replace(&mut job.is_oversized, true) {
+                log::error!(
+                    "event=row-too-large pool={} job={} bytes={largest} max={limit}",
+                    self.pool,
+                    job.id
+                );
+            }
+            return None;
         }
-        let written = (job.phase, job.next_occurrence);
-        pending.jobs.insert(key, written);
+        Some(rows)
     }
 
     /// Adds the removal of submissions of finished jobs as far as there is room. Nothing waits for
--- a/crates/hyssop-policy/src/owner/completion.rs
+++ b/crates/hyssop-policy/src/owner/completion.rs
@@ -24,6 +24,26 @@
             return;
         }
         worker.applied = completion.number;
+        self.apply_to_job(key, completion, now);
+    }
+
+    /// Applies the completions that waited for their occurrences to be opened.
+    pub(super) fn apply_deferred_completions(&mut self, now: Duration) {
+        let mut deferred = Vec::new();
+        for (key, worker) in &mut self.workers {
+            let completions = std::mem::take(&mut worker.deferred_completions);
+            deferred.extend(
+                completions
+                    .into_values()
+                    .map(|completion| (*key, completion)),
+            );
+        }
+        for (key, completion) in deferred {
+            self.apply_to_job(key, completion, now);
+        }
+    }
+
+    fn apply_to_job(&mut self, key: WorkerKey, completion: Completion, now: Duration) {
         self.is_placement_due = true;
         let found = self.job_keys.get(&completion.task.job).copied();
         if let Some(job_key) = found {
@@ -41,6 +61,12 @@
             step: completion.task.step,
             index: completion.task.index,
         };
+        if job.will_open(task.occurrence) {
+            worker
+                .deferred_completions
+                .insert(completion.number, completion);
+            return;
+        }
         worker.unstored.insert(completion.number, job_key);
         let mut ordered_at = None;
         if worker
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -65,8 +65,12 @@
     /// The stored `next_occurrence`. A new owner takes all later occurrences for not started, so
     /// their tasks must not be.
     pub(super) stored_occurrences: u32,
+    /// The maximum number of open occurrences, with which the progress row keeps within its size.
+    pub(super) max_open_occurrences: usize,
     /// The number of finished occurrences before `next_occurrence`.
     pub(super) finished_occurrences: u32,
+    /// Whether its progress was found too large to store.
+    pub(super) is_oversized: bool,
     /// When the job finished, on the owner's clock.
     pub(super) finished_at: Option<Duration>,
 }
@@ -98,6 +102,15 @@
             .filter(|(_, occurrence)| occurrence.is_due)
     }
 
+    /// Returns whether an occurrence is still to be opened.
+    pub(super) fn will_open(&self, occurrence: u32) -> bool {
+        let count = self
+            .submission
+            .schedule
+            .map_or(0, |schedule| schedule.count);
+        !self.phase.is_final() && (self.next_occurrence..count).contains(&occurrence)
+    }
+
     pub(super) fn stage(&self, occurrence: u32, step: u32) -> Option<&Stage> {
         self.occurrences.get(&occurrence)?.stages.get(step as usize)
     }
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -130,6 +130,9 @@
         let next_occurrence = stored
             .as_ref()
             .map_or(u32::from(!is_scheduled), |stored| stored.next_occurrence);
+        let max_open_occurrences = self
+            .max_open_occurrences(&accepted.queue, &submission)
+            .max(1);
         let job = Job {
             id: record.key.clone(),
             queue: accepted.queue,
@@ -141,10 +144,12 @@
             first_started_at: None,
             has_started: stored.as_ref().is_some_and(|stored| stored.has_started),
             next_occurrence,
+            max_open_occurrences,
             stored_occurrences: next_occurrence,
             finished_occurrences: stored.map_or(0, |stored| stored.finished_occurrences),
             occurrences,
             submission,
+            is_oversized: false,
             finished_at: None,
         };
         self.jobs.insert(key, job);
@@ -212,8 +217,10 @@
         has_started: true,
         occurrences: BTreeMap::new(),
         next_occurrence: 0,
+        max_open_occurrences: 0,
         stored_occurrences: 0,
         finished_occurrences: 0,
+        is_oversized: false,
         finished_at: Some(now),
     }
 }
--- a/crates/hyssop-policy/src/owner/settings.rs
+++ b/crates/hyssop-policy/src/owner/settings.rs
@@ -29,6 +29,11 @@
     /// The maximum number of rows in one batch; the store accepts 100 entries per call, conditions
     /// included.
     pub max_batch_rows: usize,
+    /// The maximum size of a row's value, in bytes.
+    pub max_row_bytes: usize,
+    /// The maximum size of the keys and values in one batch, in bytes; the store accepts 1 MB per
+    /// call, in which values are base64.
+    pub max_batch_bytes: usize,
 }
 
 impl Default for Settings {
@@ -45,11 +50,18 @@
             quarantine: Duration::from_millis(2_500),
             interrupt_pause: Duration::from_millis(2_500),
             max_batch_rows: 90,
+            max_row_bytes: 65_536,
+            max_batch_bytes: 600_000,
         }
     }
 }
 
 impl Settings {
+    /// Returns the maximum size of a row, in bytes: the rows of one job must fit into a batch.
+    pub(super) fn row_limit(&self) -> usize {
+        self.max_row_bytes.min(self.max_batch_bytes / 4)
+    }
+
     /// Returns the time after sending an extension at which the lease has certainly expired.
     pub fn lease_span(&self) -> Duration {
         self.lease.mul_f64(self.clock_drift) + self.lease_slack
--- a/crates/hyssop-policy/src/owner/watch.rs
+++ b/crates/hyssop-policy/src/owner/watch.rs
@@ -17,7 +17,17 @@
     /// Opens and starts the time of occurrences of scheduled jobs; `wall_ms` is in Unix
     /// milliseconds.
     pub(super) fn watch_schedules(&mut self, now: Duration, wall_ms: i64) {
-        for key in self.open_jobs.clone() {
+        let is_scheduled = |key: &JobKey| {
+            let job = self.jobs.get(key);
+            job.is_some_and(|job| job.submission.schedule.is_some())
+        };
+        let scheduled: Vec<JobKey> = self
+            .open_jobs
+            .iter()
+            .copied()
+            .filter(is_scheduled)
+            .collect();
+        for key in scheduled {
             self.open_occurrences(key, now, wall_ms);
             let Some(job) = self.jobs.get_mut(&key) else {
                 continue;
@@ -35,10 +45,11 @@
                 }
             }
         }
+        self.apply_deferred_completions(now);
     }
 
     /// Opens the occurrences of a scheduled job that are due soon, several at a time, so that they
-    /// are stored before their tasks may start.
+    /// are stored before their tasks may start. Past ones are opened as earlier ones end.
     pub(super) fn open_occurrences(&mut self, key: JobKey, now: Duration, wall_ms: i64) {
         let Some(job) = self.jobs.get_mut(&key) else {
             return;
@@ -52,7 +63,9 @@
         if job.phase.is_final() || !is_due_within(job.next_occurrence, MIN_OPEN_AHEAD) {
             return;
         }
-        while is_due_within(job.next_occurrence, MAX_OPEN_AHEAD) {
+        while job.occurrences.len() < job.max_open_occurrences
+            && is_due_within(job.next_occurrence, MAX_OPEN_AHEAD)
+        {
             let ahead_ms = (schedule.due_ms(job.next_occurrence) - wall_ms).max(0);
             let due_at = now + Duration::from_millis(ahead_ms.unsigned_abs());
             let occurrence = Occurrence::new(&job.submission, due_at, State::Waiting);
@@ -65,7 +78,7 @@
     /// Opens the occurrences of a scheduled job up to `number`, which a worker has reported.
     ///
     /// A previous owner whose clock is ahead, or of a version that started occurrences before they
-    /// were stored, may have started them.
+    /// were stored, may have started them. If there are too many, the report has to wait.
     pub(super) fn open_reported_occurrence(&mut self, key: JobKey, number: u32, now: Duration) {
         let initial = if self.is_recovering {
             State::Orphaned
@@ -75,8 +88,13 @@
         let Some(job) = self.jobs.get_mut(&key) else {
             return;
         };
-        let count = job.submission.schedule.map_or(0, |schedule| schedule.count);
-        if job.phase.is_final() || number < job.next_occurrence || number >= count {
+        if !job.will_open(number) {
+            return;
+        }
+        let room = job
+            .max_open_occurrences
+            .saturating_sub(job.occurrences.len());
+        if (number - job.next_occurrence) as usize >= room {
             return;
         }
         for opened in job.next_occurrence..=number {
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -1,5 +1,5 @@
 use super::{JobKey, TaskKey};
-use hyssop_model::work::{self, Resources};
+use hyssop_model::work::{self, Completion, Resources};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -25,6 +25,9 @@
     pub(super) stored: u64,
     /// The jobs of the completions after `stored` that changed one.
     pub(super) unstored: BTreeMap<u64, JobKey>,
+    /// Completions of occurrences that are not open yet. They are applied once these are, and not
+    /// acknowledged before.
+    pub(super) deferred_completions: BTreeMap<u64, Completion>,
     /// Completions up to this number were acknowledged in a call that the worker answered.
     pub(super) acknowledged: u64,
     /// When its leases have certainly expired unless they are extended, on the owner's clock.
@@ -68,6 +71,7 @@
             applied: 0,
             stored: 0,
             unstored: BTreeMap::new(),
+            deferred_completions: BTreeMap::new(),
             acknowledged: 0,
             lease_end: Duration::ZERO,
             is_polling: false,
@@ -98,10 +102,14 @@
 
     /// Returns the number up to which completions are stored once all jobs but `dirty` are.
     pub(super) fn storable(&self, dirty: &BTreeSet<JobKey>) -> u64 {
-        self.unstored
-            .iter()
-            .find(|(_, job)| dirty.contains(job))
-            .map_or(self.applied, |(number, _)| number - 1)
+        let unstored = self.unstored.iter().find(|(_, job)| dirty.contains(job));
+        let deferred = self.deferred_completions.keys().next();
+        let first = unstored
+            .map(|(number, _)| number)
+            .into_iter()
+            .chain(deferred)
+            .min();
+        first.map_or(self.applied, |number| number - 1)
     }
 
     /// Returns the key of the worker's row, which is unique to this incarnation.
--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -12,6 +12,7 @@
 mod worker;
 mod world;
 
+pub use store::assert_within_limits;
 pub use world::{Faults, World};
 
 /// Returns a job of `count` long-running tasks, at most one per worker, of which one may be
--- a/crates/hyssop-policy/tests/model/store.rs
+++ b/crates/hyssop-policy/tests/model/store.rs
@@ -10,7 +10,12 @@
 
 impl FakeStore {
     /// Commits a batch of `term`; returns whether the term is still current.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the batch exceeds the limits of the platform's store, which rejects such a call.
     pub fn commit(&mut self, term: u64, batch: &Batch) -> bool {
+        assert_within_limits(batch);
         if term != self.term {
             return false;
         }
@@ -34,3 +39,30 @@
             .collect()
     }
 }
+
+/// The limits of the platform's store: the bytes of a row's value, the entries and the bytes of a
+/// call, in which values are base64.
+const ROW_BYTES: usize = 65_536;
+const CALL_ENTRIES: usize = 100;
+const CALL_BYTES: usize = 1_000_000;
+/// The size of an entry without its key and value.
+const ENTRY_BYTES: usize = 100;
+
+/// # Panics
+///
+/// Panics if the store would reject a call with this batch.
+pub fn assert_within_limits(batch: &Batch) {
+    let mut bytes = 0;
+    for (table, key, value) in &batch.writes {
+        let size = value.len();
+        assert!(size <= ROW_BYTES, "row {table}/{key} has {size} bytes");
+        bytes += ENTRY_BYTES + key.len() + size.div_ceil(3) * 4;
+    }
+    for (_, key) in &batch.removes {
+        bytes += ENTRY_BYTES + key.len();
+    }
+    // One more entry each for the condition and the head row.
+    let entries = batch.writes.len() + batch.removes.len() + 2;
+    assert!(entries <= CALL_ENTRIES, "the call has {entries} entries");
+    assert!(bytes <= CALL_BYTES, "the call has {bytes} bytes");
+}
--- a/crates/hyssop-policy/tests/schedules.rs
+++ b/crates/hyssop-policy/tests/schedules.rs
@@ -147,26 +147,35 @@
     /// Advances the scheduler and commits all that it wants to store.
     fn advance(&mut self, ms: u64, wall_ms: i64) -> Vec<Action> {
         let mut actions = self.scheduler.advance(at(ms), wall_ms);
-        while let Some(batch) = self.scheduler.next_batch(at(ms)) {
-            for (table, key, value) in batch.writes {
-                self.records
-                    .retain(|record| record.table != table || record.key != key);
-                self.records.push(Record {
-                    table: table.to_owned(),
-                    key,
-                    value,
-                });
-            }
-            for (table, key) in batch.removes {
-                self.records
-                    .retain(|record| record.table != table || record.key != key);
-            }
-            self.scheduler.on_commit(at(ms));
+        while self.commit(ms) {
             actions.extend(self.scheduler.advance(at(ms), wall_ms));
         }
         actions
     }
 
+    /// Commits the next batch; returns whether there was one.
+    fn commit(&mut self, ms: u64) -> bool {
+        let Some(batch) = self.scheduler.next_batch(at(ms)) else {
+            return false;
+        };
+        let is_other = |record: &Record, table: &str, key: &String| {
+            record.table != table || record.key != *key
+        };
+        for (table, key, value) in batch.writes {
+            self.records.retain(|record| is_other(record, table, &key));
+            self.records.push(Record {
+                table: table.to_owned(),
+                key,
+                value,
+            });
+        }
+        for (table, key) in batch.removes {
+            self.records.retain(|record| is_other(record, table, &key));
+        }
+        self.scheduler.on_commit(at(ms));
+        true
+    }
+
     /// Handles a report of the worker.
     fn report(&mut self, completions: Vec<Completion>, ms: u64) {
         let worker = self.worker.expect("a worker");
@@ -239,3 +248,30 @@
     let left = BTreeSet::from([format!("{ID}.1.0.0")]);
     assert_eq!(started, left, "occurrence 0 was done");
 }
+
+/// A completion of an occurrence that can't be opened yet was acknowledged and dropped.
+#[test]
+fn completion_beyond_the_open_occurrences_waits_for_its_turn() {
+    const PAST: u32 = 300;
+    const EARLY: u32 = 200;
+    let mut first = Owner::new(1, Vec::new(), 1_000, 1_000_000);
+    let submission = scheduled(100, 0, 1_000, PAST);
+    let (now, wall_ms) = (at(1_000), 1_000_000);
+    let scheduler = &mut first.scheduler;
+    scheduler.submit(ID, "queue", submission, Duration::ZERO, now, wall_ms);
+    first.advance(1_100, 1_000_100);
+    let mut second = Owner::new(2, first.records, 2_000, 1_001_000);
+    second.report(vec![done(1, EARLY)], 2_050);
+    while second.commit(2_060) {}
+    assert_eq!(second.acknowledged(2_070), 0, "it is not stored");
+    let others = (0..EARLY).map(|k| done(u64::from(k) + 2, k));
+    second.report(others.collect(), 2_080);
+    let mut started = BTreeSet::new();
+    for ms in (2_100..4_000).step_by(50) {
+        let actions = second.advance(ms, ms as i64 + 999_000);
+        started.append(&mut second.started(&actions, ms));
+    }
+    assert_eq!(second.acknowledged(4_000), u64::from(EARLY) + 1);
+    assert!(!started.is_empty());
+    assert!(!started.contains(&format!("{ID}.{EARLY}.0.0")));
+}
