owner: make the worker of a failed run a preference, not a ban

Cause: `choose_worker` left out the worker on which the task had failed last as long as the pool had any other worker, whether or not that one could take the task; nothing ended this. `place_step` stopped at the first task without a worker.

A task for which a worker is left out on its own account no longer ends the placement of its step; one that fits nowhere for reasons that all tasks of the step share does, since the rest would not fit either.

Other exclusions were read for their ends: `excluded_until`, releases, evacuations and tickets have times; unrecorded workers wait for the store; answers of the advice service and terminated workers hold for one incarnation; `failed_jobs` and slowness only rank.

Failed before: task_restarts_on_the_only_worker_that_can_take_it (no start instead of one), task_that_waits_for_another_worker_holds_back_no_other_task (no start instead of one). The test task_restarts_on_another_worker_than_that_on_which_it_failed passed before.

--- a/crates/hyssop-policy/src/owner/completion.rs
+++ b/crates/hyssop-policy/src/owner/completion.rs
@@ -128,7 +128,7 @@
                 self.finish_occurrences(job_key, now);
             }
             Outcome::Failed => {
-                entry.avoided = Some(key);
+                entry.avoided = Some((key, now + self.settings.quarantine));
                 if is_current {
                     entry.state = State::Waiting;
                 }
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -188,8 +188,9 @@
     pub(super) failed_runs: BTreeSet<u64>,
     /// The newest checkpoint, empty if there is none.
     pub(super) checkpoint: String,
-    /// The worker on which the task failed last; placement avoids it.
-    pub(super) avoided: Option<WorkerKey>,
+    /// The worker on which the task failed last, and until when the task waits for another one that
+    /// could take it.
+    pub(super) avoided: Option<(WorkerKey, Duration)>,
 }
 
 /// Where a task is in its life cycle.
--- a/crates/hyssop-policy/src/owner/placement.rs
+++ b/crates/hyssop-policy/src/owner/placement.rs
@@ -105,6 +105,9 @@
                 if needs_advice {
                     self.request_advice(first, now);
                 }
+                if !step.gang && self.has_exclusion(task) {
+                    continue;
+                }
                 break;
             };
             *runs_per_worker.entry(worker).or_insert(0) += 1;
@@ -185,8 +188,23 @@
         counts
     }
 
+    /// Returns whether a worker is left out for this task alone, so that another task of its step may
+    /// fit where it doesn't.
+    fn has_exclusion(&self, task: TaskKey) -> bool {
+        let stage = self
+            .jobs
+            .get(&task.job)
+            .and_then(|job| job.stage(task.occurrence, task.step));
+        let entry = stage.and_then(|stage| stage.tasks.get(task.index as usize));
+        entry.is_some_and(|entry| entry.avoided.is_some())
+            || self.workers.values().any(|w| w.runs.contains_key(&task))
+    }
+
     /// Chooses the best worker for a task.
     ///
+    /// A worker on which the task failed is chosen only if no other one could take it, or none has
+    /// become free for some time.
+    ///
     /// When demand exceeds the pool's capacity, every core stranded between tasks is lost, so a
     /// task goes to the worker that it leaves with the least free CPU. Long-running tasks are
     /// spread so that the loss of a rack takes the fewest tasks of a step.
@@ -223,6 +241,15 @@
         let has_required_ticket = |key: &WorkerKey| {
             !needs_advice || permit.is_some_and(|permit| permit.ticket(*key, now).is_some())
         };
+        let awaits_other_worker = entry.avoided.is_some_and(|(avoided, until)| {
+            now < until
+                && self.workers.iter().any(|(key, worker)| {
+                    *key != avoided
+                        && worker.accepts_tasks(now)
+                        && has_required_ticket(key)
+                        && worker.could_run(step)
+                })
+        });
         let mut best: Option<(Fit, WorkerKey)> = None;
         for key in free.with_at_least(need.cpu) {
             let Some(worker) = self.workers.get(key) else {
@@ -234,28 +261,21 @@
             {
                 continue;
             }
-            if step
-                .label
-                .as_ref()
-                .is_some_and(|label| !worker.listing.labels.contains(label))
-            {
+            if !worker.could_run(step) {
                 continue;
             }
             let runs_here = runs_per_worker.get(key).copied().unwrap_or(0);
             if step.max_per_worker > 0 && runs_here >= step.max_per_worker {
                 continue;
             }
-            let is_avoided = entry.avoided == Some(*key) || !worker.failed_jobs.is_empty();
-            if entry.avoided == Some(*key)
-                && !entry.failed_runs.is_empty()
-                && self.workers.len() > 1
-            {
+            let is_avoided = entry.avoided.is_some_and(|(avoided, _)| avoided == *key);
+            if is_avoided && awaits_other_worker {
                 continue;
             }
             let rack = worker.listing.rack();
             let free_cpu = worker.listing.capacity.cpu - worker.used.cpu - need.cpu;
             let fit = Fit {
-                is_avoided,
+                is_avoided: is_avoided || !worker.failed_jobs.is_empty(),
                 is_slow: worker.slowness >= SLOWNESS_THRESHOLD,
                 is_off_rack: preferred_rack
                     .as_deref()
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -144,6 +144,17 @@
             && !self.is_released(now)
     }
 
+    /// Returns whether the worker has the label and, while it runs nothing else, the room for a task
+    /// of a step.
+    pub(super) fn could_run(&self, step: &work::Step) -> bool {
+        let capacity = &self.listing.capacity;
+        capacity.fits(&Resources::default(), &step.reserved())
+            && step
+                .label
+                .as_ref()
+                .is_none_or(|label| self.listing.labels.contains(label))
+    }
+
     pub(super) fn reserve(&mut self, task: TaskKey, run: Run) {
         self.used.add(&run.reserved);
         if let Some(earlier) = self.runs.insert(task, run) {
--- a/crates/hyssop-policy/tests/placement.rs
+++ b/crates/hyssop-policy/tests/placement.rs
@@ -233,3 +233,75 @@
         .iter()
         .all(|(_, task, _)| task.occurrence < 2));
 }
+
+/// Reports the end of a run.
+fn end(
+    scheduler: &mut Scheduler,
+    (worker, task, run): (WorkerKey, TaskKey, u64),
+    number: u64,
+    outcome: Outcome,
+) {
+    let report = Report {
+        clock_ms: 1_500,
+        completions: vec![Completion {
+            number,
+            task: Task {
+                job: ID.to_owned(),
+                occurrence: 0,
+                step: 0,
+                index: task.index,
+            },
+            run,
+            outcome,
+            checkpoint: String::new(),
+        }],
+        ..Report::default()
+    };
+    scheduler.receive(worker, report, at(1_490), 0, at(1_500));
+}
+
+/// A task that had failed on the only worker with its label was never started again.
+#[test]
+fn task_restarts_on_the_only_worker_that_can_take_it() {
+    let mut scheduler = scheduler(4);
+    let labelled = Step {
+        label: Some("big".to_owned()),
+        ..step(1, 1)
+    };
+    let first = submit(&mut scheduler, labelled)[0];
+    end(&mut scheduler, first, 1, Outcome::Failed);
+    let again = starts(&mut scheduler, 1_510);
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].0, first.0);
+}
+
+#[test]
+fn task_restarts_on_another_worker_than_that_on_which_it_failed() {
+    let mut scheduler = scheduler(2);
+    let first = submit(&mut scheduler, step(1, 1))[0];
+    end(&mut scheduler, first, 1, Outcome::Failed);
+    let again = starts(&mut scheduler, 1_510);
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].0, first.0);
+}
+
+/// A task that waited for another worker than that on which it had failed held back the other tasks
+/// of its step, and its wait had no end.
+#[test]
+fn task_that_waits_for_another_worker_holds_back_no_other_task() {
+    let mut scheduler = scheduler(2);
+    let mut placed = submit(&mut scheduler, step(16, 1));
+    placed.sort();
+    assert_eq!(placed.len(), 16, "both workers are full");
+    let on_first: Vec<_> = placed.iter().filter(|(w, ..)| w.0 == 0).collect();
+    end(&mut scheduler, *on_first[0], 1, Outcome::Failed);
+    end(&mut scheduler, *on_first[1], 2, Outcome::Stopped);
+    let again = starts(&mut scheduler, 1_510);
+    assert_eq!(again.len(), 1, "the second task starts at once");
+    assert_eq!(again[0].1, on_first[1].1);
+    let again = starts(&mut scheduler, 4_100);
+    let is_failed_task = |(worker, task, _): &&(WorkerKey, TaskKey, u64)| {
+        *worker == on_first[0].0 && *task == on_first[0].1
+    };
+    assert_eq!(again.iter().filter(is_failed_task).count(), 1);
+}
