owner: order the pace of adopted best-effort tasks anew

Best-effort tasks that an owner had slowed down or paused stayed so after a failover, some for good: the new owner took the runs that it found for running at full speed, so it never ordered that speed. A pace is not stored.

An adopted run now has an unknown pace, so the first report orders it, and the measured latencies slow it down again within half a second where needed.

Failed before: new_owner_orders_the_pace_of_tasks_that_it_finds, "left: [], right: [100]".

--- a/crates/hyssop-policy/src/owner/pace.rs
+++ b/crates/hyssop-policy/src/owner/pace.rs
@@ -17,6 +17,8 @@
 /// Below this speed, in percent, a best-effort task is paused altogether.
 const MIN_PACE: u32 = 8;
 const FULL_PACE: u32 = 100;
+/// Differs from every speed that is ordered, so the next comparison orders the speed again.
+pub(super) const UNKNOWN_PACE: u32 = u32::MAX;
 
 impl Scheduler {
     /// Sets the speed of a worker's best-effort tasks from the tail latencies of the tasks that
@@ -95,11 +97,9 @@
 
     /// Records that a change of speed went unanswered; the next report orders it again.
     pub fn retry_pace(&mut self, key: WorkerKey, run: u64) {
-        /// Differs from every speed that is ordered, so the next comparison orders the speed again.
-        const UNKNOWN: u32 = u32::MAX;
         if let Some(worker) = self.workers.get_mut(&key) {
             let matching_runs = worker.runs.values_mut().filter(|entry| entry.number == run);
-            matching_runs.for_each(|entry| entry.pace = UNKNOWN);
+            matching_runs.for_each(|entry| entry.pace = UNKNOWN_PACE);
         }
     }
 }
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -1,5 +1,6 @@
 use super::budget::is_long_running;
 use super::job::State;
+use super::pace::UNKNOWN_PACE;
 use super::worker::Run;
 use super::{Action, Scheduler, TaskKey, WorkerKey};
 use hyssop_model::work::{self, Report, Running};
@@ -158,7 +159,7 @@
                 stop_confirmed_at: None,
                 percent: running.percent,
                 progressed_at: now,
-                pace: 100,
+                pace: UNKNOWN_PACE,
                 serving_since: (running.percent >= 100.0).then_some(now),
             },
         );
--- a/crates/hyssop-policy/tests/pace.rs
+++ b/crates/hyssop-policy/tests/pace.rs
@@ -90,3 +90,18 @@
     assert_eq!(report(scheduler, 13_500, 20.0), [10]);
     assert_eq!(report(scheduler, 14_600, 20.0), [20]);
 }
+
+/// Best-effort tasks that the previous owner had paused stayed so under a new one.
+#[test]
+fn new_owner_orders_the_pace_of_tasks_that_it_finds() {
+    let mut world = World::new(2, 1, 8);
+    world.run(200);
+    world.submit(ID, submission());
+    world.run(500);
+    assert_eq!(report(world.scheduler(), 10_000, 80.0), [50]);
+    world.kill_owner();
+    world.start_owner();
+    let scheduler = world.scheduler();
+    assert_eq!(report(scheduler, 10_500, 30.0), [100]);
+    assert!(report(scheduler, 11_000, 30.0).is_empty());
+}
