owner: keep one checkpoint for a gang

The tasks of a gang that had reported different checkpoints, as after a stop on several workers, were started with different ones, while all must carry the same value; the progress row held one for each task.

A gang's checkpoint is now held by its first task, whichever task reported it, and all starts carry that.

Failed before: gang_resumes_with_one_checkpoint, "left: {"", "00ff", "01ff"}, right: {"01ff"}".

--- a/crates/hyssop-policy/src/owner/completion.rs
+++ b/crates/hyssop-policy/src/owner/completion.rs
@@ -102,9 +102,15 @@
             );
         }
         if !completion.checkpoint.is_empty() && entry.state != State::Done {
-            entry.checkpoint.clone_from(&completion.checkpoint);
+            job.save_checkpoint(task, &completion.checkpoint);
             self.dirty.insert(job_key);
         }
+        let Some(stage) = job.stage_mut(task.occurrence, task.step) else {
+            return;
+        };
+        let Some(entry) = stage.tasks.get_mut(task.index as usize) else {
+            return;
+        };
         match completion.outcome {
             Outcome::Done if !step.is_long_running && entry.state != State::Done => {
                 // The success of a run that was considered lost still counts.
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -1,4 +1,4 @@
-use super::WorkerKey;
+use super::{TaskKey, WorkerKey};
 use hyssop_model::work::{Phase, Queue, Step, Submission};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -111,6 +111,30 @@
         !self.phase.is_final() && (self.next_occurrence..count).contains(&occurrence)
     }
 
+    /// Returns the checkpoint with which a task starts, empty if there is none.
+    pub(super) fn checkpoint(&self, task: TaskKey) -> Option<&String> {
+        let index = self.checkpoint_index(task)?;
+        let stage = self.stage(task.occurrence, task.step)?;
+        Some(&stage.tasks.get(index)?.checkpoint)
+    }
+
+    /// Keeps the newest checkpoint of a task.
+    pub(super) fn save_checkpoint(&mut self, task: TaskKey, checkpoint: &str) {
+        let index = self.checkpoint_index(task);
+        let stage = self.stage_mut(task.occurrence, task.step);
+        let entry = index.and_then(|index| stage?.tasks.get_mut(index));
+        if let Some(entry) = entry {
+            checkpoint.clone_into(&mut entry.checkpoint);
+        }
+    }
+
+    /// Returns the index of the task that holds a task's checkpoint. All tasks of a gang start with
+    /// the same one, which its first task holds.
+    fn checkpoint_index(&self, task: TaskKey) -> Option<usize> {
+        let is_gang = self.step(task.step)?.gang;
+        Some(if is_gang { 0 } else { task.index as usize })
+    }
+
     pub(super) fn stage(&self, occurrence: u32, step: u32) -> Option<&Stage> {
         self.occurrences.get(&occurrence)?.stages.get(step as usize)
     }
--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -142,7 +142,6 @@
         }
         let until_ms = state.clock_ms(now)? + lease.as_millis() as i64;
         state.lease_end = state.lease_end.max(now + span);
-        let stage = job.stage(task.occurrence, task.step)?;
         Some(dialect::Start {
             worker: state.listing.id.clone(),
             task: task_name(job, task),
@@ -150,7 +149,7 @@
             specification: job.submission.specification.clone(),
             until_ms,
             fence: self.term,
-            checkpoint: stage.tasks.get(task.index as usize)?.checkpoint.clone(),
+            checkpoint: job.checkpoint(task)?.clone(),
             ticket: self
                 .permits
                 .get(&super::permit::step_of(task))
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -141,9 +141,9 @@
         if may_adopt {
             entry.state = State::Placed(key);
             entry.run = entry.run.max(running.run);
-            if !running.checkpoint.is_empty() {
-                entry.checkpoint.clone_from(&running.checkpoint);
-            }
+        }
+        if may_adopt && !running.checkpoint.is_empty() {
+            job.save_checkpoint(task, &running.checkpoint);
         }
         worker.reserve(
             task,
--- a/crates/hyssop-policy/tests/placement.rs
+++ b/crates/hyssop-policy/tests/placement.rs
@@ -305,3 +305,44 @@
     };
     assert_eq!(again.iter().filter(is_failed_task).count(), 1);
 }
+
+/// Members of a gang that had reported different checkpoints were started with different ones.
+#[test]
+fn gang_resumes_with_one_checkpoint() {
+    let mut scheduler = scheduler(2);
+    let gang = Step {
+        gang: true,
+        ..step(3, 1)
+    };
+    let placed = submit(&mut scheduler, gang);
+    assert_eq!(placed.len(), 3);
+    let ended = |(number, (_, task, run)): (u64, &(WorkerKey, TaskKey, u64))| Completion {
+        number,
+        task: Task {
+            job: ID.to_owned(),
+            occurrence: 0,
+            step: 0,
+            index: task.index,
+        },
+        run: *run,
+        outcome: Outcome::Stopped,
+        checkpoint: ["", "00ff", "01ff"][task.index as usize].to_owned(),
+    };
+    for worker in workers(&placed) {
+        let here = placed.iter().filter(|(key, ..)| *key == worker);
+        let report = Report {
+            clock_ms: 1_500,
+            completions: (1..).zip(here).map(ended).collect(),
+            ..Report::default()
+        };
+        scheduler.receive(worker, report, at(1_490), 0, at(1_500));
+    }
+    let again = starts(&mut scheduler, 1_510);
+    assert_eq!(again.len(), 3);
+    let order = |(worker, task, run): (WorkerKey, TaskKey, u64)| {
+        let order = scheduler.order(worker, task, run, at(1_510));
+        order.expect("an order").checkpoint
+    };
+    let checkpoints: BTreeSet<String> = again.into_iter().map(order).collect();
+    assert_eq!(checkpoints, BTreeSet::from(["01ff".to_owned()]));
+}
