--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -15,16 +15,29 @@
 /// The most rows that the changes of one job take: its submission and its progress.
 const MAX_JOB_ROWS: usize = 2;
 
+/// A row to write: table, key and value.
+type RowWrite = (&'static str, String, Vec<u8>);
+
+fn row_bytes((_, key, value): &RowWrite) -> usize {
+    key.len() + value.len()
+}
+
 /// Changes to rows of the pool's shard, to be committed in one transaction.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
     /// Rows to write: table, key and value.
-    pub writes: Vec<(&'static str, String, Vec<u8>)>,
+    pub writes: Vec<RowWrite>,
     /// Rows to delete: table and key.
     pub removes: Vec<(&'static str, String)>,
 }
 
 impl Batch {
+    /// Returns the size of the keys and values.
+    fn bytes(&self) -> usize {
+        let removed: usize = self.removes.iter().map(|(_, key)| key.len()).sum();
+        removed + self.writes.iter().map(row_bytes).sum::<usize>()
+    }
+
     /// Returns the number of rows that the batch writes or deletes.
     fn len(&self) -> usize {
         self.writes.len() + self.removes.len()
@@ -34,8 +47,8 @@
 /// The effects of the batch in flight, applied once it is committed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pending {
-    /// Jobs in the batch, with the phases written.
-    jobs: BTreeMap<JobKey, Phase>,
+    /// Jobs in the batch, with the phases written and the occurrences that the rows name.
+    jobs: BTreeMap<JobKey, (Phase, u32)>,
     /// Highest completion number of each worker that this batch or an earlier one covers.
     applied: Vec<(WorkerKey, u64)>,
     recorded_workers: Vec<WorkerKey>,
@@ -51,6 +64,8 @@
     Final,
     /// A new job, whose caller waits for its acceptance.
     New,
+    /// An occurrence, which starts once it is stored.
+    Occurrence,
     /// The progress of a job that goes on.
     Progress,
 }
@@ -61,6 +76,8 @@
             Self::New
         } else if job.phase.is_final() {
             Self::Final
+        } else if job.stored_occurrences < job.next_occurrence {
+            Self::Occurrence
         } else {
             Self::Progress
         }
@@ -90,8 +107,20 @@
             if batch.len() + MAX_JOB_ROWS > self.settings.max_batch_rows {
                 break;
             }
+            let Some(rows) = self.job_rows(key) else {
+                continue;
+            };
+            if batch.bytes() + rows.iter().map(row_bytes).sum::<usize>()
+                > self.settings.max_batch_bytes
+            {
+                break;
+            }
             self.dirty.remove(&key);
-            self.batch_job(key, &mut batch, &mut pending);
+            batch.writes.extend(rows);
+            if let Some(job) = self.jobs.get(&key) {
+                let written = (job.phase, job.next_occurrence);
+                pending.jobs.insert(key, written);
+            }
         }
         self.batch_finished_submissions(&mut batch, &mut pending);
         pending.applied = self
@@ -143,27 +172,35 @@
         }
     }
 
-    fn batch_job(&mut self, key: JobKey, batch: &mut Batch, pending: &mut Pending) {
-        let Some(job) = self.jobs.get(&key) else {
-            return;
-        };
+    /// Returns the rows to write for a job, `None` if its progress can't be stored at present.
+    ///
+    /// That happens only to jobs that were accepted under other limits. They go on, the completions
+    /// of their tasks stay unacknowledged, and their final phase is stored.
+    fn job_rows(&mut self, key: JobKey) -> Option<Vec<RowWrite>> {
+        let limit = self.settings.row_limit();
+        let job = self.jobs.get_mut(&key)?;
         let is_new = !job.is_stored;
+        let mut rows = Vec::new();
         if is_new {
-            let accepted = JobRow {
-                queue: job.queue.clone(),
-                submitted_wall_ms: job.submitted_wall_ms,
-                submission: job.submission.clone(),
-            };
-            batch.writes.push((JOBS, job.id.clone(), encode(&accepted)));
+            rows.push((JOBS, job.id.clone(), encode(&JobRow::of(job))));
+        }
+        let names_occurrences = job.submission.schedule.is_some() && job.next_occurrence > 0;
+        let has_progress = job.phase.is_final() || job.has_started || names_occurrences;
+        if !is_new || has_progress {
+            rows.push((PROGRESS, job.id.clone(), Progress::row(job, limit)));
         }
-        let is_unstarted = is_new && !job.phase.is_final() && !job.has_started;
-        if !is_unstarted {
-            let progress = Progress::of(job);
-            batch
-                .writes
-                .push((PROGRESS, job.id.clone(), encode(&progress)));
+        let largest = rows.iter().map(|(_, _, value)| value.len()).max()?;
+        if largest > limit {
+            if !std::mem::replace(&mut job.is_oversized, true) {
+                log::error!(
+                    "event=row-too-large pool={} job={} bytes={largest} max={limit}",
+                    self.pool,
+                    job.id
+                );
+            }
+            return None;
         }
-        pending.jobs.insert(key, job.phase);
+        Some(rows)
     }
 
     /// Adds the removal of submissions of finished jobs as far as there is room. Nothing waits for
@@ -187,8 +224,8 @@
     ///
     /// When the store is slow, a batch takes only part of the changes. Final phases come first,
     /// since a job counts only once its result is stored; then new jobs, whose callers wait; then
-    /// the progress of running jobs, which only a new owner needs, and which workers report again
-    /// until it is stored.
+    /// occurrences, which start only once they are stored; then the progress of running jobs, which
+    /// only a new owner needs, and which workers report again until it is stored.
     fn dirty_by_urgency(&self) -> Vec<JobKey> {
         let mut keys: Vec<(Urgency, JobKey)> = self
             .dirty
@@ -226,10 +263,14 @@
             return Vec::new();
         };
         let mut notifications = Vec::new();
-        for (key, phase) in pending.jobs {
+        for (key, (phase, next_occurrence)) in pending.jobs {
             let Some(job) = self.jobs.get_mut(&key) else {
                 continue;
             };
+            if job.stored_occurrences < next_occurrence {
+                job.stored_occurrences = next_occurrence;
+                self.is_placement_due = true;
+            }
             if !job.is_stored {
                 job.is_stored = true;
                 self.is_placement_due = true;
--- a/crates/hyssop-policy/src/owner/completion.rs
+++ b/crates/hyssop-policy/src/owner/completion.rs
@@ -24,8 +24,34 @@
             return;
         }
         worker.applied = completion.number;
+        self.apply_to_job(key, completion, now);
+    }
+
+    /// Applies the completions that waited for their occurrences to be opened.
+    pub(super) fn apply_deferred_completions(&mut self, now: Duration) {
+        let mut deferred = Vec::new();
+        for (key, worker) in &mut self.workers {
+            let completions = std::mem::take(&mut worker.deferred_completions);
+            deferred.extend(
+                completions
+                    .into_values()
+                    .map(|completion| (*key, completion)),
+            );
+        }
+        for (key, completion) in deferred {
+            self.apply_to_job(key, completion, now);
+        }
+    }
+
+    fn apply_to_job(&mut self, key: WorkerKey, completion: Completion, now: Duration) {
         self.is_placement_due = true;
         let found = self.job_keys.get(&completion.task.job).copied();
+        if let Some(job_key) = found {
+            self.open_reported_occurrence(job_key, completion.task.occurrence, now);
+        }
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
         let Some((job_key, job)) = found.and_then(|k| Some((k, self.jobs.get_mut(&k)?))) else {
             return;
         };
@@ -35,6 +61,12 @@
             step: completion.task.step,
             index: completion.task.index,
         };
+        if job.will_open(task.occurrence) {
+            worker
+                .deferred_completions
+                .insert(completion.number, completion);
+            return;
+        }
         worker.unstored.insert(completion.number, job_key);
         let mut ordered_at = None;
         if worker
@@ -70,9 +102,15 @@
             );
         }
         if !completion.checkpoint.is_empty() && entry.state != State::Done {
-            entry.checkpoint.clone_from(&completion.checkpoint);
+            job.save_checkpoint(task, &completion.checkpoint);
             self.dirty.insert(job_key);
         }
+        let Some(stage) = job.stage_mut(task.occurrence, task.step) else {
+            return;
+        };
+        let Some(entry) = stage.tasks.get_mut(task.index as usize) else {
+            return;
+        };
         match completion.outcome {
             Outcome::Done if !step.is_long_running && entry.state != State::Done => {
                 // The success of a run that was considered lost still counts.
@@ -98,7 +136,7 @@
                 self.finish_occurrences(job_key, now);
             }
             Outcome::Failed => {
-                entry.avoided = Some(key);
+                entry.avoided = Some((key, now + self.settings.quarantine));
                 if is_current {
                     entry.state = State::Waiting;
                 }
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -1,4 +1,4 @@
-use super::WorkerKey;
+use super::{TaskKey, WorkerKey};
 use hyssop_model::work::{Phase, Queue, Step, Submission};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -62,8 +62,15 @@
     pub(super) has_started: bool,
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
     pub(super) next_occurrence: u32,
+    /// The stored `next_occurrence`. A new owner takes all later occurrences for not started, so
+    /// their tasks must not be.
+    pub(super) stored_occurrences: u32,
+    /// The maximum number of open occurrences, with which the progress row keeps within its size.
+    pub(super) max_open_occurrences: usize,
     /// The number of finished occurrences before `next_occurrence`.
     pub(super) finished_occurrences: u32,
+    /// Whether its progress was found too large to store.
+    pub(super) is_oversized: bool,
     /// When the job finished, on the owner's clock.
     pub(super) finished_at: Option<Duration>,
 }
@@ -88,6 +95,46 @@
         self.submission.steps.get(number as usize)
     }
 
+    /// Returns the occurrences whose tasks may be started: those that are due and stored.
+    pub(super) fn startable_occurrences(&self) -> impl Iterator<Item = (&u32, &Occurrence)> {
+        self.occurrences
+            .range(..self.stored_occurrences)
+            .filter(|(_, occurrence)| occurrence.is_due)
+    }
+
+    /// Returns whether an occurrence is still to be opened.
+    pub(super) fn will_open(&self, occurrence: u32) -> bool {
+        let count = self
+            .submission
+            .schedule
+            .map_or(0, |schedule| schedule.count);
+        !self.phase.is_final() && (self.next_occurrence..count).contains(&occurrence)
+    }
+
+    /// Returns the checkpoint with which a task starts, empty if there is none.
+    pub(super) fn checkpoint(&self, task: TaskKey) -> Option<&String> {
+        let index = self.checkpoint_index(task)?;
+        let stage = self.stage(task.occurrence, task.step)?;
+        Some(&stage.tasks.get(index)?.checkpoint)
+    }
+
+    /// Keeps the newest checkpoint of a task.
+    pub(super) fn save_checkpoint(&mut self, task: TaskKey, checkpoint: &str) {
+        let index = self.checkpoint_index(task);
+        let stage = self.stage_mut(task.occurrence, task.step);
+        let entry = index.and_then(|index| stage?.tasks.get_mut(index));
+        if let Some(entry) = entry {
+            checkpoint.clone_into(&mut entry.checkpoint);
+        }
+    }
+
+    /// Returns the index of the task that holds a task's checkpoint. All tasks of a gang start with
+    /// the same one, which its first task holds.
+    fn checkpoint_index(&self, task: TaskKey) -> Option<usize> {
+        let is_gang = self.step(task.step)?.gang;
+        Some(if is_gang { 0 } else { task.index as usize })
+    }
+
     pub(super) fn stage(&self, occurrence: u32, step: u32) -> Option<&Stage> {
         self.occurrences.get(&occurrence)?.stages.get(step as usize)
     }
@@ -103,12 +150,15 @@
 /// One occurrence of a job.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Occurrence {
-    /// When the occurrence was due, on the owner's clock.
+    /// When the occurrence is due, on the owner's clock.
     pub(super) due_at: Duration,
+    /// Whether the occurrence is due by the wall clock.
+    pub(super) is_due: bool,
     pub(super) stages: Vec<Stage>,
 }
 
 impl Occurrence {
+    /// Creates an occurrence without progress. Only that of a job without a schedule is due at once.
     pub(super) fn new(submission: &Submission, due_at: Duration, initial: State) -> Self {
         let stage = |step: &Step| Stage {
             tasks: vec![
@@ -122,6 +172,7 @@
         };
         Self {
             due_at,
+            is_due: submission.schedule.is_none(),
             stages: submission.steps.iter().map(stage).collect(),
         }
     }
@@ -161,8 +212,9 @@
     pub(super) failed_runs: BTreeSet<u64>,
     /// The newest checkpoint, empty if there is none.
     pub(super) checkpoint: String,
-    /// The worker on which the task failed last; placement avoids it.
-    pub(super) avoided: Option<WorkerKey>,
+    /// The worker on which the task failed last, and until when the task waits for another one that
+    /// could take it.
+    pub(super) avoided: Option<(WorkerKey, Duration)>,
 }
 
 /// Where a task is in its life cycle.
--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -149,7 +149,6 @@
         if let Some(entry) = state.runs.get_mut(&task) {
             entry.sent_at = Some(now);
         }
-        let stage = job.stage(task.occurrence, task.step)?;
         Some(dialect::Start {
             worker: state.listing.id.clone(),
             task: task_name(job, task),
@@ -157,7 +156,7 @@
             specification: job.submission.specification.clone(),
             until_ms,
             fence: self.term,
-            checkpoint: stage.tasks.get(task.index as usize)?.checkpoint.clone(),
+            checkpoint: job.checkpoint(task)?.clone(),
             ticket: self
                 .permits
                 .get(&super::permit::step_of(task))
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -1,5 +1,6 @@
 use super::budget::is_long_running;
 use super::job::State;
+use super::pace::UNKNOWN_PACE;
 use super::worker::Run;
 use super::{Action, Scheduler, TaskKey, WorkerKey};
 use hyssop_model::work::{self, Report, Running};
@@ -90,10 +91,13 @@
             task: running.task.to_string(),
             run: running.run,
         };
+        let found = self.job_keys.get(&running.task.job).copied();
+        if let Some(job_key) = found {
+            self.open_reported_occurrence(job_key, running.task.occurrence, now);
+        }
         let Some(worker) = self.workers.get_mut(&key) else {
             return;
         };
-        let found = self.job_keys.get(&running.task.job).copied();
         let Some((job_key, job)) = found.and_then(|k| Some((k, self.jobs.get_mut(&k)?))) else {
             // All accepted jobs are known, so this run does not belong to one.
             self.actions.push(stop());
@@ -139,14 +143,14 @@
             return;
         };
         let may_adopt = !is_final && matches!(entry.state, State::Orphaned | State::Waiting);
+        let conflict = (!may_adopt && !is_final).then_some(entry.state);
         if may_adopt {
             entry.state = State::Placed(key);
             entry.run = entry.run.max(running.run);
-            if !running.checkpoint.is_empty() {
-                entry.checkpoint.clone_from(&running.checkpoint);
-            }
         }
-        let conflict = (!may_adopt && !is_final).then_some(entry.state);
+        if may_adopt && !running.checkpoint.is_empty() {
+            job.save_checkpoint(task, &running.checkpoint);
+        }
         worker.reserve(
             task,
             Run {
@@ -163,7 +167,7 @@
                 stop_confirmed_at: None,
                 percent: running.percent,
                 progressed_at: now,
-                pace: 100,
+                pace: UNKNOWN_PACE,
                 serving_since: (running.percent >= 100.0).then_some(now),
             },
         );
--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -13,7 +13,7 @@
 mod worker;
 mod world;
 
-pub use store::FakeStore;
+pub use store::{assert_within_limits, FakeStore};
 pub use takeover::Takeover;
 pub use worker::FakeWorker;
 pub use world::{Faults, World};
