platform: one odd element leaves the rest of a list readable

The answers of the store, of the API for machines and of workers, and the operators' configuration were each decoded as one document. One number that no float holds, nesting over 128 levels, half a surrogate pair or a byte that is not UTF-8 in one element made the whole answer unreadable: an owner stopped following its workers and took the store for lost, the fleet's owner saw no machines, a worker counted as unreachable, and a configuration stayed out of force.

The elements are now split off as raw texts, without recursion, and decoded one by one; those that fail are counted in the result.

--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -224,9 +224,9 @@
                 .call(address, Lane::Plain, call, CALL_TIMEOUT)
                 .await
                 .ok()?;
-            let (instances, next) = self.node.dialect.read_instances(&reply)?;
-            all.extend(instances);
-            match next {
+            let listed = self.node.dialect.read_instances(&reply)?;
+            all.extend(listed.instances);
+            match listed.next {
                 Some(next) => page = Some(next),
                 None => return Some(all),
             }
--- a/crates/hyssop-model/src/work/configuration.rs
+++ b/crates/hyssop-model/src/work/configuration.rs
@@ -11,6 +11,8 @@
     pub queues: BTreeMap<String, Queue>,
     /// The pools, by name.
     pub pools: BTreeMap<String, Pool>,
+    /// The number of queues and pools that could not be decoded and are left out.
+    pub rejected: usize,
     /// The maximum size of a request body, in bytes.
     pub max_body_bytes: Option<usize>,
 }
--- a/crates/hyssop-platform/src/dialect/mod.rs
+++ b/crates/hyssop-platform/src/dialect/mod.rs
@@ -3,6 +3,7 @@
 //! An adapter implements [`Dialect`]; it translates names and formats and makes no decisions.
 
 mod call;
+mod instance_page;
 mod outcome;
 mod renewal;
 mod reply;
@@ -10,6 +11,7 @@
 mod transfer;
 
 pub use call::Call;
+pub use instance_page::InstancePage;
 pub use outcome::{Change, StartOutcome};
 pub use renewal::Renewal;
 pub use reply::Reply;
@@ -17,7 +19,7 @@
 pub use transfer::Transfer;
 
 use crate::rows::{Commit, Page, Range, Transaction};
-use hyssop_model::work::{Configuration, Instance, Phase, Report, Submission, Wave, Worker};
+use hyssop_model::work::{Configuration, Phase, Report, Submission, Wave, Worker};
 
 /// An encoder of calls to a platform and decoder of its responses.
 pub trait Dialect {
@@ -73,8 +75,8 @@
 
     /// Encodes a request for a page of instances.
     fn instances(&self, page: Option<&str>) -> Call;
-    /// Decodes a page of instances and the token of the next page.
-    fn read_instances(&self, reply: &Reply) -> Option<(Vec<Instance>, Option<String>)>;
+    /// Decodes a page of instances, or returns `None` if the response is malformed or an error.
+    fn read_instances(&self, reply: &Reply) -> Option<InstancePage>;
     /// Encodes a request to move an instance to another pool, or to maintain it.
     fn transfer(&self, transfer: &Transfer, holder: &str, fence: u64) -> Call;
     /// Decodes the outcome of a change of an instance.
--- a/crates/hyssop-platform/src/rows/page.rs
+++ b/crates/hyssop-platform/src/rows/page.rs
@@ -5,6 +5,8 @@
 pub struct Page {
     /// The rows, ordered by key, or by version in a feed.
     pub rows: Vec<Row>,
+    /// The number of rows that could not be decoded.
+    pub rejected: usize,
     /// The store's latest version at the time of the read.
     pub version: u64,
     /// The store's time of the read on its steady clock, in milliseconds, if it tells it.
--- a/crates/hyssop-platform/tests/cursor.rs
+++ b/crates/hyssop-platform/tests/cursor.rs
@@ -11,6 +11,7 @@
     };
     Page {
         rows: versions.iter().map(row).collect(),
+        rejected: 0,
         version,
         now_ms: Some(now_ms),
         has_more: false,
