model, policy: sums of resources stop at the largest amount

A need whose sum with what is in use overflows fitted on any worker in a release build, and ended the process in a debug build; so did the sums of the pools' demand and of the instances' capacity.

--- a/crates/hyssop-model/src/work/resources.rs
+++ b/crates/hyssop-model/src/work/resources.rs
@@ -14,16 +14,19 @@
 impl Resources {
     /// Returns whether `need` fits into the capacity `self` of which `used` is taken.
     pub fn fits(&self, used: &Self, need: &Self) -> bool {
-        used.cpu + need.cpu <= self.cpu
-            && used.memory + need.memory <= self.memory
-            && used.accelerators + need.accelerators <= self.accelerators
+        let fits_amount = |capacity: u64, used: u64, need: u64| {
+            used.checked_add(need).is_some_and(|sum| sum <= capacity)
+        };
+        fits_amount(self.cpu, used.cpu, need.cpu)
+            && fits_amount(self.memory, used.memory, need.memory)
+            && fits_amount(self.accelerators, used.accelerators, need.accelerators)
     }
 
-    /// Adds `other`.
+    /// Adds `other`, stopping at the largest amount.
     pub fn add(&mut self, other: &Self) {
-        self.cpu += other.cpu;
-        self.memory += other.memory;
-        self.accelerators += other.accelerators;
+        self.cpu = self.cpu.saturating_add(other.cpu);
+        self.memory = self.memory.saturating_add(other.memory);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 
     /// Subtracts `other`, stopping at zero.
--- a/crates/hyssop-policy/src/fleet/census.rs
+++ b/crates/hyssop-policy/src/fleet/census.rs
@@ -50,7 +50,7 @@
             count.size += 1;
             count.incoming += usize::from(is_incoming);
             if is_counted {
-                count.capacity += instance.capacity.cpu;
+                count.capacity = count.capacity.saturating_add(instance.capacity.cpu);
             }
             let own = census.entry(instance.pool.clone()).or_default();
             if own.instance_cpu == 0 {
--- a/crates/hyssop-policy/src/fleet/history.rs
+++ b/crates/hyssop-policy/src/fleet/history.rs
@@ -50,6 +50,6 @@
         };
         let rise = current.saturating_sub(before) as f64;
         let span = now.saturating_sub(at).as_secs_f64();
-        current + (rise * ahead.as_secs_f64() / span) as u64
+        current.saturating_add((rise * ahead.as_secs_f64() / span) as u64)
     }
 }
--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -154,7 +154,7 @@
         self.histories
             .entry(demand.pool.clone())
             .or_default()
-            .record(now, demand.waiting.cpu + demand.running.cpu);
+            .record(now, demand.waiting.cpu.saturating_add(demand.running.cpu));
         self.reports
             .insert(demand.pool.clone(), report::Report::new(demand, now));
     }
