model: due times of occurrences stop at the last time

first_ms + K x interval_ms overflowed for schedules near the end of the range: a panic in a debug build; in a release build a time in the distant past, so that all occurrences were due at once.

Before: due_times_of_occurrences_stay_in_range panicked with 'attempt to multiply with overflow'.

--- a/crates/hyssop-model/src/work/schedule.rs
+++ b/crates/hyssop-model/src/work/schedule.rs
@@ -12,8 +12,11 @@
 }
 
 impl Schedule {
-    /// Returns the time at which occurrence `number` is due, in Unix milliseconds.
+    /// Returns the time at which occurrence `number` is due, in Unix milliseconds; the last time
+    /// that there is for one beyond it.
     pub fn due_ms(&self, number: u32) -> i64 {
-        self.first_ms + i64::from(number) * self.interval_ms
+        self.interval_ms
+            .saturating_mul(i64::from(number))
+            .saturating_add(self.first_ms)
     }
 }
