policy: disruption budgets of any size don't overflow their sums

A caller may set may-miss up to 2^32 - 1. The sum over two long-running steps overflowed at the pool's owner, and twice the sum at the fleet's owner while a wave was on: a panic in a debug build, in a release build a budget near zero, so that the wave moved no task.

Before: scheduler_bears_unbounded_budgets panicked with 'attempt to add with overflow' in capacity.rs, and fleet_bears_unbounded_amounts, with a wave and loads, with 'attempt to multiply with overflow' in maintain.rs.

--- a/crates/hyssop-policy/src/fleet/maintain.rs
+++ b/crates/hyssop-policy/src/fleet/maintain.rs
@@ -75,12 +75,14 @@
                         .or_insert(0);
                     let is_relocating = cost.long_running_tasks > 0
                         && *relocations
-                            < self.max_relocations(&instance.pool, now) * RELOCATIONS_AHEAD;
+                            < self
+                                .max_relocations(&instance.pool, now)
+                                .saturating_mul(RELOCATIONS_AHEAD);
                     let is_busy = cost.is_busy && !is_relocating;
                     if *unavailable >= max_unavailable || (has_backlog && !is_urgent && is_busy) {
                         continue;
                     }
-                    *relocations += cost.long_running_tasks;
+                    *relocations = relocations.saturating_add(cost.long_running_tasks);
                 }
                 *unavailable += 1;
                 remaining -= 1;
--- a/crates/hyssop-policy/src/owner/capacity.rs
+++ b/crates/hyssop-policy/src/owner/capacity.rs
@@ -102,7 +102,10 @@
                 0 => 0,
                 max_per_worker => step.count.div_ceil(max_per_worker),
             };
-            (min_workers.max(required_workers), max_moves + step.budget())
+            (
+                min_workers.max(required_workers),
+                max_moves.saturating_add(step.budget()),
+            )
         })
     }
 }
