edge: rejected entries are logged once for each change and counted

Nobody saw that an entry among the workers, an operators' row, or a machine was skipped. Each change of such an entry now gives one line, entry-rejected, with the list and the key, and counts in hyssop_rejected_entries_total. A list of instances whose page tokens repeat or don't end gives up after 500 pages; before, the fleet's owner read it forever and decided nothing.

The bound on pages has no test of its own.

--- a/crates/hyssop-edge/src/daemon/configuration.rs
+++ b/crates/hyssop-edge/src/daemon/configuration.rs
@@ -35,14 +35,23 @@
 
 /// Applies a row, written at `written_at_ms` on the store's clock if that is known.
 fn apply_row(node: &Node, row: &Row, written_at_ms: Option<i64>) {
+    const LIST: &str = "operators";
     let (_, key) = node.dialect.configuration_row();
+    let (rejections, now) = (&node.metrics.rejections, node.clock.now());
     if row.is_removed {
         return;
     }
     if row.key.key == key {
         match node.dialect.read_configuration(&row.value) {
-            Some(configuration) => node.configure(configuration),
-            None => log::error!("event=configuration-unreadable bytes={}", row.value.len()),
+            Some(configuration) => {
+                match configuration.rejected {
+                    0 => rejections.accept(LIST, key),
+                    count => rejections.reject_parts(LIST, key, &row.value, count, now),
+                }
+                node.configure(configuration);
+            }
+            // The configuration read before stays in force.
+            None => rejections.reject(LIST, key, &row.value, now),
         }
     } else if let Some(wave) = node.dialect.read_wave(&row.key.key, &row.value) {
         log::info!(
@@ -62,5 +71,8 @@
             wave,
         };
         waves.insert(tracked.wave.number, tracked);
+        rejections.accept(LIST, &row.key.key);
+    } else {
+        rejections.reject(LIST, &row.key.key, &row.value, now);
     }
 }
--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -27,6 +27,9 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 /// A pool's owner without an answer for this long is reported to further candidates.
 const REPORT_AFTER: Duration = Duration::from_millis(300);
+/// The most pages of the list of instances: several times what the largest fleet takes, so that
+/// tokens that never end hold up a decision for a bounded time.
+const MAX_PAGES: usize = 500;
 /// The timeout of a request for a pool's demand, so that a lost owner is reported in time.
 const DEMAND_TIMEOUT: Duration = Duration::from_millis(300);
 /// The interval at which unchanged lists of workers due for maintenance are sent to pools again.
@@ -213,9 +216,13 @@
 
     /// Returns the platform's list of instances, or `None` if a call fails.
     async fn list_instances(&self) -> Option<Vec<Instance>> {
+        const LIST: &str = "instances";
         let address = self.node.instance_api?;
         let mut all = Vec::new();
         let mut page: Option<String> = None;
+        let mut tokens = BTreeSet::new();
+        let mut rejected = 0;
+        let (rejections, now) = (&self.node.metrics.rejections, self.node.clock.now());
         loop {
             let call = self.node.dialect.instances(page.as_deref());
             let reply = self
@@ -226,9 +233,27 @@
                 .ok()?;
             let listed = self.node.dialect.read_instances(&reply)?;
             all.extend(listed.instances);
+            rejected += listed.rejected;
             match listed.next {
-                Some(next) => page = Some(next),
-                None => return Some(all),
+                Some(next) if !tokens.contains(&next) && tokens.len() < MAX_PAGES => {
+                    tokens.insert(next.clone());
+                    page = Some(next);
+                }
+                Some(next) => {
+                    rejections.reject(LIST, "page-token", next.as_bytes(), now);
+                    return None;
+                }
+                None => {
+                    rejections.accept(LIST, "page-token");
+                    match rejected {
+                        0 => rejections.accept(LIST, ""),
+                        // The list changes all the time, its number of odd entries rarely.
+                        count => {
+                            rejections.reject_parts(LIST, "", &count.to_le_bytes(), count, now);
+                        }
+                    }
+                    return Some(all);
+                }
             }
         }
     }
--- a/crates/hyssop-edge/src/metric/mod.rs
+++ b/crates/hyssop-edge/src/metric/mod.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms, served as text at `/metrics` on the readiness address.
 
 mod registry;
+mod rejections;
 
 pub(crate) use registry::Metrics;
+pub(crate) use rejections::Rejections;
--- a/crates/hyssop-edge/src/metric/registry.rs
+++ b/crates/hyssop-edge/src/metric/registry.rs
@@ -1,3 +1,4 @@
+use super::Rejections;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
@@ -11,6 +12,8 @@
     starts: IntCounterVec,
     transactions: IntCounterVec,
     transfers: IntCounterVec,
+    /// The entries of followed lists that were rejected.
+    pub(crate) rejections: Rejections,
     terms: IntGaugeVec,
     links: IntGauge,
     submission_seconds: Histogram,
@@ -62,6 +65,11 @@
             "Orders to move or maintain instances, by outcome",
             "outcome",
         );
+        let rejections = Rejections::new(counter(
+            "hyssop_rejected_entries_total",
+            "Entries of followed lists that were rejected, once for each change, by list",
+            "list",
+        ));
         let submission_seconds = histogram(
             "hyssop_submission_seconds",
             "Time from a job's arrival to its answer, in seconds",
@@ -94,6 +102,7 @@
             starts,
             transactions,
             transfers,
+            rejections,
             terms,
             links,
             submission_seconds,
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -194,6 +194,7 @@
 
     /// Updates the scheduler's list of workers.
     fn apply_registry_update(&self, update: Update) {
+        const LIST: &str = "workers";
         let now = self.node.clock.now();
         let scheduler = &mut *self.scheduler.borrow_mut();
         let rows = match update {
@@ -209,14 +210,25 @@
             }
             Update::Changes(rows, _) => rows,
         };
+        let rejections = &self.node.metrics.rejections;
         for row in rows {
+            let id = &row.key.key;
             if row.is_removed {
-                scheduler.deregister_worker(&row.key.key);
+                rejections.accept(LIST, id);
+                scheduler.deregister_worker(id);
                 continue;
             }
-            match self.node.dialect.read_worker(&row.key.key, &row.value) {
-                Some(listing) => scheduler.register_worker(listing, now),
-                None => scheduler.deregister_worker(&row.key.key),
+            match self.node.dialect.read_worker(id, &row.value) {
+                Some(listing) => {
+                    rejections.accept(LIST, id);
+                    scheduler.register_worker(listing, now);
+                }
+                // The entry names no worker to use. What runs on a worker that it named before goes
+                // on, and the worker's next valid entry brings it back.
+                None => {
+                    rejections.reject(LIST, id, &row.value, now);
+                    scheduler.deregister_worker(id);
+                }
             }
         }
     }
