--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -65,11 +65,13 @@
 fn create_node(settings: &Settings, dialect: Rc<dyn Dialect>, address: SocketAddr) -> Rc<Node> {
     let clock = Clock::new();
     let client = Client::default();
+    let metrics = Metrics::new();
     let store = Store::new(
         settings.platform.address,
         dialect.clone(),
         client.clone(),
         clock.clone(),
+        metrics.rejections.clone(),
     );
     Rc::new(Node {
         name: settings.node_name.clone(),
@@ -84,7 +86,7 @@
         dialect,
         client,
         store,
-        metrics: Metrics::new(),
+        metrics,
         configuration: RefCell::default(),
         waves: RefCell::default(),
         members: RefCell::default(),
--- a/crates/hyssop-edge/src/store/client.rs
+++ b/crates/hyssop-edge/src/store/client.rs
@@ -1,6 +1,7 @@
 use crate::http::{Client, Failure, Lane};
+use crate::metric::Rejections;
 use crate::node::Clock;
-use hyssop_platform::dialect::Dialect;
+use hyssop_platform::dialect::{Dialect, Reply};
 use hyssop_platform::rows::{Commit, Page, Range, Row, Transaction};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
     pub(crate) dialect: Rc<dyn Dialect>,
     pub(crate) client: Client,
     pub(crate) clock: Clock,
+    rejections: Rejections,
     health: Rc<Health>,
 }
 
@@ -38,12 +40,14 @@
         dialect: Rc<dyn Dialect>,
         client: Client,
         clock: Clock,
+        rejections: Rejections,
     ) -> Self {
         Self {
             address,
             dialect,
             client,
             clock,
+            rejections,
             health: Rc::default(),
         }
     }
@@ -65,13 +69,26 @@
     /// largest offset is the closest.
     pub(super) fn record_time(&self, page: &Page) {
         if let Some(now_ms) = page.now_ms {
-            let offset = now_ms - self.clock.now().as_millis() as i64;
+            let offset = now_ms.saturating_sub(self.clock.now().as_millis() as i64);
             let known = self.health.clock_offset_ms.get();
             let largest = known.map_or(offset, |known| known.max(offset));
             self.health.clock_offset_ms.set(Some(largest));
         }
     }
 
+    /// Counts and logs the rows of `table` that could not be decoded in an answer.
+    pub(super) fn record_rejected(&self, table: &str, page: &Page) {
+        const LIST: &str = "rows";
+        let count = page.rejected;
+        if count == 0 {
+            return;
+        }
+        let version = page.version.to_le_bytes();
+        let now = self.clock.now();
+        self.rejections
+            .reject_parts(LIST, table, &version, count, now);
+    }
+
     /// Waits until a call succeeds after others have failed.
     pub(super) async fn recovered(&self) {
         self.health.recovered.notified().await;
@@ -98,6 +115,13 @@
         }
     }
 
+    /// Returns whether the store has answered a read, readable or not.
+    pub(super) fn is_answered(reply: &Reply) -> bool {
+        /// The status of a page.
+        const STATUS_OK: u16 = 200;
+        reply.status == STATUS_OK
+    }
+
     /// Sends a transaction once, without a retry; without an answer its outcome stays unknown.
     pub(crate) async fn commit(&self, transaction: &Transaction) -> Result<Commit, Failure> {
         let call = self.dialect.commit(transaction);
@@ -125,10 +149,16 @@
                 .client
                 .call(self.address, Lane::Plain, call, CALL_TIMEOUT)
                 .await;
-            let page = reply.ok().and_then(|reply| self.dialect.read_page(&reply));
-            self.record_result(page.is_some());
+            let reply = reply.ok();
+            let is_answered = reply.as_ref().is_some_and(Self::is_answered);
+            let page = reply.and_then(|reply| self.dialect.read_page(&reply));
+            // An unreadable answer tells nothing about whether the store is available.
+            if page.is_some() || !is_answered {
+                self.record_result(page.is_some());
+            }
             let page = page?;
             self.record_time(&page);
+            self.record_rejected(table, &page);
             if all.version == 0 {
                 all.version = page.version;
                 all.now_ms = page.now_ms;
--- a/crates/hyssop-edge/src/store/feed.rs
+++ b/crates/hyssop-edge/src/store/feed.rs
@@ -14,6 +14,10 @@
 /// The pause before the retry of a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// The number of unreadable answers in a row after which the feed is given up for a snapshot; a
+/// single one may have been cut off.
+const MAX_UNREADABLE_ANSWERS: u32 = 3;
+
 /// An update of a followed table.
 #[derive(Clone, Debug)]
 pub(crate) enum Update {
@@ -27,6 +31,9 @@
 /// Follows the rows of `table`: reads a snapshot of `shards()`, then each change, until `on_update`
 /// returns false.
 ///
+/// While neither the feed nor a snapshot can be decoded, the rows passed last stay valid, and the
+/// calls are repeated.
+///
 /// After changes, the next call is made no earlier than `pause` later, so that changes in quick
 /// succession share a call: the platform charges for each call, and each wakes the process.
 pub(crate) async fn follow(
@@ -37,6 +44,7 @@
     mut on_update: impl FnMut(Update) -> bool,
 ) {
     let mut position: Option<(Cursor, BTreeSet<String>)> = None;
+    let mut unreadable_answers = 0_u32;
     loop {
         let wanted = shards();
         let is_current = position
@@ -77,14 +85,34 @@
             position = None;
             continue;
         }
+        let is_answered = reply.as_ref().is_some_and(Store::is_answered);
         let Some(page) = reply.and_then(|reply| store.dialect.read_page(&reply)) else {
             cursor.on_failure();
-            store.record_result(false);
+            if is_answered {
+                unreadable_answers += 1;
+                if unreadable_answers == MAX_UNREADABLE_ANSWERS {
+                    // The list was read up to here. A snapshot passes the changes that follow.
+                    log::warn!(
+                        "event=list-unreadable table={table} version={}",
+                        cursor.version()
+                    );
+                }
+                if unreadable_answers >= MAX_UNREADABLE_ANSWERS {
+                    position = None;
+                }
+            } else {
+                store.record_result(false);
+            }
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
+        if unreadable_answers >= MAX_UNREADABLE_ANSWERS {
+            log::info!("event=list-readable table={table} answers={unreadable_answers}");
+        }
+        unreadable_answers = 0;
         store.record_result(true);
         store.record_time(&page);
+        store.record_rejected(table, &page);
         let changed_at_ms = cursor.advance(&page);
         let has_changed = !page.rows.is_empty();
         if !on_update(Update::Changes(page.rows, changed_at_ms)) {
--- a/crates/hyssop-edge/tests/entries.rs
+++ b/crates/hyssop-edge/tests/entries.rs
@@ -128,6 +128,30 @@
     assert!(edge.has_logged("event=entry-rejected list=workers"));
 }
 
+#[test]
+fn unreadable_changes_of_list_are_passed_by_new_snapshot() {
+    let platform = platform();
+    let edges = ["e1", "e2"].map(|name| Edge::start(&platform, name));
+    edges[0].submit_until_accepted(&format!("/a/{FIRST}"), &filling_job(4));
+    wait_until("the workers are full", || {
+        platform.started_tasks().len() >= 3
+    });
+    platform.set_unreadable_feed(Some("servers"));
+    add_worker(&platform, "m-spare-0");
+    wait_until("the new worker is used", || {
+        platform.started_tasks().len() >= 4
+    });
+    platform.set_unreadable_feed(None);
+    assert!(edges
+        .iter()
+        .any(|edge| edge.has_logged("event=list-unreadable")));
+    let lost = "event=dependency-lost";
+    assert!(!edges.iter().any(|edge| edge.has_logged(lost)));
+    let path = format!("/b/{SECOND}");
+    edges[1].submit_until_accepted(&path, &job(1, 2, 50));
+    wait_until("the job is done", || edges[0].state(&path) == "done");
+}
+
 #[test]
 fn odd_rows_of_operators_leave_configuration_and_waves_in_force() {
     let platform = platform();
