hyssop-edge tests: a connection that ends without an answer is no 503

The client library reports a connection that ends before the status line as status 503. The soak took that for a refusal and said that a job ran although it was refused: the process that had been asked was killed while it waited for the store. Such a call has no answer, so the job may or may not have been accepted. Real refusals are checked as before.

--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -110,7 +110,7 @@
         };
         let request = minreq::Request::new(method, format!("http://{}{path}", self.front));
         let request = request.with_body(body).with_timeout(TIMEOUT_S);
-        request.send().map_or(0, |response| response.status_code)
+        request.send().map_or(0, |response| status(&response))
     }
 
     /// Waits for the process to exit and returns whether it reported success.
@@ -133,7 +133,7 @@
         match request.send() {
             Ok(response) => {
                 let body = serde_json::from_slice(response.as_bytes()).unwrap_or(Value::Null);
-                (response.status_code, body)
+                (status(&response), body)
             }
             Err(_) => (0, Value::Null),
         }
@@ -204,6 +204,16 @@
     }
 }
 
+/// Returns the status of a response, 0 if the connection ended before the status line, which the
+/// client library reports as 503.
+pub fn status(response: &minreq::Response) -> i32 {
+    const NO_STATUS_LINE: &str = "Server did not provide a status line";
+    if response.reason_phrase == NO_STATUS_LINE {
+        return 0;
+    }
+    response.status_code
+}
+
 /// Waits until `condition` is met; `what` describes it in the message of a failure.
 ///
 /// # Panics
