hyssop-edge: failing test of an occurrence that two owners open

What callers see: the tasks of a scheduled job's occurrence run twice at once after a failover; the second runs end 'stopped', ordered when the first ones' worker has reported. The owner is cut off from the store and opens an occurrence that comes due; its opening isn't stored. The successor, at an ordinary takeover 1 s later, opens it again. Its tasks aren't among those that wait until every worker has reported (recovery.rs, None if is_scheduled, and progress.rs: only stored occurrences are), so they start on the first worker that reports. The worker that runs them answers 400 ms late.

--- a/crates/hyssop-edge/tests/failover.rs
+++ b/crates/hyssop-edge/tests/failover.rs
@@ -5,7 +5,7 @@
 use platform_standin::{Access, Call, Doors, Operation, Platform, Run, Shape};
 use serde_json::Value;
 use std::sync::mpsc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use support::{configure, job, wait_until, Edge};
 
 const FIRST_PATH: &str = "/a/00000000000000a0";
@@ -58,18 +58,14 @@
 }
 
 /// Longer than an answer takes usually, and shorter than callers of workers wait.
-const SLOW: Workers = Workers::Slow(Duration::from_millis(400));
+const WORKER_DELAY: Duration = Duration::from_millis(400);
+const SLOW: Workers = Workers::Slow(WORKER_DELAY);
 
 /// Runs tasks on all workers of a pool, cuts its owner off from the store, lets the store be silent
 /// for all processes from `moment` on, and checks that no task has two runs at once and none starts
 /// after it was done.
 fn assert_no_task_is_repeated(process_count: usize, moment: Moment, workers: Workers) {
-    // One pool without spare machines, so that it keeps its workers.
-    let platform = Platform::start(&Shape {
-        pools: vec![(POOL.to_owned(), ENTRY_RETURN.len())],
-        spare: None,
-    });
-    configure(&platform, 2, &[("/a/", POOL)]);
+    let platform = pool_of_three();
     let names: Vec<String> = (0..process_count).map(|n| format!("e{n}")).collect();
     let edges: Vec<Edge> = names
         .iter()
@@ -132,6 +128,21 @@
             println!("{name}: {line}");
         }
     }
+    assert_no_task_ran_twice(&platform);
+}
+
+/// Starts a platform with one pool without spare machines, so that it keeps its workers.
+fn pool_of_three() -> Platform {
+    let platform = Platform::start(&Shape {
+        pools: vec![(POOL.to_owned(), ENTRY_RETURN.len())],
+        spare: None,
+    });
+    configure(&platform, 2, &[("/a/", POOL)]);
+    platform
+}
+
+/// Checks that no task has two runs at once and none starts after it was done.
+fn assert_no_task_ran_twice(platform: &Platform) {
     let (after_done, earlier) = platform.repeated_tasks();
     assert_eq!(
         (platform.overlapping_tasks(), after_done),
@@ -217,3 +228,49 @@
 fn tasks_are_not_repeated_when_a_worker_answers_late_after_a_long_takeover() {
     assert_no_task_is_repeated(4, Moment::Written, SLOW);
 }
+
+/// The previous owner opened an occurrence while it was cut off from the store; its successor opened
+/// it again before the worker that ran it had reported.
+#[test]
+fn occurrences_opened_without_the_store_are_not_repeated_after_a_failover() {
+    /// After the owner is cut off, and before a peer takes over.
+    const START_DELAY: Duration = Duration::from_millis(500);
+    const OCCURRENCE_MS: u64 = 5_000;
+    const TASK_COUNT: usize = 3;
+    let platform = pool_of_three();
+    let names: Vec<String> = (0..4).map(|n| format!("e{n}")).collect();
+    let edges: Vec<Edge> = names
+        .iter()
+        .map(|name| Edge::start(&platform, name))
+        .collect();
+    edges[0].submit_until_accepted(FIRST_PATH, &job(1, 1, 10));
+    wait_until("the first job is done", || {
+        edges[0].state(FIRST_PATH) == "done"
+    });
+    let owns_pool = |edge: &Edge| edge.owns(POOL);
+    let owner = edges.iter().position(owns_pool).expect("an owner");
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let start_at = now.expect("a time after 1970") + START_DELAY;
+    let mut scheduled: Value = job(1, TASK_COUNT as u32, OCCURRENCE_MS);
+    scheduled["repetitions"] = 1.into();
+    scheduled["start-at-ms"] = (start_at.as_millis() as u64).into();
+    scheduled["interval-ms"] = 1_000.into();
+    edges[0].submit_until_accepted(PATHS[0], &scheduled);
+    platform.set_access(&names[owner], Access::Silent);
+    let has_successor = || {
+        let mut others = edges.iter().enumerate().filter(|(n, _)| *n != owner);
+        others.any(|(_, edge)| edge.has_logged("event=owner-started pool=alpha term=2"))
+    };
+    // An owner may also leave the occurrence to its successor.
+    wait_until("the occurrence runs or a peer takes over", || {
+        platform.started_tasks().len() == 1 + TASK_COUNT || has_successor()
+    });
+    let machines = machines_by_load(&platform);
+    platform.delay_worker(&machines[2], WORKER_DELAY);
+    wait_until("a peer takes over", has_successor);
+    wait_until("the job is done", || {
+        let successor = (owner + 1) % edges.len();
+        edges[successor].state(PATHS[0]) == "done"
+    });
+    assert_no_task_ran_twice(&platform);
+}
