hyssop-edge: the soak's long takeovers last, and tasks are spread over workers

Other faults that ended opened the store again in the middle of a failover under silence, so few takeovers took longer than leases; and all tasks of a job fitted on one worker. Now such a silence lasts until its own end, and a task takes two cores.

--- a/crates/hyssop-edge/tests/soak/callers.rs
+++ b/crates/hyssop-edge/tests/soak/callers.rs
@@ -182,7 +182,9 @@
 fn body_of(kind: JobKind) -> Value {
     const TASK_COUNT: u32 = 3;
     const START_DELAY_MS: u128 = 500;
-    match kind {
+    /// So much that tasks are spread over the workers of a pool.
+    const TASK_CPU: u64 = 2_000;
+    let mut body = match kind {
         JobKind::Plain(ms) => job(1, TASK_COUNT, ms),
         JobKind::Steps(ms) => job(2, TASK_COUNT, ms),
         JobKind::Scheduled(ms) => {
@@ -205,5 +207,9 @@
             labelled["steps"][0]["requirements"] = json!("kind-a");
             labelled
         }
+    };
+    for step in body["steps"].as_array_mut().into_iter().flatten() {
+        step["cpu"] = json!(TASK_CPU);
     }
+    body
 }
--- a/crates/hyssop-edge/tests/soak/cluster.rs
+++ b/crates/hyssop-edge/tests/soak/cluster.rs
@@ -18,6 +18,8 @@
     owners: BTreeMap<String, String>,
     /// Whether the store falls silent for all once an owner was written.
     is_armed: bool,
+    /// Whether other faults that end open no process's way to the store.
+    is_held: bool,
 }
 
 const EVENTS: [&str; 5] = [
@@ -87,16 +89,15 @@
     pub(crate) fn apply(&mut self, fault: &Fault, callers: &mut Callers) {
         let platform = &self.platform;
         match fault {
+            Fault::Store(_, Access::Open) if self.is_held() => {}
             Fault::Store(Some(process), access) => {
-                if *access == Access::Open {
-                    self.disarm();
-                }
                 platform.set_access(&format!("e{process}"), *access);
             }
             Fault::Store(None, access) => platform.set_access_of_all(*access),
             Fault::FailOver(pool) => {
                 let mut ownerships = self.ownerships.lock().expect("no trigger panics");
                 ownerships.is_armed = true;
+                ownerships.is_held = true;
                 if let Some(owner) = ownerships.owners.get(*pool) {
                     platform.set_access(owner, Access::Silent);
                 }
@@ -104,6 +105,7 @@
             Fault::Reopen(pool) => {
                 let mut ownerships = self.ownerships.lock().expect("no trigger panics");
                 ownerships.is_armed = false;
+                ownerships.is_held = false;
                 if let Some(owner) = ownerships.owners.get(*pool) {
                     platform.set_access(owner, Access::Open);
                 }
@@ -141,6 +143,10 @@
         }
     }
 
+    fn is_held(&self) -> bool {
+        self.ownerships.lock().expect("no trigger panics").is_held
+    }
+
     /// Lets the store answer when the next owner is written.
     fn disarm(&self) {
         let mut ownerships = self.ownerships.lock().expect("no trigger panics");
--- a/crates/hyssop-edge/tests/soak/fault.rs
+++ b/crates/hyssop-edge/tests/soak/fault.rs
@@ -6,7 +6,7 @@
     /// One process's way to the store, or all, get this access.
     Store(Option<usize>, Access),
     /// A pool's owner is cut off from the store, and all processes are from the moment at which the
-    /// next owner of any shard was written, before it knows.
+    /// next owner of any shard was written, before it knows; until `Reopen`.
     FailOver(&'static str),
     /// The process that was written as this pool's owner last has the store back.
     Reopen(&'static str),
