Count the authority of three seconds in the incarnations' test

The wait for a recorded incarnation ends when the leases of the previous owner do, 8,037 ms after the start with the longer authority; the test's two intervals move by the same second.

--- a/crates/hyssop-policy/tests/incarnations.rs
+++ b/crates/hyssop-policy/tests/incarnations.rs
@@ -529,11 +529,11 @@
     setting.scheduler.register_worker(older, at(1_250));
     setting.join(listing("w1", FIRST_BORN), 1_260);
     assert_eq!(
-        setting.starts_within(1_270, 6_900),
+        setting.starts_within(1_270, 7_900),
         [],
-        "leases end at 7,037 ms"
+        "leases end at 8,037 ms"
     );
-    assert_eq!(setting.starts_within(7_040, 7_300).len(), 1);
+    assert_eq!(setting.starts_within(8_040, 8_300).len(), 1);
 }
 
 #[test]
