policy tests: play scheduled jobs in the model under faults

The model played jobs without a schedule only, so it could not show that an occurrence ran twice after a failover. It now also checks that no occurrence starts over 250 ms before it is due, and that a job that is shown as done has all occurrences done, not the first one only.

--- a/crates/hyssop-policy/tests/model/invariants.rs
+++ b/crates/hyssop-policy/tests/model/invariants.rs
@@ -19,6 +19,9 @@
 /// The completion number of a run that ended as done, its task, and the time of its end.
 type DoneRun = (u64, String, i64);
 
+/// How long before it is due an occurrence may start.
+const EARLY_MS: i64 = 250;
+
 /// How long after an acknowledged cancellation a task of the job may still start.
 const CANCEL_GRACE_MS: i64 = 3_000;
 
@@ -62,6 +65,13 @@
                 );
             }
         }
+        if let Some(schedule) = submission.schedule {
+            let due_ms = schedule.due_ms(named.occurrence);
+            assert!(
+                due_ms <= now_ms + EARLY_MS,
+                "{task} started at {now_ms} ms, due at {due_ms} ms"
+            );
+        }
         if let Some(at) = self.cancelled.get(&named.job) {
             assert!(
                 is_delayed || now_ms <= at + CANCEL_GRACE_MS,
@@ -122,8 +132,12 @@
     /// Returns whether every task of a job is done.
     pub fn is_done(&self, id: &str) -> bool {
         let submission = &self.jobs[id];
-        submission.steps.iter().enumerate().all(|(step, shape)| {
-            (0..shape.count).all(|index| self.done.contains(&format!("{id}.0.{step}.{index}")))
+        let count = submission.schedule.map_or(1, |schedule| schedule.count);
+        (0..count).all(|occurrence| {
+            submission.steps.iter().enumerate().all(|(step, shape)| {
+                let name = |index| format!("{id}.{occurrence}.{step}.{index}");
+                (0..shape.count).all(|index| self.done.contains(&name(index)))
+            })
         })
     }
 }
--- a/crates/hyssop-policy/tests/schedules.rs
+++ b/crates/hyssop-policy/tests/schedules.rs
@@ -4,7 +4,7 @@
 
 use hyssop_model::work::{Completion, Outcome, Phase, Report, Schedule, Submission, Task};
 use hyssop_policy::owner::{Action, Record, Scheduler, Settings, WorkerKey};
-use model::{configuration, job, worker, World};
+use model::{configuration, job, worker, Faults, World};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -275,3 +275,59 @@
     assert!(!started.is_empty());
     assert!(!started.contains(&format!("{ID}.{EARLY}.0.0")));
 }
+
+/// Runs scheduled jobs under faults of owners, workers and the store; the model checks the
+/// invariants at each start and acknowledgement.
+fn simulate(seed: u64) -> usize {
+    const JOBS: u64 = 8;
+    let mut world = World::new(seed, 5, 6);
+    world.run(500);
+    for submitted in 0..30 {
+        if submitted < JOBS {
+            let first_ms = world.now_ms + world.pick(0..3_000) as i64 - 1_000;
+            let interval_ms = world.pick(200..1_500) as i64;
+            let (ms, count) = (world.pick(100..3_000), world.pick(1..12) as u32);
+            let submission = scheduled(ms, first_ms, interval_ms, count);
+            world.submit(&format!("{submitted:016x}"), submission);
+        }
+        match world.pick(0..12) {
+            0 => world.start_owner(),
+            1 => {
+                world.kill_owner();
+                world.run(400);
+                world.start_owner();
+            }
+            2 => {
+                world.pause_owner(true);
+                world.run(700);
+                world.start_owner();
+            }
+            3 => world.pause_owner(false),
+            4 | 5 => {
+                let number = world.pick(0..5) as usize;
+                world.workers[number].is_reachable = !world.workers[number].is_reachable;
+            }
+            6 => {
+                world.faults = Faults {
+                    lost_answers: 0.1,
+                    delayed_starts: 0.1,
+                    slow_commits: 0.3,
+                };
+            }
+            7 => world.faults = Faults::default(),
+            8 => world.is_store_up = !world.is_store_up,
+            9 => world.cut_owner_from_store(true),
+            10 => world.cut_owner_from_store(false),
+            _ => {}
+        }
+        world.run(500);
+    }
+    world.finish();
+    world.invariants.starts
+}
+
+#[test]
+fn invariants_hold_for_scheduled_jobs_under_faults() {
+    let starts: usize = (0..150).map(simulate).sum();
+    assert!(starts > 1_000, "only {starts} tasks were started");
+}
