--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -18,6 +18,7 @@
 mod budget;
 mod capacity;
 mod completion;
+mod incarnation;
 mod job;
 mod key;
 mod learning;
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -1,5 +1,5 @@
+use super::incarnation::{Interruption, Stray};
 use super::job::State;
-use super::worker::Run;
 use super::{Scheduler, TaskKey, Worker, WorkerKey};
 use hyssop_model::work;
 use std::time::Duration;
@@ -31,80 +31,8 @@
         self.insert_incarnation(listing, interruption, strays, now);
     }
 
-    /// Records that the registry lists another incarnation than the known one, whose next report
-    /// decides: a worker's clock may have been set back before it started again.
-    fn dispute_incarnation(&mut self, key: WorkerKey, listing: work::Worker, now: Duration) {
-        let Some(worker) = self.workers.get_mut(&key) else {
-            return;
-        };
-        let is_known = worker
-            .rival
-            .as_ref()
-            .is_some_and(|rival| rival.incarnation == listing.incarnation);
-        if !is_known {
-            log::info!(
-                "event=registration-disputed pool={} worker={} incarnation={} listed={} at_ms={}",
-                self.pool,
-                listing.id,
-                worker.listing.incarnation,
-                listing.incarnation,
-                now.as_millis()
-            );
-            worker.disputed_at = Some(now);
-        }
-        worker.rival = Some(listing);
-    }
-
-    /// Replaces a worker's known incarnation by the one that has reported, to a renewal that
-    /// acknowledged completions up to number `acknowledged`.
-    ///
-    /// Its labels and capacity are unknown until the registry lists it, unless it has done so.
-    pub(super) fn on_other_incarnation(
-        &mut self,
-        key: WorkerKey,
-        incarnation: i64,
-        acknowledged: u64,
-        now: Duration,
-    ) {
-        let Some(worker) = self.workers.get_mut(&key) else {
-            return;
-        };
-        let name = (worker.listing.id.clone(), incarnation);
-        if self.terminated_workers.contains(&name) {
-            worker.unreachable_since.get_or_insert(now);
-            return;
-        }
-        let previous = worker.listing.clone();
-        let rival = worker.rival.take();
-        let listed = rival.filter(|rival| rival.incarnation == incarnation);
-        let is_listed = listed.is_some();
-        let listing = listed.unwrap_or_else(|| work::Worker {
-            incarnation,
-            ..previous.clone()
-        });
-        let is_previous = |other| other != incarnation;
-        self.rename_unreported(&name, is_previous);
-        let interruption = self.interruption(&listing.instance);
-        let strays = self.replace_incarnations(&name.0, is_previous, now);
-        if acknowledged > 0 && !strays.is_empty() {
-            log::warn!(
-                "event=completions-lost pool={} worker={} incarnation={incarnation} \
-                 acknowledged={acknowledged} runs={} reason=acknowledged-to-next-incarnation",
-                self.pool,
-                name.0,
-                strays.len()
-            );
-        }
-        self.insert_incarnation(listing, interruption, strays, now);
-        let key = self.worker_key(&name.0, incarnation);
-        if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
-            worker.is_listed &= is_listed;
-            worker.rival = Some(previous);
-        }
-    }
-
     /// Inserts a worker's incarnation or updates its registration.
-    fn insert_incarnation(
+    pub(super) fn insert_incarnation(
         &mut self,
         listing: work::Worker,
         interruption: Interruption,
@@ -135,21 +63,6 @@
         self.assign_strays(key, strays, now);
     }
 
-    /// Returns what the fleet's owner intends for an instance. It concerns the instance, whichever
-    /// worker runs there.
-    fn interruption(&self, instance: &str) -> Interruption {
-        let workers = self.workers.values().filter(|worker| {
-            !instance.is_empty() && worker.listing.instance == instance && !worker.has_departed
-        });
-        workers.fold(Interruption::default(), |known, worker| Interruption {
-            evacuating_until: known.evacuating_until.max(worker.evacuating_until),
-            released_until: known.released_until.max(worker.released_until),
-            maintenance_due_until: known
-                .maintenance_due_until
-                .max(worker.maintenance_due_until),
-        })
-    }
-
     fn insert_worker(&mut self, worker: Worker) -> WorkerKey {
         let key = WorkerKey(self.next_worker);
         self.next_worker += 1;
@@ -173,128 +86,6 @@
         self.assign_strays(key, strays, now);
     }
 
-    /// Lets recovery wait for a worker's new incarnation instead of recorded previous ones, since a
-    /// start that the previous owner sent may have reached it.
-    fn rename_unreported(&mut self, name: &(String, i64), is_previous: impl Fn(i64) -> bool) {
-        let previous: Vec<(String, i64)> = self
-            .unreported_workers
-            .keys()
-            .filter(|(id, incarnation)| *id == name.0 && is_previous(*incarnation))
-            .cloned()
-            .collect();
-        for previous in previous {
-            if let Some(lease_end) = self.unreported_workers.remove(&previous) {
-                let entry = self.unreported_workers.entry(name.clone()).or_default();
-                *entry = (*entry).max(lease_end);
-            }
-        }
-    }
-
-    /// Removes the previous incarnations of a worker and returns their runs that may have started on
-    /// the new incarnation, which has the same identifier.
-    ///
-    /// All other runs of them are gone.
-    fn replace_incarnations(
-        &mut self,
-        id: &str,
-        is_previous: impl Fn(i64) -> bool,
-        now: Duration,
-    ) -> Vec<Stray> {
-        let previous: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.listing.id == id)
-            .filter(|(_, worker)| is_previous(worker.listing.incarnation))
-            .map(|(key, _)| *key)
-            .collect();
-        let mut strays = Vec::new();
-        for key in previous {
-            let Some(worker) = self.workers.get_mut(&key) else {
-                continue;
-            };
-            let tasks: Vec<TaskKey> = worker
-                .runs
-                .iter()
-                .filter(|(_, run)| run.may_reach_next(now))
-                .map(|(task, _)| *task)
-                .collect();
-            for task in tasks {
-                if let Some(run) = worker.unreserve(task) {
-                    strays.push(Stray {
-                        task,
-                        run,
-                        previous: key,
-                    });
-                }
-            }
-            self.remove_worker(key, now);
-        }
-        strays
-    }
-
-    /// Assigns stray runs to the worker's new incarnation, so that their tasks are not started
-    /// elsewhere until a report shows what became of them.
-    ///
-    /// They are not ordered there: only placement gives tasks to an incarnation. Stops are repeated,
-    /// so that a start that arrives later is rejected.
-    fn assign_strays(&mut self, key: WorkerKey, strays: Vec<Stray>, now: Duration) {
-        let max_lease_span = self.settings.max_lease_span();
-        for stray in strays {
-            let Stray {
-                task,
-                run,
-                previous,
-            } = stray;
-            if let Some(entry) = self.task_mut(task) {
-                if entry.state == State::Placed(previous) {
-                    entry.state = State::Placed(key);
-                }
-            }
-            let is_stopping = run.stopping_at.is_some();
-            let Some(worker) = self.workers.get_mut(&key) else {
-                return;
-            };
-            if let Some(until) = run.arrives_until() {
-                worker.lease_end = worker.lease_end.max(until + max_lease_span);
-            }
-            worker.reserve(
-                task,
-                Run {
-                    is_stray: true,
-                    is_confirmed: false,
-                    is_reported: false,
-                    stopping_at: None,
-                    stop_confirmed_at: None,
-                    ..run
-                },
-            );
-            if is_stopping && !worker.has_departed {
-                self.stop_task(key, task, now);
-            }
-        }
-    }
-
-    /// Requeues the stray runs that are missing from a report requested after their starts could
-    /// last arrive.
-    pub(super) fn settle_strays(&mut self, key: WorkerKey, sent_at: Duration) {
-        let Some(worker) = self.workers.get_mut(&key) else {
-            return;
-        };
-        let missing: Vec<TaskKey> = worker
-            .runs
-            .iter()
-            .filter(|(_, run)| run.is_stray)
-            .filter(|(_, run)| run.arrives_until().is_none_or(|until| until <= sent_at))
-            .map(|(task, _)| *task)
-            .collect();
-        for task in missing {
-            if let Some(worker) = self.workers.get_mut(&key) {
-                worker.unreserve(task);
-            }
-            self.requeue(task, key);
-        }
-    }
-
     /// Marks a worker as no longer listed by the registry. It may still run its tasks.
     pub fn deregister_worker(&mut self, id: &str) {
         for worker in self.workers.values_mut() {
@@ -423,18 +214,3 @@
         }
     }
 }
-
-/// A run whose start was sent to a previous incarnation of a worker.
-struct Stray {
-    task: TaskKey,
-    run: Run,
-    previous: WorkerKey,
-}
-
-/// The ends of the periods in which the fleet's owner may shut down an instance or wants it empty.
-#[derive(Default)]
-struct Interruption {
-    evacuating_until: Option<Duration>,
-    released_until: Option<Duration>,
-    maintenance_due_until: Option<Duration>,
-}
