--- a/crates/hyssop-policy/tests/recovery.rs
+++ b/crates/hyssop-policy/tests/recovery.rs
@@ -6,6 +6,7 @@
 
 use hyssop_model::work::Phase;
 use hyssop_platform::dialect::Start;
+use hyssop_policy::owner::Settings;
 use model::{job, FakeWorker, Takeover, World};
 use std::time::Duration;
 
@@ -89,7 +90,8 @@
 
 #[test]
 fn dead_worker_holds_queue_no_longer_than_its_lease_and_two_polls() {
-    let lease_end_ms = 5_838;
+    let settings = Settings::default();
+    let lease_end_ms = (settings.authority + settings.lease_span()).as_millis() as i64;
     for is_listed in [false, true] {
         let ms = time_to_restart(is_listed);
         assert!(ms >= lease_end_ms, "{ms} ms, listed: {is_listed}");
--- a/crates/hyssop-policy/tests/schedules.rs
+++ b/crates/hyssop-policy/tests/schedules.rs
@@ -131,6 +131,7 @@
         scheduler.configure(&configuration(false));
         scheduler.recover(&records, at(ms), at(ms), wall_ms);
         scheduler.register_worker(worker("w0"), at(ms));
+        scheduler.on_registry_snapshot(at(ms));
         let mut owner = Self {
             scheduler,
             worker: None,
