Acknowledge completions to a worker whose report is not complete yet

A worker with stored completions has reported. The schedules' test lets its worker report before it looks at the acknowledgement, as only such a worker is sent one now.

--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -189,8 +189,7 @@
         }
         // The next incarnation numbers its completions anew, and would forget those that nobody has
         // read. So completions are acknowledged once, while the incarnation is known to live.
-        let is_report_recent = state.has_reported
-            && state.unreachable_since.is_none()
+        let is_report_recent = state.unreachable_since.is_none()
             && state.disputed_at.is_none()
             && now.saturating_sub(state.polled_at) <= MAX_REPORT_AGE;
         let has_unacknowledged = state.acknowledged < state.stored;
--- a/crates/hyssop-policy/tests/schedules.rs
+++ b/crates/hyssop-policy/tests/schedules.rs
@@ -272,6 +272,8 @@
         let actions = second.advance(ms, ms as i64 + 999_000);
         started.append(&mut second.started(&actions, ms));
     }
+    // Only a worker that has just reported is sent an acknowledgement.
+    second.report(Vec::new(), 3_990);
     assert_eq!(second.acknowledged(4_000), u64::from(EARLY) + 1);
     assert!(!started.is_empty());
     assert!(!started.contains(&format!("{ID}.{EARLY}.0.0")));
