Answer for no pool without the authority over it

A caller could be told that its job does not exist (410), and a cancellation could count as acknowledged, by an owner that had been replaced without its knowledge: its successor had accepted the job. The fleet's owner could likewise move a worker that such an owner called idle. An owner without authority now says that it is not the owner where it does not know a job, and to questions for counts and demand. Found by reading; no test of its own.

--- a/crates/hyssop-edge/src/pool/operations.rs
+++ b/crates/hyssop-edge/src/pool/operations.rs
@@ -55,7 +55,7 @@
             }
             Operation::Phase { id, .. } => match self.scheduler.borrow().phase(&id) {
                 Some(phase) => Answer::Phase(phase),
-                None => Answer::Unknown,
+                None => self.unknown_job(),
             },
             Operation::Cancel {
                 id,
@@ -66,13 +66,16 @@
                 let cancellation = self.scheduler.borrow_mut().cancel(&id, now);
                 match cancellation {
                     Cancellation::Done => Answer::Done,
-                    Cancellation::Unknown => Answer::Unknown,
+                    Cancellation::Unknown => self.unknown_job(),
                     Cancellation::Pending => {
                         let stored = self.await_storing(&self.cancelling, &id, timeout_ms);
                         stored.await.unwrap_or(Answer::Uncertain)
                     }
                 }
             }
+            Operation::Waiting { .. } | Operation::Demand { .. } if !self.has_authority() => {
+                Answer::NotOwner
+            }
             Operation::Waiting { queue, .. } => {
                 Answer::Waiting(self.scheduler.borrow().waiting(&queue))
             }
@@ -117,6 +120,16 @@
         }
     }
 
+    /// Returns the answer about a job that this owner does not know; its successor may have accepted
+    /// it.
+    fn unknown_job(&self) -> Answer {
+        if self.has_authority() {
+            Answer::Unknown
+        } else {
+            Answer::NotOwner
+        }
+    }
+
     /// Waits until a job is stored, and withdraws it on a timeout if possible.
     async fn await_acceptance(&self, id: &str, timeout_ms: u64) -> Answer {
         match self.await_storing(&self.accepting, id, timeout_ms).await {
