Take over nothing while the own member row is gone

Owners that the store does not confirm ask the members. A process whose row was removed by mistake was asked by nobody and could take over before it was a member again. Found by reading; no test of its own.

--- a/crates/hyssop-edge/src/ownership/registry.rs
+++ b/crates/hyssop-edge/src/ownership/registry.rs
@@ -80,7 +80,9 @@
             return;
         }
         if row.key.key == node.name {
-            // Another process took this one for lost.
+            // Another process took this one for lost. Owners don't ask it for a confirmation until it
+            // is a member again, so it takes over nothing meanwhile.
+            node.is_registered.set(false);
             tokio::task::spawn_local(register(node.clone(), node.is_stopping.get()));
         } else {
             node.members.borrow_mut().remove(&row.key.key);
