Take an unknown answer of the store to a transaction for no answer

Any status but 200, 412, 429 and 503 ended the owner's term, though after a 500 or 504 the transaction may have taken effect, and a retry shows it.

--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -159,7 +159,7 @@
             }
             Ok(Commit::Invalid) => log::error!("event=take-over-invalid part={shard}"),
             Ok(Commit::Refused) | Err(Failure::Unsent) => {}
-            Err(Failure::Lost) => may_have_written = true,
+            Ok(Commit::Uncertain) | Err(Failure::Lost) => may_have_written = true,
         }
         let is_superseded = node.owners.borrow().get(shard).is_some_and(|known| {
             known.term >= ownership.term && known.process != ownership.process
--- a/crates/hyssop-edge/src/store/committer.rs
+++ b/crates/hyssop-edge/src/store/committer.rs
@@ -129,7 +129,7 @@
                     );
                     return Outcome::Deposed;
                 }
-                Err(Failure::Lost) => may_have_committed = true,
+                Ok(Commit::Uncertain) | Err(Failure::Lost) => may_have_committed = true,
             }
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
--- a/crates/hyssop-platform/src/rows/commit.rs
+++ b/crates/hyssop-platform/src/rows/commit.rs
@@ -11,4 +11,6 @@
     Refused,
     /// The call is invalid; a retry will fail as well.
     Invalid,
+    /// The answer does not tell whether the transaction took effect.
+    Uncertain,
 }
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -24,7 +24,7 @@
         [JOBS, PROGRESS, WORKERS]
     }
 
-    /// Restores the jobs of an earlier term from its rows; `now` is the time of the failover.
+    /// Restores the jobs of an earlier term from its rows; `now` is the time after which they were read.
     ///
     /// Workers of that term may run tasks until they report or their leases expire. The previous
     /// owner may have extended leases until `authority_end`, and each extension lasts for a full
