--- a/crates/hyssop-edge/src/ownership/monitor.rs
+++ b/crates/hyssop-edge/src/ownership/monitor.rs
@@ -27,6 +27,9 @@
 const STORE_OUTAGE_LIMIT: Duration = Duration::from_millis(500);
 /// The fleet's owner is reported by a pool's owner that it has not asked for this long.
 const FLEET_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The turn of a process whose own driver has ended: the pause bounds how often it starts again if the
+/// store goes on refusing its transactions.
+const OWN_POSITION: usize = 2;
 /// How many other processes are asked at a time whether they reach a suspect owner.
 const PROBE_COUNT: usize = 4;
 
@@ -109,7 +112,7 @@
         for shard in vacant {
             // Nobody else takes over a shard from a process that is alive.
             let position = if self.is_own(&shard) {
-                Some(0)
+                Some(OWN_POSITION)
             } else {
                 self.position(&orders[&shard], now)
             };
@@ -326,7 +329,7 @@
             return true;
         }
         if owner.process == self.node.process {
-            // Its transaction failed, or its row was written by an attempt that had been given up.
+            // Its driver ended while the row still names this process.
             return !self.is_driven(shard);
         }
         if owner.node == self.node.name {
--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -86,7 +86,7 @@
         node.fleet_term.set(Some(ownership.term));
         fleet::Controller::start(node.clone(), ownership.term, committer);
     } else {
-        let has_predecessor = current.is_some();
+        let has_predecessor = row.is_some() || known_term.is_some();
         start_driver(
             node,
             shard,
