--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -1,10 +1,11 @@
 use super::{TaskKey, WorkerKey};
 use hyssop_model::work::{Phase, Queue, Step, Submission};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// The scheduling rules that a queue applies to its jobs.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct Rule {
     pub(super) priority: u32,
     pub(super) max_attempts: u32,
@@ -46,6 +47,8 @@
     pub queue: String,
     /// The submitted work; its specification is dropped once the final phase is stored.
     pub submission: Submission,
+    /// The queue's rules when the job was accepted, `None` if unknown.
+    pub(super) accepted_rule: Option<Rule>,
     /// When the caller first submitted the job, on the owner's clock.
     pub(super) submitted_at: Duration,
     /// The same time in Unix milliseconds, stored for the next owner.
--- a/crates/hyssop-policy/src/owner/progress.rs
+++ b/crates/hyssop-policy/src/owner/progress.rs
@@ -1,4 +1,4 @@
-use super::job::{Job, Occurrence, State};
+use super::job::{Job, Occurrence, Rule, State};
 use hyssop_model::work::{Phase, Step, Submission};
 use hyssop_platform::rows::encode;
 use serde::{Deserialize, Serialize};
@@ -17,6 +17,10 @@
     #[serde(rename = "asked_wall_ms")]
     pub(super) submitted_wall_ms: i64,
     pub(super) submission: Submission,
+    /// The rules under which the job was accepted, which a new owner needs once the queue is
+    /// removed; rows of earlier versions have none.
+    #[serde(default)]
+    pub(super) rule: Option<Rule>,
 }
 
 /// The stored row of a job's progress.
@@ -45,6 +49,7 @@
             queue: job.queue.clone(),
             submitted_wall_ms: job.submitted_wall_ms,
             submission: job.submission.clone(),
+            rule: job.accepted_rule,
         }
     }
 }
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -134,9 +134,13 @@
         let max_open_occurrences = self
             .max_open_occurrences(&accepted.queue, &submission)
             .max(1);
+        if let Some(rule) = accepted.rule {
+            self.rules.entry(accepted.queue.clone()).or_insert(rule);
+        }
         let job = Job {
             id: record.key.clone(),
             queue: accepted.queue,
+            accepted_rule: accepted.rule,
             submitted_at,
             submitted_wall_ms: accepted.submitted_wall_ms,
             phase: Phase::Queued,
@@ -199,6 +203,7 @@
     Job {
         id: id.to_owned(),
         queue: queue.to_owned(),
+        accepted_rule: None,
         submission: Submission::default(),
         submitted_at: now,
         submitted_wall_ms: 0,
