--- a/crates/hyssop-edge/tests/soak.rs
+++ b/crates/hyssop-edge/tests/soak.rs
@@ -32,10 +32,14 @@
 }
 
 /// Seeds that failed once, with the cause.
-const REGRESSION_SEEDS: [(u64, &str); 4] = [
+const REGRESSION_SEEDS: [(u64, &str); 5] = [
     (12, OCCURRENCE_OPENED_TWICE),
     (21, OCCURRENCE_OPENED_TWICE),
     (26, OCCURRENCE_OPENED_TWICE),
+    (
+        40,
+        "a process that took a pool over while it lost the store left it without a driver",
+    ),
     (
         46,
         "an order to a worker's earlier life is carried out by its next one, of another kind",
