--- a/crates/hyssop-policy/src/owner/incarnation.rs
+++ b/crates/hyssop-policy/src/owner/incarnation.rs
@@ -17,9 +17,9 @@
             return;
         };
         let is_known = worker
-            .rival
+            .other_listing
             .as_ref()
-            .is_some_and(|rival| rival.incarnation == listing.incarnation);
+            .is_some_and(|other_listing| other_listing.incarnation == listing.incarnation);
         if !is_known {
             log::info!(
                 "event=registration-disputed pool={} worker={} incarnation={} listed={} at_ms={}",
@@ -31,7 +31,7 @@
             );
             worker.disputed_at = Some(now);
         }
-        worker.rival = Some(listing);
+        worker.other_listing = Some(listing);
     }
 
     /// Replaces a worker's known incarnation by the one that has reported, to a renewal that
@@ -54,8 +54,8 @@
             return;
         }
         let previous = worker.listing.clone();
-        let rival = worker.rival.take();
-        let listed = rival.filter(|rival| rival.incarnation == incarnation);
+        let other_listing = worker.other_listing.take();
+        let listed = other_listing.filter(|other_listing| other_listing.incarnation == incarnation);
         let is_listed = listed.is_some();
         let listing = listed.unwrap_or_else(|| work::Worker {
             incarnation,
@@ -78,7 +78,7 @@
         let key = self.worker_key(&name.0, incarnation);
         if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
             worker.is_listed &= is_listed;
-            worker.rival = Some(previous);
+            worker.other_listing = Some(previous);
         }
     }
 
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -15,12 +15,12 @@
         if self.terminated_workers.contains(&name) {
             return;
         }
-        let doubting = self.workers.iter().find(|(_, worker)| {
+        let outdated = self.workers.iter().find(|(_, worker)| {
             worker.listing.id == listing.id
                 && !worker.has_departed
-                && worker.doubts(listing.incarnation)
+                && worker.is_outdated(listing.incarnation)
         });
-        if let Some(key) = doubting.map(|(key, _)| *key) {
+        if let Some(key) = outdated.map(|(key, _)| *key) {
             self.dispute_incarnation(key, listing, now);
             return;
         }
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -11,8 +11,8 @@
     /// Whether the registry still lists the worker.
     pub(super) is_listed: bool,
     /// The last registration of another incarnation that no report has confirmed.
-    pub(super) rival: Option<work::Worker>,
-    /// When `rival` became known, until a report requested later shows which incarnation lives.
+    pub(super) other_listing: Option<work::Worker>,
+    /// When `other_listing` became known, until a report requested later shows which incarnation lives.
     pub(super) disputed_at: Option<Duration>,
     /// Whether this incarnation belongs to another pool and is kept only for its stray runs.
     pub(super) has_departed: bool,
@@ -75,7 +75,7 @@
         Self {
             listing,
             is_listed: true,
-            rival: None,
+            other_listing: None,
             disputed_at: None,
             has_departed: false,
             is_recorded: false,
@@ -112,10 +112,10 @@
 
     /// Returns whether the registration of another incarnation proves nothing: it is an earlier one, or
     /// did not live when this one reported.
-    pub(super) fn doubts(&self, incarnation: i64) -> bool {
-        let rival = self.rival.as_ref();
+    pub(super) fn is_outdated(&self, incarnation: i64) -> bool {
+        let other_listing = self.other_listing.as_ref();
         incarnation < self.listing.incarnation
-            || rival.is_some_and(|rival| rival.incarnation == incarnation)
+            || other_listing.is_some_and(|other_listing| other_listing.incarnation == incarnation)
     }
 
     /// Returns the number up to which completions may be acknowledged.
@@ -211,8 +211,8 @@
     }
 }
 
-/// The longest time that an order can be in flight; after it, the order has arrived or its
-/// connection is broken.
+/// The longest time that an order takes to arrive, unless the worker carries it out late. Such a run is
+/// stopped once a report lists it.
 const IN_FLIGHT: Duration = Duration::from_millis(700);
 
 /// A run on a worker, from its start order until its outcome is reported.
