fleet: keep the rows of large waves within the store's limits

Operators saw a wave stop half-way for good, and with it all moves: the row of a wave's progress listed the instances to maintain and again those whose maintenance had begun. For a wave whose announcement takes more than half of a row it outgrew the row as the wave went on. The store answered 400, the owner of the fleet ended its term, and so did each next one.

The progress now marks the begun instances by one bit each, so that it is smaller than the announcement, which the store has taken. Rows of earlier versions are read. Changed waves are stored in as many calls as the limits require, and the names of recently ordered instances stay within a row: the rest of the orders is decided again at the next round.

--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -334,7 +334,7 @@
 
     /// Orders changes after the store has confirmed that the term continues; returns whether it
     /// does.
-    async fn order(&mut self, changes: Vec<Transfer>) -> bool {
+    async fn order(&mut self, mut changes: Vec<Transfer>) -> bool {
         let mut transaction = Transaction::default();
         if !self.is_base_stored {
             let value = encode(self.fleet.borrow().base_sizes());
@@ -347,8 +347,12 @@
             .retain(|_, ordered_at| requested_at.saturating_sub(*ordered_at) < gap);
         // The commit is abandoned at this time, so no order is sent later.
         let until = requested_at + CALL_TIMEOUT;
-        let announced = changes.iter().map(|change| change.instance().to_owned());
-        self.recent.extend(announced.map(|name| (name, until)));
+        // The rest is decided again once earlier orders have left the row.
+        let room = self.node.timing.scheduler.max_row_bytes;
+        changes.truncate(announce(&mut self.recent, &changes, until, room));
+        if changes.is_empty() {
+            return true;
+        }
         let names: BTreeSet<&String> = self.recent.keys().collect();
         let key = Key::new(TABLE, FLEET, RECENT_KEY);
         transaction.writes.push((key, encode(&names)));
@@ -410,3 +414,28 @@
         }
     }
 }
+
+/// Adds the instances of `changes` to those ordered recently, as far as the encoded names take at
+/// most `room` bytes; returns how many changes are announced.
+fn announce(
+    recent: &mut BTreeMap<String, Duration>,
+    changes: &[Transfer],
+    until: Duration,
+    room: usize,
+) -> usize {
+    /// The largest header of an encoded text or list.
+    const HEADER_BYTES: usize = 5;
+    let size = |name: &str| HEADER_BYTES + name.len();
+    let mut bytes = HEADER_BYTES + recent.keys().map(|name| size(name)).sum::<usize>();
+    for (number, change) in changes.iter().enumerate() {
+        let name = change.instance();
+        if !recent.contains_key(name) {
+            bytes += size(name);
+        }
+        if bytes > room {
+            return number;
+        }
+        recent.insert(name.to_owned(), until);
+    }
+    changes.len()
+}
--- a/crates/hyssop-edge/src/fleet/waves.rs
+++ b/crates/hyssop-edge/src/fleet/waves.rs
@@ -71,19 +71,40 @@
         rows.collect()
     }
 
-    /// Stores the waves that have changed; returns whether they are stored.
+    /// Stores the waves that have changed, in as many calls as the store's limits require; returns
+    /// whether all are stored.
     async fn store_waves(&mut self, waves: &BTreeMap<u64, WaveRow>) -> bool {
-        let mut transaction = Transaction::default();
-        for (number, wave) in waves {
-            if self.stored.get(number) != Some(wave) {
+        let limits = self.node.timing.scheduler;
+        let changed = waves
+            .iter()
+            .filter(|(number, wave)| self.stored.get(number) != Some(wave));
+        let changed: Vec<(u64, Vec<u8>)> = changed
+            .map(|(number, wave)| (*number, encode(wave)))
+            .collect();
+        let mut rest = changed.as_slice();
+        while !rest.is_empty() {
+            let mut bytes = 0;
+            let fitting = rest.iter().take(limits.max_batch_rows).take_while(|row| {
+                bytes += row.1.len();
+                bytes <= limits.max_batch_bytes
+            });
+            let (portion, further) = rest.split_at(fitting.count().max(1));
+            let writes = portion.iter().map(|(number, value)| {
                 let key = Key::new(TABLE, FLEET, &format!("{PROGRESS_PREFIX}{number}"));
-                transaction.writes.push((key, encode(wave)));
+                (key, value.clone())
+            });
+            let transaction = Transaction {
+                writes: writes.collect(),
+                ..Transaction::default()
+            };
+            if self.committer.commit(transaction, || false).await != Outcome::Done {
+                return false;
             }
+            for (number, _) in portion {
+                self.stored.insert(*number, waves[number].clone());
+            }
+            rest = further;
         }
-        let is_stored = self.committer.commit(transaction, || false).await == Outcome::Done;
-        if is_stored {
-            self.stored.clone_from(waves);
-        }
-        is_stored
+        true
     }
 }
--- a/crates/hyssop-edge/tests/limits.rs
+++ b/crates/hyssop-edge/tests/limits.rs
@@ -1,11 +1,11 @@
-//! Jobs whose rows come near the limits of the platform's store.
+//! Jobs and waves whose rows come near the limits of the platform's store.
 
 mod support;
 
 use platform_standin::{Platform, Shape};
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use support::{configure, job, wait_until, Edge};
+use support::{announce_wave, configure, job, wait_for_wave, wait_until, Edge, HOST};
 
 const POOL: &str = "alpha";
 const EARLIER: &str = "/a/00000000000000a0";
@@ -44,3 +44,35 @@
     }
     assert!(!successor.has_logged("event=transaction-invalid"));
 }
+
+/// The progress of a wave outgrew its row once half of the wave was done, so that each owner of the
+/// fleet ended its term and the wave stayed as it was.
+#[test]
+fn wave_whose_announcement_fills_half_a_row_ends() {
+    const MACHINE_COUNT: usize = 230;
+    const CAP: u32 = 60;
+    let spare = format!("spare-{}", "x".repeat(150));
+    let platform = Platform::start(&Shape {
+        pools: vec![(POOL.to_owned(), 1), (spare.clone(), MACHINE_COUNT)],
+        spare: Some(spare.clone()),
+    });
+    let configuration = json!({
+        "version": 1,
+        "routes": [{
+            "name": "a", "hostname": HOST, "path-prefix": "/a/", "kind": "unsafe",
+            "timeout-ms": 3000, "priority": 0, "target-latency-ms": 600, "service": POOL,
+            "max-attempts": 2, "stretch": 1.6,
+        }],
+        "limits": { "max-body-bytes": 65_536 },
+        "services": [
+            { "name": POOL, "rejects-overload": true },
+            { "name": spare, "rejects-overload": true, "spare": true },
+        ],
+    });
+    platform.write_operator_row("config", &configuration);
+    let edge = Edge::start(&platform, "e0");
+    let machines: Vec<String> = platform.pools().into_keys().collect();
+    announce_wave(&platform, &machines, 60, CAP);
+    wait_for_wave(&platform, "done");
+    assert!(!edge.has_logged("event=transaction-invalid"));
+}
--- a/crates/hyssop-policy/tests/fleet.rs
+++ b/crates/hyssop-policy/tests/fleet.rs
@@ -2,7 +2,8 @@
 
 use hyssop_model::work::{Condition, Instance, Resources, Wave};
 use hyssop_platform::dialect::Transfer;
-use hyssop_policy::fleet::{Decision, Fleet, Settings};
+use hyssop_platform::rows::{decode, encode};
+use hyssop_policy::fleet::{Decision, Fleet, Progress, Settings};
 use hyssop_policy::owner::{Demand, Load};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -512,3 +513,50 @@
         "the worker may run until its lease expires"
     );
 }
+
+/// The progress of a wave whose announcement filled over half a row outgrew the row once most of the
+/// wave was done, which ended the term of the fleet's owner, and of each next one.
+#[test]
+fn progress_of_a_large_wave_takes_less_than_its_announcement() {
+    for digits in [4, 20, 36, 100] {
+        let instances: Vec<String> = (0..1_500).map(|n| format!("{n:0digits$}")).collect();
+        let wave = Wave {
+            number: 1,
+            instances: instances.clone(),
+            duration_ms: 60_000,
+            cap: 40,
+        };
+        let names = instances.iter().map(|name| format!("\"{name}\",").len());
+        let announced: usize = names.sum();
+        let mut fleet = Fleet::new(Settings::default(), BTreeMap::new(), BTreeMap::new());
+        fleet.on_wave(&wave, None);
+        for (number, instance) in instances.iter().enumerate() {
+            fleet.on_maintenance_started(1, instance);
+            if number % 64 == 0 || number + 1 == instances.len() {
+                let progress = &fleet.wave_progress()[&1];
+                let row = encode(progress);
+                assert!(row.len() < announced, "{} bytes of {announced}", row.len());
+                assert_eq!(decode::<Progress>(&row).as_ref(), Some(progress));
+            }
+        }
+    }
+}
+
+/// Rows written before the progress was stored as bits list the names twice.
+#[test]
+fn progress_of_a_wave_stored_by_an_earlier_version_is_read() {
+    #[derive(serde::Serialize)]
+    struct Earlier {
+        instances: Vec<String>,
+        cap: u32,
+        begun: Vec<String>,
+    }
+    let row = encode(&Earlier {
+        instances: vec!["a".to_owned(), "b".to_owned()],
+        cap: 3,
+        begun: vec!["b".to_owned()],
+    });
+    let progress = decode::<Progress>(&row).expect("a row of an earlier version");
+    assert_eq!(progress.due().collect::<Vec<_>>(), ["a"]);
+    assert_eq!(progress.cap, 3);
+}
