--- a/crates/hyssop-edge/src/front/handler.rs
+++ b/crates/hyssop-edge/src/front/handler.rs
@@ -7,6 +7,7 @@
 use hyper::header::{CONTENT_TYPE, HOST, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use hyssop_model::work::Queue;
+use hyssop_policy::owner::Rule;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -106,6 +107,7 @@
         age_ms: now.saturating_sub(received_at).as_millis() as u64,
         patience_ms: deadline.saturating_sub(now).as_millis() as u64,
         submission: submission.clone(),
+        rule: Some(Rule::new(queue)),
     };
     let answer = request_from_owner(node, &queue.pool, deadline, &operation).await;
     let elapsed = node.clock.now().saturating_sub(received_at);
--- a/crates/hyssop-edge/src/peer/frame.rs
+++ b/crates/hyssop-edge/src/peer/frame.rs
@@ -1,7 +1,7 @@
 use super::Inquiry;
 use crate::node::Ownership;
 use hyssop_model::work::{Phase, Submission};
-use hyssop_policy::owner::Demand;
+use hyssop_policy::owner::{Demand, Rule};
 use serde::{Deserialize, Serialize};
 
 /// A message between peers.
@@ -50,6 +50,9 @@
         /// How long the owner may wait for the store.
         patience_ms: u64,
         submission: Submission,
+        /// The queue's rules, which the owner may not know yet; earlier versions send none.
+        #[serde(default)]
+        rule: Option<Rule>,
     },
     /// Returns a job's phase.
     Phase {
--- a/crates/hyssop-edge/src/pool/operations.rs
+++ b/crates/hyssop-edge/src/pool/operations.rs
@@ -27,11 +27,15 @@
                 age_ms,
                 patience_ms: timeout_ms,
                 submission,
+                rule,
                 ..
             } => {
                 if self.is_leaving.get() {
                     return Answer::NotOwner;
                 }
+                if let Some(rule) = rule {
+                    self.scheduler.borrow_mut().learn_rule(&queue, rule);
+                }
                 let now = self.node.clock.now();
                 let is_known = self.scheduler.borrow().phase(&id).is_some();
                 let is_waiting = self.accepting.borrow().contains_key(&id);
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -117,10 +117,10 @@
             queue: queue.to_owned(),
             submitted_wall_ms,
             submission,
-            rule: self.rules.get(queue).copied(),
+            rule: None,
         };
         let row_bytes = encode(&row).len();
-        let (submission, accepted_rule) = (row.submission, row.rule);
+        let submission = row.submission;
         let max_open_occurrences = self.max_open_occurrences(queue, &submission);
         if let Some(reason) = self.size_refusal(row_bytes, max_open_occurrences) {
             log::info!("event=job-too-large job={id} queue={queue} bytes={row_bytes}");
@@ -138,7 +138,6 @@
         let job = Job {
             id: id.to_owned(),
             queue: queue.to_owned(),
-            accepted_rule,
             next_occurrence: u32::from(submission.schedule.is_none()),
             max_open_occurrences,
             stored_occurrences: u32::from(submission.schedule.is_none()),
@@ -158,6 +157,7 @@
         self.jobs.insert(key, job);
         self.open_jobs.insert(key);
         self.dirty.insert(key);
+        self.rules.require(queue);
         self.open_occurrences(key, now, wall_ms);
         Admission::Pending
     }
--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -1,4 +1,6 @@
+use super::job::Rule;
 use super::progress::{JobRow, Progress};
+use super::rules::row_key;
 use super::{Job, JobKey, Notification, Scheduler, WorkerKey};
 use hyssop_model::work::Phase;
 use hyssop_platform::rows::encode;
@@ -12,9 +14,15 @@
 /// Table of the workers that may run tasks of this pool.
 pub(super) const WORKERS: &str = "crew";
 
+/// Table of the rules of queues that have jobs.
+pub(super) const RULES: &str = "rule";
+
 /// The most rows that the changes of one job take: its submission and its progress.
 const MAX_JOB_ROWS: usize = 2;
 
+/// Interval between checks whether the rules of removed queues are still needed.
+const RULES_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A row to write: table, key and value.
 type RowWrite = (&'static str, String, Vec<u8>);
 
@@ -55,6 +63,7 @@
     removed_workers: Vec<String>,
     removed_submissions: Vec<String>,
     expired_jobs: Vec<JobKey>,
+    rules: Vec<(String, Rule)>,
 }
 
 /// How urgent it is to store the changes of a job; the most urgent first.
@@ -102,11 +111,15 @@
         let mut batch = Batch::default();
         let mut pending = Pending::default();
         self.batch_workers(&mut batch, &mut pending);
+        self.batch_rules(now, &mut batch, &mut pending);
         self.batch_expired_jobs(now, &mut batch, &mut pending);
         for key in self.dirty_by_urgency() {
             if batch.len() + MAX_JOB_ROWS > self.settings.max_batch_rows {
                 break;
             }
+            if self.lacks_rules(key, &pending) {
+                continue;
+            }
             let Some(rows) = self.job_rows(key) else {
                 continue;
             };
@@ -153,6 +166,44 @@
         }
     }
 
+    /// Adds the rules that are to be stored, and deletes those of removed queues without open jobs.
+    fn batch_rules(&mut self, now: Duration, batch: &mut Batch, pending: &mut Pending) {
+        /// Limits the rows so that many changed queues do not displace jobs.
+        const MAX_RULE_ROWS: usize = 20;
+        if now.saturating_sub(self.rules_checked_at) >= RULES_INTERVAL {
+            self.rules_checked_at = now;
+            for queue in self.unused_queues().into_iter().take(MAX_RULE_ROWS) {
+                if self.rules.forget(&queue) {
+                    batch.removes.push((RULES, row_key(&queue)));
+                }
+            }
+        }
+        for (queue, rule, value) in self.rules.unstored().take(MAX_RULE_ROWS) {
+            batch.writes.push((RULES, row_key(queue), value));
+            pending.rules.push((queue.clone(), rule));
+        }
+    }
+
+    /// Returns the removed queues that have no open jobs.
+    fn unused_queues(&self) -> BTreeSet<String> {
+        let mut unused: BTreeSet<String> = self.rules.removed_queues().cloned().collect();
+        if !unused.is_empty() {
+            for job in self.open_jobs.iter().filter_map(|key| self.jobs.get(key)) {
+                unused.remove(&job.queue);
+            }
+        }
+        unused
+    }
+
+    /// Returns whether a new job has to wait for a later batch, since the rules of its queue are
+    /// neither stored nor in this one.
+    fn lacks_rules(&self, key: JobKey, pending: &Pending) -> bool {
+        self.jobs.get(&key).is_some_and(|job| {
+            let is_pending = || pending.rules.iter().any(|(queue, _)| *queue == job.queue);
+            !job.is_stored && self.rules.is_unstored(&job.queue) && !is_pending()
+        })
+    }
+
     fn batch_expired_jobs(&self, now: Duration, batch: &mut Batch, pending: &mut Pending) {
         /// Small because nothing waits for these deletions.
         const MAX_EXPIRED_JOBS: usize = 10;
@@ -305,6 +356,9 @@
                 self.is_placement_due = true;
             }
         }
+        for (queue, rule) in pending.rules {
+            self.rules.on_stored(queue, rule);
+        }
         for name in pending.removed_workers {
             self.removed_workers.remove(&name);
         }
@@ -335,6 +389,9 @@
 
     /// Returns whether a batch is in flight or there are changes that are not stored.
     pub fn has_uncommitted(&self) -> bool {
-        self.pending.is_some() || !self.dirty.is_empty() || !self.removed_workers.is_empty()
+        self.pending.is_some()
+            || !self.dirty.is_empty()
+            || !self.removed_workers.is_empty()
+            || self.rules.has_unstored()
     }
 }
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -6,7 +6,7 @@
 
 /// The scheduling rules that a queue applies to its jobs.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub(super) struct Rule {
+pub struct Rule {
     pub(super) priority: u32,
     pub(super) max_attempts: u32,
     pub(super) stretch: f64,
@@ -15,7 +15,8 @@
 }
 
 impl Rule {
-    pub(super) fn new(queue: &Queue) -> Self {
+    /// Returns the rules of a configured queue.
+    pub fn new(queue: &Queue) -> Self {
         Self {
             priority: queue.priority,
             max_attempts: queue.max_attempts,
@@ -47,8 +48,6 @@
     pub queue: String,
     /// The submitted work; its specification is dropped once the final phase is stored.
     pub submission: Submission,
-    /// The queue's rules when the job was accepted, `None` if unknown.
-    pub(super) accepted_rule: Option<Rule>,
     /// When the caller first submitted the job, on the owner's clock.
     pub(super) submitted_at: Duration,
     /// The same time in Unix milliseconds, stored for the next owner.
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -33,6 +33,7 @@
 mod report;
 mod residual;
 mod roster;
+mod rules;
 mod settings;
 mod start;
 mod unreported;
@@ -43,7 +44,7 @@
 pub use admission::{retry_after, Admission, Cancellation, StorePace};
 pub use batch::Batch;
 pub use capacity::{Demand, Load};
-pub use job::Job;
+pub use job::{Job, Rule};
 pub use key::{JobKey, TaskKey, WorkerKey};
 pub use recovery::Record;
 pub use settings::Settings;
@@ -69,10 +70,12 @@
     pool: String,
     term: u64,
     settings: Settings,
-    rules: BTreeMap<String, job::Rule>,
+    rules: rules::Rules,
     jobs: BTreeMap<JobKey, Job>,
     job_keys: BTreeMap<String, JobKey>,
     next_job: u32,
+    /// When the rules of removed queues were last checked for jobs.
+    rules_checked_at: Duration,
     /// Unfinished jobs. Finished ones are kept only for status queries.
     open_jobs: BTreeSet<JobKey>,
     /// Finished jobs kept for status queries, in the order in which their results were stored.
@@ -122,10 +125,11 @@
             pool: pool.to_owned(),
             term,
             settings,
-            rules: BTreeMap::new(),
+            rules: rules::Rules::default(),
             jobs: BTreeMap::new(),
             job_keys: BTreeMap::new(),
             next_job: 0,
+            rules_checked_at: Duration::ZERO,
             open_jobs: BTreeSet::new(),
             finished_jobs: VecDeque::new(),
             workers: BTreeMap::new(),
@@ -177,12 +181,16 @@
     /// Applies the queue rules of a configuration. Rules of removed queues are kept for the jobs
     /// accepted under them.
     pub fn configure(&mut self, configuration: &Configuration) {
-        for queue in configuration.queues.values() {
-            self.rules.insert(queue.name.clone(), job::Rule::new(queue));
-        }
+        self.rules.configure(configuration);
         self.is_placement_due = true;
     }
 
+    /// Adds the rules of a queue that this owner may not know: the process that received a job may
+    /// have a newer configuration.
+    pub fn learn_rule(&mut self, queue: &str, rule: Rule) {
+        self.rules.learn(queue, rule);
+    }
+
     /// Runs all work due at `now` and returns the actions to perform, in order.
     ///
     /// `wall_ms` is the wall-clock time in Unix milliseconds, used only by scheduled jobs.
--- a/crates/hyssop-policy/src/owner/progress.rs
+++ b/crates/hyssop-policy/src/owner/progress.rs
@@ -17,9 +17,9 @@
     #[serde(rename = "asked_wall_ms")]
     pub(super) submitted_wall_ms: i64,
     pub(super) submission: Submission,
-    /// The rules under which the job was accepted, which a new owner needs once the queue is
-    /// removed; rows of earlier versions have none.
-    #[serde(default)]
+    /// The queue's rules when the job was accepted, in rows of earlier versions, which had no rows of
+    /// rules.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(super) rule: Option<Rule>,
 }
 
@@ -49,7 +49,7 @@
             queue: job.queue.clone(),
             submitted_wall_ms: job.submitted_wall_ms,
             submission: job.submission.clone(),
-            rule: job.accepted_rule,
+            rule: None,
         }
     }
 }
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -1,5 +1,5 @@
-use super::batch::{JOBS, PROGRESS, WORKERS};
-use super::job::{Job, Occurrence, State};
+use super::batch::{JOBS, PROGRESS, RULES, WORKERS};
+use super::job::{Job, Occurrence, Rule, State};
 use super::progress::{JobRow, Progress};
 use super::{JobKey, Scheduler};
 use hyssop_model::work::{Phase, Submission};
@@ -20,8 +20,8 @@
 
 impl Scheduler {
     /// Returns the tables read during recovery, in the order in which to read them.
-    pub fn tables() -> [&'static str; 3] {
-        [JOBS, PROGRESS, WORKERS]
+    pub fn tables() -> [&'static str; 4] {
+        [RULES, JOBS, PROGRESS, WORKERS]
     }
 
     /// Restores the jobs of an earlier term from its rows; `now` is the time after which they were read.
@@ -43,20 +43,17 @@
             }
         }
         let lease_end = authority_end + self.settings.lease_span();
-        for record in records {
-            match record.table.as_str() {
-                JOBS => {
-                    let stored = progress.remove(record.key.as_str());
-                    self.recover_job(record, stored, now, wall_ms);
-                }
-                WORKERS => {
-                    if let Some((id, incarnation)) = record.key.rsplit_once('@') {
-                        let incarnation = incarnation.parse().unwrap_or(0);
-                        self.unreported_workers
-                            .insert((id.to_owned(), incarnation), lease_end);
-                    }
-                }
-                _ => {}
+        let jobs = self.read_jobs(records);
+        self.recover_rules(records, &jobs);
+        for (id, accepted) in jobs {
+            let stored = progress.remove(id);
+            self.recover_job(id, accepted, stored, now, wall_ms);
+        }
+        for record in records.iter().filter(|record| record.table == WORKERS) {
+            if let Some((id, incarnation)) = record.key.rsplit_once('@') {
+                let incarnation = incarnation.parse().unwrap_or(0);
+                self.unreported_workers
+                    .insert((id.to_owned(), incarnation), lease_end);
             }
         }
         for (id, stored) in progress {
@@ -92,26 +89,57 @@
         key
     }
 
+    /// Decodes the rows of submitted jobs.
+    fn read_jobs<'a>(&self, records: &'a [Record]) -> Vec<(&'a str, JobRow)> {
+        let rows = records.iter().filter(|record| record.table == JOBS);
+        let decoded = rows.filter_map(|record| {
+            let row = decode(&record.value);
+            if row.is_none() {
+                log::error!(
+                    "event=job-unreadable pool={} job={} bytes={}",
+                    self.pool,
+                    record.key,
+                    record.value.len()
+                );
+            }
+            Some((record.key.as_str(), row?))
+        });
+        decoded.collect()
+    }
+
+    /// Restores the rules of queues, which the configuration may no longer have.
+    fn recover_rules(&mut self, records: &[Record], jobs: &[(&str, JobRow)]) {
+        for record in records.iter().filter(|record| record.table == RULES) {
+            if self.rules.recover(&record.value).is_none() {
+                log::error!(
+                    "event=rule-unreadable pool={} queue={} bytes={}",
+                    self.pool,
+                    record.key,
+                    record.value.len()
+                );
+            }
+        }
+        // Earlier versions stored the rules with each job: the newest job has the newest ones.
+        let with_rules = jobs.iter().filter_map(|(_, row)| Some((row, row.rule?)));
+        let mut newest: Vec<(&JobRow, Rule)> = with_rules.collect();
+        newest.sort_by_key(|(row, _)| std::cmp::Reverse(row.submitted_wall_ms));
+        for (row, rule) in newest {
+            self.rules.learn(&row.queue, rule);
+        }
+    }
+
     fn recover_job(
         &mut self,
-        record: &Record,
+        id: &str,
+        accepted: JobRow,
         stored: Option<Progress>,
         now: Duration,
         wall_ms: i64,
     ) {
-        let Some(accepted) = decode::<JobRow>(&record.value) else {
-            log::error!(
-                "event=job-unreadable pool={} job={} bytes={}",
-                self.pool,
-                record.key,
-                record.value.len()
-            );
-            return;
-        };
-        let key = self.allocate_key(&record.key);
+        let key = self.allocate_key(id);
         if let Some(phase) = stored.as_ref().and_then(|stored| stored.phase) {
-            let job = finished_job(&record.key, &accepted.queue, phase, now);
-            self.finished_submissions.insert(record.key.clone());
+            let job = finished_job(id, &accepted.queue, phase, now);
+            self.finished_submissions.insert(id.to_owned());
             self.finished_jobs.push_back((now, key));
             self.jobs.insert(key, job);
             return;
@@ -134,13 +162,10 @@
         let max_open_occurrences = self
             .max_open_occurrences(&accepted.queue, &submission)
             .max(1);
-        if let Some(rule) = accepted.rule {
-            self.rules.entry(accepted.queue.clone()).or_insert(rule);
-        }
+        self.rules.require(&accepted.queue);
         let job = Job {
-            id: record.key.clone(),
+            id: id.to_owned(),
             queue: accepted.queue,
-            accepted_rule: accepted.rule,
             submitted_at,
             submitted_wall_ms: accepted.submitted_wall_ms,
             phase: Phase::Queued,
@@ -203,7 +228,6 @@
     Job {
         id: id.to_owned(),
         queue: queue.to_owned(),
-        accepted_rule: None,
         submission: Submission::default(),
         submitted_at: now,
         submitted_wall_ms: 0,
--- a/crates/hyssop-policy/tests/removed_queue.rs
+++ b/crates/hyssop-policy/tests/removed_queue.rs
@@ -2,8 +2,8 @@
 
 mod model;
 
-use hyssop_model::work::{Completion, Outcome, Phase, Report};
-use hyssop_policy::owner::{Action, Scheduler, Settings, WorkerKey};
+use hyssop_model::work::{Completion, Configuration, Outcome, Phase, Report};
+use hyssop_policy::owner::{Action, Rule, Scheduler, Settings, WorkerKey};
 use model::{configuration, job, worker, FakeStore};
 use std::time::Duration;
 
@@ -88,3 +88,115 @@
     commit(&mut second, &mut store, 8_100);
     assert_eq!(second.phase(ID), Some(Phase::Failed));
 }
+
+/// Returns a configuration in which the queue allows `max_attempts`.
+fn with_attempts(max_attempts: u32) -> Configuration {
+    let mut configuration = configuration(false);
+    let queue = configuration.queues.get_mut("queue").expect("the queue");
+    queue.max_attempts = max_attempts;
+    configuration
+}
+
+/// Returns a scheduler of a term whose only worker has reported, and whose jobs are the stored ones.
+fn owner(term: u64, store: &FakeStore, ms: u64) -> Scheduler {
+    let mut scheduler = Scheduler::new("pool", term, Settings::default());
+    scheduler.recover(&store.records(), at(ms), at(ms), ms as i64);
+    scheduler.register_worker(worker("w0"), at(ms));
+    scheduler.on_registry_snapshot(at(ms));
+    report(&mut scheduler, Vec::new(), ms);
+    scheduler
+}
+
+fn submit(scheduler: &mut Scheduler, id: &str, ms: u64) {
+    let submission = job(1, 1, 900);
+    scheduler.submit(id, "queue", submission, Duration::ZERO, at(ms), ms as i64);
+}
+
+/// Lets every run of `ID` fail and returns how many there are until the job has failed.
+fn attempts(scheduler: &mut Scheduler, store: &mut FakeStore, mut ms: u64) -> u64 {
+    commit(scheduler, store, ms);
+    for attempt in 1.. {
+        let run = started_run(scheduler, ms, ms + 8_000).expect("a start");
+        ms += 8_100;
+        report(scheduler, vec![failure(attempt, run)], ms);
+        commit(scheduler, store, ms);
+        if scheduler.phase(ID) == Some(Phase::Failed) {
+            return attempt;
+        }
+    }
+    unreachable!("a job fails after some attempts")
+}
+
+/// A new owner took the rules of one of the queue's jobs, whichever came first by its identifier.
+#[test]
+fn job_of_a_removed_queue_keeps_the_rules_that_were_in_force_last() {
+    const EARLIER: &str = "0000000000000001";
+    let mut store = FakeStore::default();
+    let mut first = owner(1, &store, 1_000);
+    first.configure(&with_attempts(1));
+    // Stays open, as no worker has the label, and is recovered first.
+    let mut waiting = job(1, 1, 900);
+    waiting.steps[0].label = Some("none".to_owned());
+    first.submit(EARLIER, "queue", waiting, Duration::ZERO, at(1_000), 1_000);
+    commit(&mut first, &mut store, 1_000);
+    first.configure(&with_attempts(3));
+    submit(&mut first, ID, 1_020);
+    commit(&mut first, &mut store, 1_020);
+
+    let mut second = owner(2, &store, 2_000);
+    second.configure(&Configuration::default());
+    assert_eq!(attempts(&mut second, &mut store, 2_010), 3);
+}
+
+/// A change of the rules after the job's acceptance was lost with the owner.
+#[test]
+fn job_of_a_removed_queue_keeps_rules_that_changed_after_its_acceptance() {
+    let mut store = FakeStore::default();
+    let mut first = owner(1, &store, 1_000);
+    first.configure(&with_attempts(1));
+    submit(&mut first, ID, 1_000);
+    commit(&mut first, &mut store, 1_000);
+    first.configure(&with_attempts(3));
+    commit(&mut first, &mut store, 1_020);
+    first.configure(&Configuration::default());
+    commit(&mut first, &mut store, 3_000);
+
+    let mut second = owner(2, &store, 4_000);
+    second.configure(&Configuration::default());
+    assert_eq!(attempts(&mut second, &mut store, 4_010), 3);
+}
+
+/// A job that arrived by a process with a newer configuration than the owner's failed after one
+/// attempt.
+#[test]
+fn job_of_a_queue_that_its_owner_does_not_know_has_the_rules_of_the_queue() {
+    let mut store = FakeStore::default();
+    let mut first = owner(1, &store, 1_000);
+    first.configure(&Configuration::default());
+    first.learn_rule("queue", Rule::new(&with_attempts(3).queues["queue"]));
+    submit(&mut first, ID, 1_000);
+    commit(&mut first, &mut store, 1_000);
+    let mut second = owner(2, &store, 2_000);
+    second.configure(&Configuration::default());
+    assert_eq!(attempts(&mut second, &mut store, 2_010), 3);
+}
+
+#[test]
+fn rules_of_a_removed_queue_are_deleted_with_its_last_job() {
+    let mut store = FakeStore::default();
+    let mut scheduler = owner(1, &store, 1_000);
+    scheduler.configure(&with_attempts(1));
+    submit(&mut scheduler, ID, 1_000);
+    commit(&mut scheduler, &mut store, 1_000);
+    scheduler.configure(&Configuration::default());
+    let rules = |store: &FakeStore| {
+        let records = store.records().into_iter();
+        records.filter(|record| record.table == "rule").count()
+    };
+    commit(&mut scheduler, &mut store, 2_500);
+    assert_eq!(rules(&store), 1, "the job is open");
+    scheduler.cancel(ID, at(2_600));
+    commit(&mut scheduler, &mut store, 2_600);
+    commit(&mut scheduler, &mut store, 4_000);
+    assert_eq!(rules(&store), 0);
+}
