owner: take a worker that has not reported yet for busy

After a failover a pool's owner told the fleet's owner that a worker which it had not heard yet ran nothing. If that worker was being evacuated, its instance passed for empty and could be maintained or moved with everything on it. A worker that is cut off from the new owner stays in that state until its leases are over.

Such a worker is now reported as one with unknown runs, as long as it is waited for.

Evidence: worker_that_has_not_reported_to_a_new_owner_may_run_tasks fails without the mend.

--- a/crates/hyssop-policy/src/owner/capacity.rs
+++ b/crates/hyssop-policy/src/owner/capacity.rs
@@ -45,7 +45,8 @@
     /// Whether it is being evacuated.
     #[serde(rename = "is_vacating")]
     pub is_evacuating: bool,
-    /// Whether it has runs that are not counted: those of finished or unknown jobs.
+    /// Whether it may have runs that are not counted: those of finished or unknown jobs, and all runs
+    /// of an earlier term until it has reported.
     #[serde(default)]
     pub has_unknown_runs: bool,
     /// Whether it may be shut down now together with its tasks: all of them are long-running, and
@@ -90,7 +91,7 @@
                 cpu: worker.used.cpu,
                 is_responsive: worker.has_reported && worker.unreachable_since.is_none(),
                 is_evacuating: worker.is_evacuating(now),
-                has_unknown_runs: worker.has_unknown_runs,
+                has_unknown_runs: worker.has_unknown_runs || self.is_unreported(worker),
                 is_released_for_disruption: worker.is_released(now + MIN_RELEASE_LEFT),
             });
         }
--- a/crates/hyssop-policy/src/owner/unreported.rs
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -93,6 +93,12 @@
         self.remove_unreported(name, Reason::Terminated, now);
     }
 
+    /// Returns whether a worker may have runs of an earlier term that it has not reported.
+    pub(super) fn is_unreported(&self, worker: &Worker) -> bool {
+        let name = (worker.listing.id.clone(), worker.listing.incarnation);
+        !worker.has_reported && self.unreported_workers.contains_key(&name)
+    }
+
     /// Returns when the leases that an earlier owner granted to a worker have certainly expired; zero
     /// if there are none.
     ///
--- a/crates/hyssop-policy/tests/capacity.rs
+++ b/crates/hyssop-policy/tests/capacity.rs
@@ -139,3 +139,15 @@
     report(&mut second, &[], &unknown, 2_400);
     assert_eq!(actions(&mut second, 2_400, 2_900).0, TASK_COUNT as usize);
 }
+
+/// A worker that the new owner had not heard yet passed for an idle one, so that its instance might be
+/// maintained with its tasks.
+#[test]
+fn worker_that_has_not_reported_to_a_new_owner_may_run_tasks() {
+    let mut store = store_of_previous_owner();
+    let mut second = second_owner(&store);
+    assert!(second.demand(at(2_005)).loads[0].has_unknown_runs);
+    report(&mut second, &[], &[], 2_010);
+    commit(&mut second, &mut store, 2_010);
+    assert!(!second.demand(at(2_010)).loads[0].has_unknown_runs);
+}
