owner: a late word of a stopped worker doesn't end its next incarnation

The owner of the fleet tells a pool which workers were stopped by maintenance or a move, by their identifiers.

The word now tells how long ago the platform had accepted the change, and incarnations that the owner has heard of since then go on. One that it hears of late although it was the stopped one waits for its lease, as before the word existed.

Evidence: late_word_of_a_stopped_worker_does_not_end_its_next_incarnation fails with the check of the time taken out.

--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -206,11 +206,12 @@
     /// registry shows it.
     async fn notify_stopped_workers(&self) {
         let stopped = self.fleet.borrow_mut().take_stopped_workers();
-        let requests = stopped.into_iter().map(|(shard, worker)| {
-            let workers = vec![worker];
+        let now = self.node.clock.now();
+        let requests = stopped.into_iter().map(|stopped| {
             self.request(Operation::WorkersStopped {
-                part: shard,
-                workers,
+                part: stopped.pool,
+                workers: vec![stopped.worker],
+                age_ms: now.saturating_sub(stopped.stopped_at).as_millis() as u64,
             })
         });
         // The registry shows the same later, so a lost notification costs at most a failed start.
--- a/crates/hyssop-edge/src/peer/frame.rs
+++ b/crates/hyssop-edge/src/peer/frame.rs
@@ -101,6 +101,9 @@
         /// The shard.
         part: String,
         workers: Vec<String>,
+        /// How long ago they stopped, at least.
+        #[serde(default)]
+        age_ms: u64,
     },
     /// An inquiry about the ownership of shards.
     Inquire(Inquiry),
--- a/crates/hyssop-edge/src/pool/operations.rs
+++ b/crates/hyssop-edge/src/pool/operations.rs
@@ -88,10 +88,14 @@
                 self.node.fleet_seen_at.set(now);
                 Answer::Demand(self.scheduler.borrow().demand(now))
             }
-            Operation::WorkersStopped { workers, .. } => {
+            Operation::WorkersStopped {
+                workers, age_ms, ..
+            } => {
                 let now = self.node.clock.now();
+                let stopped_at = now.saturating_sub(Duration::from_millis(age_ms));
+                let scheduler = &mut *self.scheduler.borrow_mut();
                 for id in workers {
-                    self.scheduler.borrow_mut().on_worker_terminated(&id, now);
+                    scheduler.on_worker_terminated(&id, stopped_at, now);
                 }
                 self.wake.notify_one();
                 Answer::Done
--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -29,6 +29,17 @@
     ordered_at: Duration,
 }
 
+/// A worker that a change of its instance has stopped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoppedWorker {
+    /// The pool that it belonged to.
+    pub pool: String,
+    /// The worker.
+    pub worker: String,
+    /// When the platform had accepted the change, which ends the worker at once.
+    pub stopped_at: Duration,
+}
+
 /// The state of the fleet's instances and the decisions on them, for one term.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -52,7 +63,7 @@
     /// Workers to be stopped by a change of their instance, by instance.
     pending_stops: BTreeMap<String, PendingStop>,
     /// Confirmed stops that are not returned yet, by pool and worker.
-    stopped: Vec<(String, String)>,
+    stopped: Vec<StoppedWorker>,
     /// Instances with a possible recent order by the previous owner, with the time until which
     /// they are left unchanged.
     excluded_until: BTreeMap<String, Duration>,
@@ -215,9 +226,8 @@
         }
     }
 
-    /// Removes and returns the pools and workers that were certainly stopped by changes of their
-    /// instances.
-    pub fn take_stopped_workers(&mut self) -> Vec<(String, String)> {
+    /// Removes and returns the workers that were certainly stopped by changes of their instances.
+    pub fn take_stopped_workers(&mut self) -> Vec<StoppedWorker> {
         std::mem::take(&mut self.stopped)
     }
 
@@ -242,7 +252,11 @@
                     Condition::Down => false,
                 });
             if is_changed && requested_at >= pending_stop.ordered_at {
-                stopped.push((pending_stop.pool.clone(), pending_stop.worker.clone()));
+                stopped.push(StoppedWorker {
+                    pool: pending_stop.pool.clone(),
+                    worker: pending_stop.worker.clone(),
+                    stopped_at: pending_stop.ordered_at,
+                });
                 return false;
             }
             requested_at < pending_stop.ordered_at + list_delay
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -54,18 +54,20 @@
             }
             return;
         }
-        let key = self.insert_worker(Worker {
+        let worker = Worker {
             evacuating_until: interruption.evacuating_until,
             released_until: interruption.released_until,
             maintenance_due_until: interruption.maintenance_due_until,
             ..Worker::new(listing)
-        });
+        };
+        let key = self.insert_worker(worker, now);
         self.assign_strays(key, strays, now);
     }
 
-    fn insert_worker(&mut self, mut worker: Worker) -> WorkerKey {
+    fn insert_worker(&mut self, mut worker: Worker, now: Duration) -> WorkerKey {
         let key = WorkerKey(self.next_worker);
         self.next_worker += 1;
+        worker.known_since = now;
         worker.lease_end = worker.lease_end.max(self.inherited_lease_end(&worker));
         self.removed_workers.remove(&worker.row_name());
         self.workers.insert(key, worker);
@@ -83,7 +85,7 @@
             unreachable_since: Some(now),
             ..Worker::new(listing)
         };
-        let key = self.insert_worker(worker);
+        let key = self.insert_worker(worker, now);
         self.assign_strays(key, strays, now);
     }
 
@@ -127,12 +129,16 @@
         );
     }
 
-    /// Removes a worker whose instance was moved or maintained, which terminates the worker.
-    pub fn on_worker_terminated(&mut self, id: &str, now: Duration) {
+    /// Removes a worker whose instance was moved or maintained at `stopped_at`, which terminates the
+    /// worker.
+    ///
+    /// The word may be late, and the next incarnation may have the same identifier: one that was not
+    /// known at that time goes on.
+    pub fn on_worker_terminated(&mut self, id: &str, stopped_at: Duration, now: Duration) {
         let found: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.listing.id == id)
+            .filter(|(_, worker)| worker.listing.id == id && worker.known_since <= stopped_at)
             .map(|(key, _)| *key)
             .collect();
         for key in found {
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -8,6 +8,8 @@
 pub struct Worker {
     /// The registration in the worker registry.
     pub listing: work::Worker,
+    /// When the owner first heard of this incarnation.
+    pub(super) known_since: Duration,
     /// Whether the registry still lists the worker.
     pub(super) is_listed: bool,
     /// The last registration of another incarnation that no report has confirmed.
@@ -77,6 +79,7 @@
     pub(super) fn new(listing: work::Worker) -> Self {
         Self {
             listing,
+            known_since: Duration::ZERO,
             is_listed: true,
             other_listing: None,
             disputed_at: None,
--- a/crates/hyssop-policy/tests/fleet.rs
+++ b/crates/hyssop-policy/tests/fleet.rs
@@ -3,7 +3,7 @@
 use hyssop_model::work::{Condition, Instance, Resources, Wave};
 use hyssop_platform::dialect::Transfer;
 use hyssop_platform::rows::{decode, encode};
-use hyssop_policy::fleet::{Decision, Fleet, Progress, Settings};
+use hyssop_policy::fleet::{Decision, Fleet, Progress, Settings, StoppedWorker};
 use hyssop_policy::owner::{Demand, Load};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -467,7 +467,8 @@
 #[test]
 fn worker_is_stopped_once_list_shows_changed_instance() {
     let mut fixture = Fixture::new();
-    fixture.fleet.on_accepted("a0", fixture.now);
+    let accepted_at = fixture.now;
+    fixture.fleet.on_accepted("a0", accepted_at);
     fixture.advance(100);
     fixture.refresh_list();
     assert!(
@@ -477,8 +478,12 @@
     fixture.instances[0].condition = Condition::Maintained;
     fixture.advance(100);
     fixture.refresh_list();
-    let ended = fixture.fleet.take_stopped_workers();
-    assert_eq!(ended, [("a".to_owned(), "w-a0".to_owned())]);
+    let stopped = StoppedWorker {
+        pool: "a".to_owned(),
+        worker: "w-a0".to_owned(),
+        stopped_at: accepted_at,
+    };
+    assert_eq!(fixture.fleet.take_stopped_workers(), [stopped]);
     fixture.refresh_list();
     assert!(
         fixture.fleet.take_stopped_workers().is_empty(),
--- a/crates/hyssop-policy/tests/incarnations.rs
+++ b/crates/hyssop-policy/tests/incarnations.rs
@@ -189,6 +189,34 @@
     }
 }
 
+/// A late word of the stop of a worker banned its next incarnation for good, and its tasks were
+/// started elsewhere while they ran.
+#[test]
+fn late_word_of_a_stopped_worker_does_not_end_its_next_incarnation() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    setting.join(listing("w0", FIRST_BORN + 2_000), 3_500);
+    let (stopped_at, now) = (at(1_500), at(3_600));
+    setting
+        .scheduler
+        .on_worker_terminated("w0", stopped_at, now);
+    assert!(setting.find("w0", FIRST_BORN).is_none());
+    let next = setting.key("w0", FIRST_BORN + 2_000);
+    let starts = setting.starts_within(3_620, 6_000);
+    assert_eq!(starts.first().map(|start| start.0), Some(next));
+}
+
+/// The registry may list a worker for some time after it was stopped.
+#[test]
+fn stopped_worker_that_is_still_listed_is_not_used() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    setting
+        .scheduler
+        .on_worker_terminated("w0", at(1_500), at(1_600));
+    let listing = listing("w0", FIRST_BORN);
+    setting.scheduler.register_worker(listing, at(1_700));
+    assert!(setting.find("w0", FIRST_BORN).is_none());
+}
+
 /// A start was repeated on the next incarnation, which lacked the label, before its first report.
 #[test]
 fn start_is_not_repeated_on_next_incarnation() {
--- a/crates/hyssop-policy/tests/model/world.rs
+++ b/crates/hyssop-policy/tests/model/world.rs
@@ -66,8 +66,8 @@
     RenewalArrives(u64, WorkerKey, Renewal, i64),
     /// The fleet's owner maintains a worker's instance: the worker's number and incarnation.
     MaintenanceArrives(usize, i64),
-    /// The newest owner and the registry learn that a worker has ended.
-    TerminationNoticed(usize, String),
+    /// The newest owner and the registry learn that a worker has ended, at the given time.
+    TerminationNoticed(usize, String, i64),
     RenewalAnswered(u64, WorkerKey, Option<Option<Report>>, i64, u64),
     CommitArrives(u64, Batch),
     CommitAnswered(u64),
@@ -320,7 +320,7 @@
         let now = self.now();
         self.workers[worker].restart(now_ms);
         let id = self.workers[worker].listing.id.clone();
-        self.newest_scheduler().on_worker_terminated(&id, now);
+        self.newest_scheduler().on_worker_terminated(&id, now, now);
         self.register(worker);
     }
 
@@ -619,11 +619,12 @@
                 }
                 self.workers[number].replace(now_ms);
                 let delay = self.pick(50..500) as i64;
-                self.schedule(delay, Event::TerminationNoticed(number, id));
+                self.schedule(delay, Event::TerminationNoticed(number, id, now_ms));
             }
-            Event::TerminationNoticed(number, id) => {
+            Event::TerminationNoticed(number, id, stopped_ms) => {
+                let stopped_at = Duration::from_millis(stopped_ms as u64);
                 if let Some(process) = self.owners.last_mut() {
-                    process.scheduler.on_worker_terminated(&id, now);
+                    process.scheduler.on_worker_terminated(&id, stopped_at, now);
                 }
                 self.register(number);
             }
