owner: count on a slow clock in the leases of idle workers

A worker that has idled is not polled, so the owner's reading of its clock may be minutes old when it starts a task there.

The owner now computes leases with the earliest time that the worker's clock may show. A start after a long idle time gets a shorter lease, which the first report extends; one that is too short is refused as late, and the answer tells the time.

--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -135,6 +135,7 @@
         }
         let lease = self.settings.lease;
         let span = self.settings.lease_span();
+        let drift = self.settings.clock_drift;
         let job = self.jobs.get(&task.job)?;
         let state = self.workers.get_mut(&worker)?;
         let is_wanted = !job.phase.is_final()
@@ -144,7 +145,7 @@
         if !is_wanted {
             return None;
         }
-        let until_ms = state.clock_ms(now)? + lease.as_millis() as i64;
+        let until_ms = state.clock_ms(now, drift)? + lease.as_millis() as i64;
         state.lease_end = state.lease_end.max(now + span);
         if let Some(entry) = state.runs.get_mut(&task) {
             entry.sent_at = Some(now);
@@ -181,7 +182,7 @@
         let fence = self.term;
         let state = self.workers.get_mut(&worker)?;
         let until_ms = state
-            .clock_ms(now)
+            .clock_ms(now, self.settings.clock_drift)
             .filter(|_| extends)
             .map(|clock| clock + lease.as_millis() as i64);
         if until_ms.is_some() {
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -39,7 +39,7 @@
         }
         // Reports may arrive out of order, and the delay of a report makes the offset too small, so
         // an error only makes a lease expire earlier.
-        worker.clock_offset_ms = Some(report.clock_ms - now.as_millis() as i64);
+        worker.read_clock(report.clock_ms, now);
         worker.acknowledged = worker.acknowledged.max(acknowledged);
         // A run that is missing from an incomplete report may be among the completions that follow.
         let is_complete = !report.has_more_completions;
--- a/crates/hyssop-policy/src/owner/start.rs
+++ b/crates/hyssop-policy/src/owner/start.rs
@@ -52,7 +52,7 @@
                     entry.progressed_at = now;
                 }
                 if let Some(clock) = clock {
-                    worker.clock_offset_ms = Some(clock - now.as_millis() as i64);
+                    worker.read_clock(clock, now);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.job) {
                     job.has_started = true;
@@ -76,7 +76,7 @@
                         worker.excluded_until = now + UNHEALTHY_PAUSE;
                     }
                     StartOutcome::Late(Some(clock)) => {
-                        worker.clock_offset_ms = Some(clock - now.as_millis() as i64);
+                        worker.read_clock(clock, now);
                     }
                     _ => {}
                 }
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -23,8 +23,8 @@
     /// Whether it has reported all its runs and completions in this term, and has therefore seen the
     /// term's fencing token.
     pub(super) has_reported: bool,
-    /// The worker's clock minus the owner's, in milliseconds, from the newest report.
-    pub(super) clock_offset_ms: Option<i64>,
+    /// The newest reading of the worker's clock, `None` before its first answer in this term.
+    pub(super) clock: Option<ClockReading>,
     /// Whether its last report listed runs of which the owner doesn't know what they use: those of
     /// finished or unknown jobs.
     pub(super) has_unknown_runs: bool,
@@ -70,6 +70,13 @@
     pub(super) deferred_stops: BTreeMap<String, u64>,
 }
 
+/// The time on a worker's clock at a time on the owner's.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClockReading {
+    clock_ms: i64,
+    read_at: Duration,
+}
+
 /// Returns the key of the row of a worker's incarnation.
 pub(super) fn row_name(id: &str, incarnation: i64) -> String {
     format!("{id}@{incarnation}")
@@ -86,7 +93,7 @@
             has_departed: false,
             is_recorded: false,
             has_reported: false,
-            clock_offset_ms: None,
+            clock: None,
             has_unknown_runs: false,
             used: Resources::default(),
             runs: BTreeMap::new(),
@@ -111,10 +118,23 @@
         }
     }
 
-    /// Returns the worker's clock at `now`, in milliseconds.
-    pub fn clock_ms(&self, now: Duration) -> Option<i64> {
-        self.clock_offset_ms
-            .map(|offset| now.as_millis() as i64 + offset)
+    /// Returns the earliest time that the worker's clock may show at `now`, in milliseconds.
+    ///
+    /// The clock may run slow by the factor `drift`, so the bound falls behind with the age of the
+    /// last reading. A lease granted by a later time would outlast the one that its owner counts on.
+    pub(super) fn clock_ms(&self, now: Duration, drift: f64) -> Option<i64> {
+        let reading = self.clock?;
+        let age = now.saturating_sub(reading.read_at);
+        let lag = age.mul_f64((drift - 1.0).max(0.0));
+        Some(reading.clock_ms + (age - lag.min(age)).as_millis() as i64)
+    }
+
+    /// Records the worker's clock as told in an answer that arrived at `now`.
+    pub(super) fn read_clock(&mut self, clock_ms: i64, now: Duration) {
+        self.clock = Some(ClockReading {
+            clock_ms,
+            read_at: now,
+        });
     }
 
     /// Returns whether the registration of another incarnation proves nothing: it is an earlier one, or
@@ -221,7 +241,7 @@
 
 /// The longest time that an order takes to arrive, unless the worker carries it out late. Such a run is
 /// stopped once a report lists it.
-const IN_FLIGHT: Duration = Duration::from_millis(700);
+pub(super) const IN_FLIGHT: Duration = Duration::from_millis(700);
 
 /// A run on a worker, from its start order until its outcome is reported.
 #[derive(Clone, Debug)]
--- a/crates/hyssop-policy/tests/incarnations.rs
+++ b/crates/hyssop-policy/tests/incarnations.rs
@@ -189,6 +189,25 @@
     }
 }
 
+/// The lease of a start after a long idle time was computed as if the worker's clock were exact, and
+/// outlasted the one that the owner, or its successor, counted on.
+#[test]
+fn lease_after_idle_time_counts_on_a_slow_clock() {
+    const IDLE_MS: i64 = 60_000;
+    let settings = Settings::default();
+    let mut setting = Setting::unsent(job(1, 1, 900));
+    let now = at(1_000 + IDLE_MS as u64);
+    let order = setting
+        .scheduler
+        .order(setting.worker, setting.task, setting.run, now);
+    let until_ms = order.expect("the start is sent").until_ms;
+    // Workers' clocks may be 2% slow.
+    let clock_ms = report(FIRST_BORN).clock_ms + IDLE_MS * 98 / 100;
+    let lasts_ms = (until_ms - clock_ms) as f64 / 0.98;
+    let counted_on = settings.lease_span().as_millis() as f64;
+    assert!(lasts_ms <= counted_on, "{lasts_ms} of {counted_on} ms");
+}
+
 /// A late word of the stop of a worker banned its next incarnation for good, and its tasks were
 /// started elsewhere while they ran.
 #[test]
