owner: count on the longest lease of a recorded worker's next incarnation

A start that the previous owner sent to one incarnation of a worker may reach the next one, whose clock begins anew: its deadline lies far ahead there, and only the bound that workers set to a lease ends it.

Only workers of which the registry lists another incarnation than the recorded one wait longer, and only while they don't answer.

--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -85,6 +85,8 @@
     /// Workers of an earlier term that may still run tasks, each with the latest time at which its
     /// leases expire.
     unreported_workers: BTreeMap<(String, i64), Duration>,
+    /// When the previous owner's authority had certainly ended.
+    predecessor_end: Duration,
     /// When the registry was first read completely in this term.
     registry_read_at: Option<Duration>,
     /// When the rows of the earlier term were recovered.
@@ -135,6 +137,7 @@
             workers: BTreeMap::new(),
             next_worker: 0,
             unreported_workers: BTreeMap::new(),
+            predecessor_end: Duration::ZERO,
             registry_read_at: None,
             recovered_at: Duration::ZERO,
             is_recovering: false,
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -68,6 +68,7 @@
         }
         self.is_recovering = true;
         self.recovered_at = now;
+        self.predecessor_end = authority_end;
         log::info!(
             "event=recovery-started pool={} term={} jobs={} workers={} wait_ms={}",
             self.pool,
--- a/crates/hyssop-policy/src/owner/unreported.rs
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -1,4 +1,4 @@
-use super::worker::row_name;
+use super::worker::{row_name, IN_FLIGHT};
 use super::{Scheduler, Worker, WorkerKey};
 use std::time::Duration;
 use strum::Display;
@@ -111,6 +111,9 @@
 
     /// Waits for a worker's new incarnation instead of recorded previous ones, since a start that the
     /// previous owner sent may have reached it.
+    ///
+    /// The lease of such a start ends at a time on the clock of the previous incarnation, which was
+    /// ahead, so only the bound that workers set to a lease counts.
     pub(super) fn replace_unreported(
         &mut self,
         name: &(String, i64),
@@ -122,11 +125,10 @@
             .and_then(|key| self.workers.get(&key))
             .is_some_and(|worker| worker.has_reported);
         for previous in self.unreported_incarnations(&name.0, is_previous) {
-            let lease_end = self.unreported_workers.get(&previous).copied();
             self.remove_unreported(&previous, Reason::Replaced, now);
             if !has_reported {
-                let entry = self.unreported_workers.entry(name.clone()).or_default();
-                *entry = (*entry).max(lease_end.unwrap_or_default());
+                let lease_end = self.predecessor_end + IN_FLIGHT + self.settings.max_lease_span();
+                self.unreported_workers.insert(name.clone(), lease_end);
             }
         }
     }
