fleet: check an order again once it has a connection

While the platform's API for instances is slow, the orders of one decision wait for its 16 connections, up to 1.5 s a round. The checks that allow them, a confirmation of the term at most 0.3 s old and reports of which workers may be stopped at most 1 s old, were made before that wait.

The checks are now made when the connection is there. A change that may not be ordered any more is dropped and decided again.

Evidence: orders_that_waited_for_a_connection_are_not_sent fails before, all 40 orders of a decision were sent to an API that answered none; now 16 at most.

--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -364,21 +364,32 @@
             Outcome::Refused => return true,
             Outcome::Deposed => return false,
         }
-        let now = self.node.clock.now();
-        let is_late = now.saturating_sub(requested_at) > CONFIRMATION_TTL
-            || now.saturating_sub(self.observed_at) > OBSERVATION_TTL;
-        if is_late || !self.is_current() {
+        if !self.may_order(requested_at) {
             return true;
         }
+        let now = self.node.clock.now();
         for change in &changes {
             self.fleet.borrow_mut().on_ordered(change.clone(), now);
         }
-        join_all(changes.into_iter().map(|change| self.transfer(change))).await;
+        let transfers = changes.into_iter();
+        join_all(transfers.map(|change| self.transfer(change, requested_at))).await;
         true
     }
 
+    /// Returns whether orders may be sent by a confirmation of the term requested at `requested_at`
+    /// and by the latest observations.
+    fn may_order(&self, requested_at: Duration) -> bool {
+        let now = self.node.clock.now();
+        now.saturating_sub(requested_at) <= CONFIRMATION_TTL
+            && now.saturating_sub(self.observed_at) <= OBSERVATION_TTL
+            && self.is_current()
+    }
+
     /// Orders one change from the platform and records its outcome.
-    async fn transfer(&self, change: Transfer) {
+    ///
+    /// While the platform is slow, a change may wait for a connection. It is dropped if it may not be
+    /// ordered any more once there is one.
+    async fn transfer(&self, change: Transfer, requested_at: Duration) {
         let Some(address) = self.node.instance_api else {
             return;
         };
@@ -386,11 +397,13 @@
             .node
             .dialect
             .transfer(&change, &self.node.name, self.term);
-        let reply = self
-            .node
-            .client
-            .call(address, Lane::Plain, call, CALL_TIMEOUT)
-            .await;
+        let slot = self.node.client.slot(address, Lane::Plain).await;
+        if !self.may_order(requested_at) {
+            log::info!("event=transfer-dropped change={change:?} reason=late");
+            self.fleet.borrow_mut().on_unsent(change.instance());
+            return;
+        }
+        let reply = slot.call(call, CALL_TIMEOUT).await;
         let outcome = reply
             .ok()
             .map(|reply| self.node.dialect.read_transfer(&reply));
--- a/crates/hyssop-edge/tests/waves.rs
+++ b/crates/hyssop-edge/tests/waves.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use platform_standin::{Access, Call, Doors, Operation};
+use platform_standin::{Access, Call, Doors, Operation, Platform, Shape};
 use serde_json::{json, Value};
 use std::sync::atomic::{AtomicU32, Ordering};
-use support::{announce_wave, job, platform, wait_for_wave, wait_until, Edge};
+use support::{announce_wave, configure, job, platform, wait_for_wave, wait_until, Edge};
 
 const PATH: &str = "/a/00000000000000a1";
 
@@ -82,3 +82,32 @@
     wait_for_wave(&platform, "running");
     wait_for_wave(&platform, "done");
 }
+
+/// Orders that waited for a connection to a slow API were sent long after the checks that allowed
+/// them: the term's confirmation, and the reports of which workers may be stopped.
+#[test]
+fn orders_that_waited_for_a_connection_are_not_sent() {
+    const MACHINE_COUNT: usize = 40;
+    /// The connections to an address.
+    const MAX_CALLS: usize = 16;
+    const LIST: &str = "/machines";
+    let platform = Platform::start(&Shape {
+        pools: vec![("alpha".to_owned(), 1), ("spare".to_owned(), MACHINE_COUNT)],
+        spare: Some("spare".to_owned()),
+    });
+    configure(&platform, 1, &[("/a/", "alpha")]);
+    let edge = Edge::start(&platform, "e0");
+    edge.submit_until_accepted(PATH, &job(1, 1, 10));
+    platform.hold_orders();
+    let machines: Vec<String> = platform.pools().into_keys().collect();
+    announce_wave(&platform, &machines, 60, MACHINE_COUNT as u32);
+    // The list is read again once all orders of a decision have ended.
+    let ordered = || {
+        let calls = platform.machine_calls().into_iter();
+        let mut from_orders = calls.skip_while(|path| path == LIST);
+        let count = from_orders.by_ref().take_while(|path| path != LIST).count();
+        (count, from_orders.next().is_some())
+    };
+    wait_until("the list is read after the orders", || ordered().1);
+    assert!((1..=MAX_CALLS).contains(&ordered().0), "{:?}", ordered());
+}
--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -188,6 +188,11 @@
             .insert(change.instance().to_owned(), (now, change));
     }
 
+    /// Records that a change was not ordered after all.
+    pub fn on_unsent(&mut self, instance: &str) {
+        self.ordered.remove(instance);
+    }
+
     /// Records that the platform refused a change; the instance is retried after a pause.
     pub fn on_refused(&mut self, instance: &str, now: Duration) {
         self.ordered.remove(instance);
