owner: log unknown runs of workers and rules learned from other processes

Both decide about jobs: a worker with unknown runs gets no tasks, and a rule that came with a job decides how often its tasks may fail. One line each at a change.

--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -191,7 +191,14 @@
     /// Adds the rules of a queue that this owner may not know: the process that received a job may
     /// have a newer configuration.
     pub fn learn_rule(&mut self, queue: &str, rule: Rule) {
-        self.rules.learn(queue, rule);
+        if self.rules.get(queue).is_none() {
+            let max_attempts = rule.max_attempts;
+            log::info!(
+                "event=rule-learned pool={} queue={queue} max_attempts={max_attempts}",
+                self.pool
+            );
+            self.rules.learn(queue, rule);
+        }
     }
 
     /// Runs all work due at `now` and returns the actions to perform, in order.
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -48,12 +48,11 @@
             worker.has_reported = true;
             self.is_placement_due = true;
         }
-        if std::mem::take(&mut worker.has_unknown_runs) {
-            self.is_placement_due = true;
-        }
+        let had_unknown_runs = std::mem::take(&mut worker.has_unknown_runs);
         for running in &report.running {
             self.reconcile_run(key, running, sent_at, now);
         }
+        self.on_unknown_runs(key, had_unknown_runs);
         self.pace(key, &report.running, now);
         let mut completions = report.completions;
         completions.sort_by_key(|completion| completion.number);
@@ -186,6 +185,25 @@
         }
     }
 
+    /// Logs that a worker has begun or ceased to list runs of which the owner doesn't know what they
+    /// use; it is given no tasks meanwhile.
+    fn on_unknown_runs(&mut self, key: WorkerKey, had_unknown_runs: bool) {
+        let Some(worker) = self.workers.get(&key) else {
+            return;
+        };
+        if worker.has_unknown_runs == had_unknown_runs {
+            return;
+        }
+        self.is_placement_due = true;
+        log::info!(
+            "event=unknown-runs pool={} term={} worker={} listed={}",
+            self.pool,
+            self.term,
+            worker.listing.id,
+            worker.has_unknown_runs
+        );
+    }
+
     /// Logs that a worker has reported a run of a task that is done or assigned to another worker.
     pub(super) fn log_run_conflict(
         &self,
