policy tests: owners of the model lose their authority when they are not confirmed

The traces show the same in all: a process that was paused, or replaced, for more than 3 s sends a start. The code doesn't: `Driver::has_authority` is asked before each start, and a start needs a confirmation that is at most 3 s old. The model knew that only for takeovers that it draws (`take_over`), not for `start_owner`, so its owners had a permission that no process has.

The model now counts the 3 s of `Settings::authority` from the moment at which a process last ran as the newest owner. That is the longest that the code allows: a process that isn't paused or replaced is confirmed by the store or its peers.

--- a/crates/hyssop-policy/tests/model/world.rs
+++ b/crates/hyssop-policy/tests/model/world.rs
@@ -52,6 +52,8 @@
     follows_registry: bool,
     /// When it stops to start tasks and to extend leases, once another owner has taken over.
     authority_end_ms: Option<i64>,
+    /// When it last ran and nobody had replaced it, which the store or its peers then confirm.
+    confirmed_ms: i64,
     /// The worker that it doesn't reach, and until when.
     cut_worker: Option<(String, i64)>,
 }
@@ -186,6 +188,7 @@
             is_cut_from_store: false,
             follows_registry: false,
             authority_end_ms: None,
+            confirmed_ms: self.now_ms,
             cut_worker,
         });
     }
@@ -428,6 +431,9 @@
                 continue;
             }
             let term = process.scheduler.term();
+            if term == self.store.term {
+                process.confirmed_ms = wall_ms;
+            }
             let actions = process.scheduler.advance(now, wall_ms);
             let batch = process.scheduler.next_batch(now);
             for action in actions {
@@ -457,7 +463,9 @@
         let Some(process) = self.process(term) else {
             return;
         };
-        let has_authority = process.authority_end_ms.is_none_or(|end| now_ms < end);
+        let authority_ms = Settings::default().authority.as_millis() as i64;
+        let has_authority = now_ms - process.confirmed_ms < authority_ms
+            && process.authority_end_ms.is_none_or(|end| now_ms < end);
         match action {
             // The scheduler orders the start again while it has no answer.
             Action::Start { .. } if !has_authority => {}
