--- a/crates/hyssop-policy/tests/model/store.rs
+++ b/crates/hyssop-policy/tests/model/store.rs
@@ -1,5 +1,6 @@
-use hyssop_policy::owner::{Batch, Record};
+use hyssop_policy::owner::{Batch, Record, Scheduler};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// A store of the pool's rows that rejects batches of earlier terms.
 #[derive(Debug, Default)]
@@ -28,6 +29,14 @@
         true
     }
 
+    /// Commits all changes of a scheduler at `now`, under the store's term.
+    pub fn commit_all(&mut self, scheduler: &mut Scheduler, now: Duration) {
+        while let Some(batch) = scheduler.next_batch(now) {
+            self.commit(self.term, &batch);
+            scheduler.on_commit(now);
+        }
+    }
+
     pub fn records(&self) -> Vec<Record> {
         self.rows
             .iter()
