--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -21,15 +21,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// A worker whose instance the platform has agreed to change, until a list confirms that it stopped.
-#[derive(Clone, Debug)]
-struct PendingStop {
-    pool: String,
-    worker: String,
-    ordered_at: Duration,
-}
-
-/// A worker that a change of its instance has stopped.
+/// A worker that a change of its instance stops.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoppedWorker {
     /// The pool that it belonged to.
@@ -61,8 +53,8 @@
     /// Instances that the platform refused to change, with the time of the next attempt.
     refused_until: BTreeMap<String, Duration>,
     /// Workers to be stopped by a change of their instance, by instance.
-    pending_stops: BTreeMap<String, PendingStop>,
-    /// Confirmed stops that are not returned yet, by pool and worker.
+    pending_stops: BTreeMap<String, StoppedWorker>,
+    /// Confirmed stops that are not returned yet.
     stopped: Vec<StoppedWorker>,
     /// Instances with a possible recent order by the previous owner, with the time until which
     /// they are left unchanged.
@@ -222,10 +214,10 @@
             return;
         };
         if let (false, Some(worker)) = (self.spare_pools.contains(&listed.pool), &listed.worker) {
-            let pending_stop = PendingStop {
+            let pending_stop = StoppedWorker {
                 pool: listed.pool.clone(),
                 worker: worker.clone(),
-                ordered_at: now,
+                stopped_at: now,
             };
             self.pending_stops.insert(instance.to_owned(), pending_stop);
         }
@@ -256,15 +248,11 @@
                     // Its tasks may run on, out of reach, until their leases expire.
                     Condition::Down => false,
                 });
-            if is_changed && requested_at >= pending_stop.ordered_at {
-                stopped.push(StoppedWorker {
-                    pool: pending_stop.pool.clone(),
-                    worker: pending_stop.worker.clone(),
-                    stopped_at: pending_stop.ordered_at,
-                });
+            if is_changed && requested_at >= pending_stop.stopped_at {
+                stopped.push(pending_stop.clone());
                 return false;
             }
-            requested_at < pending_stop.ordered_at + list_delay
+            requested_at < pending_stop.stopped_at + list_delay
         });
     }
 
--- a/crates/hyssop-policy/src/owner/incarnation.rs
+++ b/crates/hyssop-policy/src/owner/incarnation.rs
@@ -75,11 +75,11 @@
             );
         }
         self.insert_incarnation(listing, interruption, strays, now);
-        self.record_succession(&name, true, now);
         let key = self.worker_key(&name.0, incarnation);
         if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
             worker.is_listed &= is_listed;
             worker.other_listing = Some(previous);
+            worker.succeeded_at.get_or_insert(now);
         }
     }
 
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -191,13 +191,12 @@
     /// Adds the rules of a queue that this owner may not know: the process that received a job may
     /// have a newer configuration.
     pub fn learn_rule(&mut self, queue: &str, rule: Rule) {
-        if self.rules.get(queue).is_none() {
-            let max_attempts = rule.max_attempts;
+        if self.rules.learn(queue, rule) {
             log::info!(
-                "event=rule-learned pool={} queue={queue} max_attempts={max_attempts}",
-                self.pool
+                "event=rule-learned pool={} queue={queue} max_attempts={}",
+                self.pool,
+                rule.max_attempts
             );
-            self.rules.learn(queue, rule);
         }
     }
 
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -30,7 +30,9 @@
         let interruption = self.interruption(&listing.instance);
         let strays = self.replace_incarnations(&listing.id, is_previous, now);
         self.insert_incarnation(listing, interruption, strays, now);
-        self.record_succession(&name, succeeds, now);
+        if succeeds {
+            self.record_succession(&name, now);
+        }
     }
 
     /// Inserts a worker's incarnation or updates its registration.
@@ -75,14 +77,9 @@
         is_registered || !self.unreported_incarnations(id, is_wanted).is_empty()
     }
 
-    /// Records that an incarnation took the place of a previous one, if it `succeeds` one.
-    pub(super) fn record_succession(
-        &mut self,
-        (id, incarnation): &(String, i64),
-        succeeds: bool,
-        now: Duration,
-    ) {
-        let key = self.worker_key(id, *incarnation).filter(|_| succeeds);
+    /// Records that an incarnation took the place of a previous one.
+    fn record_succession(&mut self, (id, incarnation): &(String, i64), now: Duration) {
+        let key = self.worker_key(id, *incarnation);
         if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
             worker.succeeded_at.get_or_insert(now);
         }
--- a/crates/hyssop-policy/src/owner/rules.rs
+++ b/crates/hyssop-policy/src/owner/rules.rs
@@ -64,10 +64,13 @@
         }
     }
 
-    /// Adds the rules of a queue that is in no configuration known here, as another process has one
-    /// that is newer or older.
-    pub(super) fn learn(&mut self, queue: &str, rule: Rule) {
-        self.known.entry(queue.to_owned()).or_insert(rule);
+    /// Adds the rules of a queue unless they are known; returns whether they were not.
+    pub(super) fn learn(&mut self, queue: &str, rule: Rule) -> bool {
+        let is_new = !self.known.contains_key(queue);
+        if is_new {
+            self.known.insert(queue.to_owned(), rule);
+        }
+        is_new
     }
 
     /// Marks the rules of a queue as needed by a job.
