--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -214,7 +214,7 @@
                 age_ms: now.saturating_sub(stopped.stopped_at).as_millis() as u64,
             })
         });
-        // The registry shows the same later, so a lost notification costs at most a failed start.
+        // A lost notification is not repeated: the pool's owner then waits for the leases of the worker.
         join_all(requests).await;
     }
 
