--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -207,12 +207,19 @@
     async fn notify_stopped_workers(&self) {
         let stopped = self.fleet.borrow_mut().take_stopped_workers();
         let now = self.node.clock.now();
-        let requests = stopped.into_iter().map(|stopped| {
-            self.request(Operation::WorkersStopped {
-                part: stopped.pool,
-                workers: vec![stopped.worker],
-                age_ms: now.saturating_sub(stopped.stopped_at).as_millis() as u64,
-            })
+        let requests = stopped.into_iter().map(|stopped| async move {
+            let age_ms = now.saturating_sub(stopped.stopped_at).as_millis() as u64;
+            let operation = Operation::WorkersStopped {
+                part: stopped.pool.clone(),
+                workers: vec![stopped.worker.clone()],
+                age_ms,
+            };
+            let is_received = matches!(self.request(operation).await, Some(Answer::Done));
+            log::info!(
+                "event=worker-stop-notified pool={} worker={} age_ms={age_ms} received={is_received}",
+                stopped.pool,
+                stopped.worker
+            );
         });
         // A lost notification is not repeated: the pool's owner then waits for the leases of the worker.
         join_all(requests).await;
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -111,6 +111,7 @@
             return;
         }
         let scheduler = &mut *self.scheduler.borrow_mut();
+        scheduler.log_unfinished_recovery(self.node.clock.now());
         scheduler.depose();
         log::info!(
             "event=owner-deposed pool={} term={} reason={reason}",
--- a/crates/hyssop-policy/src/owner/budget.rs
+++ b/crates/hyssop-policy/src/owner/budget.rs
@@ -87,8 +87,16 @@
                 && !self.is_sibling_stopping(task)
                 && !self.is_sibling_released(key, task, now)
                 && self.fits_elsewhere(key, task, now)
+                && self.stop_task(key, task, now)
             {
-                self.stop_task(key, task, now);
+                log::info!(
+                    "event=task-leaves pool={} worker={} job={} step={} index={} reason=draining",
+                    self.pool,
+                    self.workers[&key].listing.id,
+                    self.jobs[&task.job].id,
+                    task.step,
+                    task.index
+                );
             }
         }
     }
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -82,6 +82,35 @@
         }
     }
 
+    /// Logs what recovery still waits for, if the term ends at `now` before it has finished.
+    pub fn log_unfinished_recovery(&self, now: Duration) {
+        if !self.is_recovering {
+            return;
+        }
+        let wait_end = self.unreported_workers.values().max();
+        let left = wait_end.map_or(Duration::ZERO, |end| end.saturating_sub(now));
+        log::info!(
+            "event=recovery-unfinished pool={} term={} unreported={} orphaned_tasks={} \
+             after_ms={} left_ms={}",
+            self.pool,
+            self.term,
+            self.unreported_workers.len(),
+            self.orphaned_tasks(),
+            now.saturating_sub(self.recovered_at).as_millis(),
+            left.as_millis()
+        );
+    }
+
+    /// Returns the number of tasks that wait until it is known whether they run.
+    fn orphaned_tasks(&self) -> usize {
+        let open = self.open_jobs.iter().filter_map(|key| self.jobs.get(key));
+        let tasks = open
+            .flat_map(|job| job.occurrences.values())
+            .flat_map(|occurrence| &occurrence.stages)
+            .flat_map(|stage| &stage.tasks);
+        tasks.filter(|task| task.state == State::Orphaned).count()
+    }
+
     /// Allocates a job key and registers it under the job's identifier.
     pub(super) fn allocate_key(&mut self, id: &str) -> JobKey {
         let key = JobKey(self.next_job);
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -81,7 +81,19 @@
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.is_polling = false;
             worker.polled_at = now;
-            worker.unreachable_since.get_or_insert(now);
+            if worker.unreachable_since.is_none() {
+                worker.unreachable_since = Some(now);
+                log::info!(
+                    "event=worker-silent pool={} term={} worker={} incarnation={} runs={} \
+                     leases_end_in_ms={}",
+                    self.pool,
+                    self.term,
+                    worker.listing.id,
+                    worker.listing.incarnation,
+                    worker.runs.len(),
+                    worker.lease_end.saturating_sub(now).as_millis()
+                );
+            }
         }
     }
 
--- a/crates/hyssop-policy/src/owner/start.rs
+++ b/crates/hyssop-policy/src/owner/start.rs
@@ -228,21 +228,22 @@
         }
     }
 
-    /// Orders the run of a task on a worker to stop, unless that is already ordered.
-    pub(super) fn stop_task(&mut self, key: WorkerKey, task: TaskKey, now: Duration) {
+    /// Orders the run of a task on a worker to stop and returns whether it did; it doesn't if that
+    /// is already ordered.
+    pub(super) fn stop_task(&mut self, key: WorkerKey, task: TaskKey, now: Duration) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
-            return;
+            return false;
         };
         let name = super::order::task_name(job, task);
         let Some(worker) = self.workers.get_mut(&key) else {
-            return;
+            return false;
         };
         let has_departed = worker.has_departed;
         let Some(run) = worker.runs.get_mut(&task) else {
-            return;
+            return false;
         };
         if run.stopping_at.is_some() || has_departed {
-            return;
+            return false;
         }
         run.stopping_at = Some(now);
         self.actions.push(Action::Stop {
@@ -250,6 +251,7 @@
             task: name,
             run: run.number,
         });
+        true
     }
 
     /// Returns the worker to which a task is assigned.
