owner: count tasks on a released worker as unavailable until it reports again

A pool's owner releases a worker for disruption for 2.5 s.

A worker that was released counts as one that may have been shut down until a report that was requested after the end of its release. A report that was requested earlier can't show it.

--- a/crates/hyssop-policy/src/owner/budget.rs
+++ b/crates/hyssop-policy/src/owner/budget.rs
@@ -85,7 +85,7 @@
         for &task in tasks {
             if self.is_long_running(task)
                 && !self.is_sibling_stopping(task)
-                && !self.is_sibling_released(key, task, now)
+                && !self.is_sibling_released(key, task)
                 && self.fits_elsewhere(key, task, now)
                 && self.stop_task(key, task, now)
             {
@@ -106,7 +106,7 @@
     fn stop_excess_tasks(&mut self, key: WorkerKey, tasks: &[TaskKey], now: Duration) {
         for &task in tasks {
             if self.exceeds_budget(task, tasks)
-                && self.may_interrupt(task, None, now)
+                && self.may_interrupt(task, None)
                 && self.fits_elsewhere(key, task, now)
             {
                 self.stop_task(key, task, now);
@@ -120,7 +120,7 @@
         let may_release = !tasks.is_empty()
             && tasks.iter().all(|task| {
                 self.is_long_running(*task)
-                    && self.may_interrupt(*task, Some(key), now)
+                    && self.may_interrupt(*task, Some(key))
                     && self.fits_elsewhere(key, *task, now)
             });
         if !may_release {
@@ -170,7 +170,7 @@
 
     /// Returns whether a long-running task may be interrupted, together with all others of its step
     /// on the worker `with`: they and the unavailable ones must be within the budget.
-    fn may_interrupt(&self, task: TaskKey, with: Option<WorkerKey>, now: Duration) -> bool {
+    fn may_interrupt(&self, task: TaskKey, with: Option<WorkerKey>) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
@@ -184,7 +184,7 @@
             .map(|index| TaskKey { index, ..task })
             .filter(|&other| {
                 let is_on_same_worker = with.is_some() && self.assigned_worker(other) == with;
-                other == task || is_on_same_worker || !self.is_serving(other, now)
+                other == task || is_on_same_worker || !self.is_serving(other)
             })
             .count() as u32;
         unavailable <= step.budget()
@@ -201,19 +201,19 @@
     }
 
     /// Returns whether another task of the step runs on a released worker other than `key`.
-    fn is_sibling_released(&self, key: WorkerKey, task: TaskKey, now: Duration) -> bool {
+    fn is_sibling_released(&self, key: WorkerKey, task: TaskKey) -> bool {
         self.workers.iter().any(|(other, worker)| {
             *other != key
-                && worker.is_released(now)
+                && worker.may_be_shut_down()
                 && worker.runs.range(task.siblings()).next().is_some()
         })
     }
 
-    fn is_serving(&self, task: TaskKey, now: Duration) -> bool {
+    fn is_serving(&self, task: TaskKey) -> bool {
         self.assigned_worker(task)
             .and_then(|key| self.workers.get(&key))
             .filter(|worker| worker.unreachable_since.is_none() && !worker.listing.is_draining)
-            .filter(|worker| !worker.is_released(now))
+            .filter(|worker| !worker.may_be_shut_down())
             .and_then(|worker| worker.runs.get(&task))
             .is_some_and(|run| run.serving_since.is_some() && run.stopping_at.is_none())
     }
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -33,6 +33,7 @@
             return;
         }
         worker.unreachable_since = None;
+        worker.report_requested_at = worker.report_requested_at.max(sent_at);
         if worker.disputed_at.is_some_and(|at| at <= sent_at) {
             worker.disputed_at = None;
             self.is_placement_due = true;
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -47,6 +47,8 @@
     pub(super) lease_end: Duration,
     pub(super) is_polling: bool,
     pub(super) polled_at: Duration,
+    /// When its latest report was requested.
+    pub(super) report_requested_at: Duration,
     /// When the first renewal after its last report failed, `None` while it is reachable.
     pub(super) unreachable_since: Option<Duration>,
     /// The end of its exclusion from placement.
@@ -106,6 +108,7 @@
             lease_end: Duration::ZERO,
             is_polling: false,
             polled_at: Duration::ZERO,
+            report_requested_at: Duration::ZERO,
             unreachable_since: None,
             excluded_until: Duration::ZERO,
             failed_jobs: BTreeSet::new(),
@@ -176,6 +179,13 @@
         self.released_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the worker may have been shut down by a release, which may have expired since
+    /// its latest report was requested.
+    pub(super) fn may_be_shut_down(&self) -> bool {
+        self.released_until
+            .is_some_and(|until| until > self.report_requested_at)
+    }
+
     pub(super) fn is_due_for_maintenance(&self, now: Duration) -> bool {
         self.maintenance_due_until.is_some_and(|until| now < until)
     }
--- a/crates/hyssop-policy/tests/owner.rs
+++ b/crates/hyssop-policy/tests/owner.rs
@@ -325,6 +325,35 @@
     );
 }
 
+/// Maintenance that began at the end of a worker's release was not known yet, and a worker with
+/// another task of the step was released.
+#[test]
+fn tasks_of_a_released_worker_count_as_unavailable_until_it_reports_again() {
+    let mut world = running_world(18, 8, 8, long_running_job(5));
+    let busy = busy(&world);
+    evacuate(&mut world, busy[0]);
+    while !world.is_released(busy[0]) {
+        world.run(5);
+    }
+    let until = std::time::Duration::from_millis(world.now_ms as u64 + 60_000);
+    let ids = [busy[0], busy[1]].map(|number| world.workers[number].listing.id.clone());
+    world.scheduler().cancel_evacuation(&ids[0]);
+    world.scheduler().evacuate(&ids[1], until);
+    world.order_maintenance(busy[0], 2_490);
+    world.run(2_490);
+    // The first notice of the maintenance comes 50 ms after it.
+    for _ in 0..10 {
+        assert!(!world.is_released(busy[1]), "at {} ms", world.now_ms);
+        world.run(5);
+    }
+    let mut is_released = false;
+    for _ in 0..300 {
+        world.run(10);
+        is_released |= world.is_released(busy[1]);
+    }
+    assert!(is_released, "its turn comes once the other task serves");
+}
+
 #[test]
 fn retry_delay_grows_with_outage_and_has_jitter() {
     let after = |outage_ms: u64, id: &str| {
