owner: end the wait for inherited leases with a worker's first report

After a failover a worker that reports and then ends kept its tasks until the wait for the previous owner's leases was over, 6.8 s after the failover, although the new owner's own lease had run out before.

From its first report on, a worker refuses the orders of earlier owners, so what they granted ends a lease after that at the latest; a worker without runs has no lease. Incarnations that took the place of another one keep the longer bound: a start meant for the previous one may have granted more.

--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -141,6 +141,27 @@
         });
     }
 
+    /// Limits a lease that an earlier owner granted by the worker's first report to this one: from
+    /// then on the worker refuses the earlier owner's orders, and a worker without runs has no lease.
+    ///
+    /// Start orders that were meant for a previous incarnation may grant longer ones.
+    pub(super) fn limit_inherited_lease(
+        &mut self,
+        running: &[work::Running],
+        lease_span: Duration,
+        now: Duration,
+    ) {
+        if self.succeeded_at.is_some() || !self.runs.is_empty() {
+            return;
+        }
+        let span = if running.is_empty() {
+            Duration::ZERO
+        } else {
+            lease_span
+        };
+        self.lease_end = self.lease_end.min(now + span);
+    }
+
     /// Returns whether the registration of another incarnation proves nothing: it is an earlier one, or
     /// did not live when this one reported.
     pub(super) fn is_outdated(&self, incarnation: i64) -> bool {
--- a/crates/hyssop-policy/tests/recovery.rs
+++ b/crates/hyssop-policy/tests/recovery.rs
@@ -105,6 +105,22 @@
     (0..world.workers.len()).find(is_busy).unwrap()
 }
 
+/// The wait for the previous owner's leases was taken for the end of the leases of workers that had
+/// reported since.
+#[test]
+fn tasks_of_a_worker_that_ends_after_its_report_wait_for_its_own_lease_only() {
+    let mut world = busy_pool(41, 20_000);
+    world.kill_owner();
+    world.start_owner();
+    world.run(300);
+    let ended = busy_worker(&world);
+    world.workers[ended].is_up = false;
+    world.set_listed(ended, false);
+    let lease_ms = Settings::default().lease_span().as_millis() as i64;
+    world.run(lease_ms + 700);
+    assert!(world.invariants.starts > TASKS);
+}
+
 /// The row of a worker that was gone before a failover was kept, and each later failover waited for
 /// the worker's leases again.
 #[test]
