owner, edge: hand a pool over at a planned stop

Cause: each owner counts the wait for leases of workers that it doesn't hear from its own takeover, for the longest that its predecessor may have granted: 3 s of authority and a lease, 6.8 s in all. A predecessor that stops as planned knows which workers run what and when their leases end, and took that knowledge with it. In a series of planned stops each owner began the wait anew and was stopped before its end. All tasks of unknown whereabouts waited for all silent workers.

An owner that stops as planned now acts no more, stores its last changes and writes with its release what may run where, and for how long leases may last from then on. The next owner takes these spans in place of its own wait, waits for nobody else, holds back only the tasks that a silent worker may run, and goes on with stops and releases under way. The row holds durations, which a later reader can only take for longer, so no clocks are compared. A row that is missing, unreadable or of another term is refused with a line and a counter, and the wait is that after a crash.

--- a/crates/hyssop-edge/src/metric/registry.rs
+++ b/crates/hyssop-edge/src/metric/registry.rs
@@ -12,6 +12,7 @@
     starts: IntCounterVec,
     transactions: IntCounterVec,
     transfers: IntCounterVec,
+    refused_handovers: IntCounterVec,
     /// The entries of followed lists that were rejected.
     pub(crate) rejections: Rejections,
     terms: IntGaugeVec,
@@ -65,6 +66,11 @@
             "Orders to move or maintain instances, by outcome",
             "outcome",
         );
+        let refused_handovers = counter(
+            "hyssop_refused_handovers_total",
+            "Handovers of pools that their next owner did not use, by reason",
+            "reason",
+        );
         let rejections = Rejections::new(counter(
             "hyssop_rejected_entries_total",
             "Entries of followed lists that were rejected, once for each change, by list",
@@ -102,6 +108,7 @@
             starts,
             transactions,
             transfers,
+            refused_handovers,
             rejections,
             terms,
             links,
@@ -128,6 +135,10 @@
         self.transfers.with_label_values(&[outcome]).inc();
     }
 
+    pub(crate) fn count_refused_handover(&self, reason: &str) {
+        self.refused_handovers.with_label_values(&[reason]).inc();
+    }
+
     /// Sets the terms of the owned shards and removes those of all others.
     pub(crate) fn set_terms(&self, owned: &[(String, u64)]) {
         self.terms.reset();
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -236,6 +236,7 @@
                         process: link.peer.process.clone(),
                         address: link.peer.address,
                         is_released: false,
+                        handover: None,
                         version: 0,
                     },
                 ),
--- a/crates/hyssop-edge/src/node/owner.rs
+++ b/crates/hyssop-edge/src/node/owner.rs
@@ -15,6 +15,10 @@
     pub(crate) address: SocketAddr,
     /// Whether the owner has released the shard.
     pub(crate) is_released: bool,
+    /// The term whose handover describes a released pool, `None` if there is none. The rows of
+    /// earlier versions have none.
+    #[serde(default)]
+    pub(crate) handover: Option<u64>,
     /// The row's version, 0 if the ownership was learned from a peer.
     #[serde(skip)]
     pub(crate) version: u64,
--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -52,6 +52,7 @@
         process: node.process.clone(),
         address: node.address,
         is_released: false,
+        handover: current.as_ref().and_then(released_handover),
         version: 0,
     };
     let head = Head {
@@ -90,7 +91,7 @@
         start_driver(
             node,
             shard,
-            ownership.term,
+            &ownership,
             committer,
             &written,
             has_predecessor,
@@ -99,6 +100,11 @@
     }
 }
 
+/// Returns the term whose handover describes a pool that its owner has released.
+fn released_handover(ownership: &Ownership) -> Option<u64> {
+    ownership.handover.filter(|_| ownership.is_released)
+}
+
 /// A written owner's row.
 struct Written {
     /// The version of the owner's row and of the head row.
@@ -189,11 +195,12 @@
 async fn start_driver(
     node: &Rc<Node>,
     shard: &str,
-    term: u64,
+    ownership: &Ownership,
     committer: Committer,
     written: &Written,
     has_predecessor: bool,
 ) {
+    let term = ownership.term;
     let is_current = || {
         let owners = node.owners.borrow();
         let owner = owners.get(shard);
@@ -201,7 +208,8 @@
             && !node.is_stopping.get()
     };
     let mut records = Vec::new();
-    for table in Scheduler::tables() {
+    let handover_table = ownership.handover.map(|_| Scheduler::handover_table());
+    for table in Scheduler::tables().into_iter().chain(handover_table) {
         let rows = loop {
             if !is_current() {
                 return;
@@ -235,6 +243,14 @@
     let now = node.clock.now();
     let mut scheduler = Scheduler::new(shard, term, node.timing.scheduler);
     scheduler.recover(&records, authority_end, now, node.clock.wall_ms());
+    if let Some(handed_over) = ownership.handover {
+        if let Err(reason) = scheduler.accept_handover(&records, handed_over, now) {
+            node.metrics.count_refused_handover(&reason.to_string());
+            log::warn!(
+                "event=handover-refused pool={shard} term={term} from={handed_over} reason={reason}"
+            );
+        }
+    }
     log::info!(
         "event=owner-started pool={shard} term={term} rows={} after_ms={}",
         records.len(),
@@ -268,13 +284,14 @@
     }
 }
 
-/// Releases one shard after its driver has stored its last changes.
+/// Releases one shard after its driver has stored its last changes, and hands it over in the same
+/// transaction.
 async fn release(node: &Rc<Node>, shard: &str, ownership: Ownership) {
     let driver = node.driver(shard);
     if let Some(driver) = &driver {
         driver.leave(FLUSH_TIMEOUT).await;
     }
-    let released = Ownership {
+    let mut released = Ownership {
         is_released: true,
         ..ownership
     };
@@ -286,9 +303,18 @@
         let own_row = row.filter(|row| registry::read_ownership(row).is_some_and(|o| is_own(&o)));
         if let Some(row) = own_row {
             let key = Key::new(OWNERS_TABLE, shard, OWNER_KEY);
+            let mut writes = Vec::new();
+            // Without a driver this process has not acted, and its predecessor's handover holds on.
+            if let Some(driver) = &driver {
+                let value = driver.hand_over();
+                released.handover = value.as_ref().map(|_| released.term);
+                let (table, name) = (Scheduler::handover_table(), Scheduler::handover_key());
+                writes.extend(value.map(|value| (Key::new(table, shard, name), value)));
+            }
+            writes.push((key.clone(), encode(&released)));
             let transaction = Transaction {
-                expected: vec![(key.clone(), row.version)],
-                writes: vec![(key, encode(&released))],
+                expected: vec![(key, row.version)],
+                writes,
                 removes: Vec::new(),
             };
             let outcome = node.store.commit(&transaction).await;
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -87,12 +87,13 @@
         self.scheduler.borrow().term()
     }
 
-    /// Stops accepting jobs and starting runs, and waits until all changes are stored, at most
+    /// Stops accepting jobs and acting on workers, and waits until all changes are stored, at most
     /// `timeout`.
     pub(crate) async fn leave(&self, timeout: Duration) {
         /// The interval between checks for unstored changes.
         const POLL_INTERVAL: Duration = Duration::from_millis(10);
         self.is_leaving.set(true);
+        self.scheduler.borrow_mut().begin_handover();
         self.store_wake.notify_one();
         let deadline = self.node.clock.now() + timeout;
         while self.scheduler.borrow().has_uncommitted() && self.node.clock.now() < deadline {
@@ -100,6 +101,17 @@
         }
     }
 
+    /// Returns the value of the row that describes the pool to its next owner, `None` if this
+    /// process may have been replaced or the row would be too large. [`Driver::leave`] must have
+    /// returned.
+    pub(crate) fn hand_over(&self) -> Option<Vec<u8>> {
+        let scheduler = self.scheduler.borrow();
+        if self.is_over() || scheduler.is_deposed() {
+            return None;
+        }
+        scheduler.hand_over(self.node.clock.now())
+    }
+
     /// Returns whether the term has ended.
     pub(crate) fn is_over(&self) -> bool {
         self.is_over.get()
--- a/crates/hyssop-edge/tests/planned_stops.rs
+++ b/crates/hyssop-edge/tests/planned_stops.rs
@@ -46,7 +46,6 @@
 /// Each owner waited anew for the leases of a worker that had ended, and was stopped before the end
 /// of its wait.
 #[test]
-#[ignore = "known red: issue 36"]
 fn lasting_task_of_an_ended_worker_runs_again_during_a_series_of_planned_stops() {
     let platform = Platform::start(&Shape {
         pools: vec![(POOL.to_owned(), TASKS)],
--- /dev/null
+++ b/crates/hyssop-policy/src/owner/handover.rs
@@ -0,0 +1,283 @@
+use super::order::task_name;
+use super::unreported::Unreported;
+use super::worker::Worker;
+use super::{Record, Scheduler, TaskKey, WorkerKey};
+use hyssop_model::work;
+use hyssop_platform::rows::{decode, encode};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use strum::Display;
+
+/// Table of the rows in which an owner that stops as planned describes the pool to its successor.
+pub(super) const HANDOVER: &str = "handover";
+const HANDOVER_KEY: &str = "handover";
+/// The layout of the row. Another one is refused, and the successor waits as after a crash.
+const LAYOUT: u32 = 1;
+
+/// What an owner that has stopped acting knows about the workers that may run tasks.
+///
+/// Times are durations from the moment at which the owner stopped acting, which no later reader can
+/// overestimate, whatever its clock.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Handover {
+    layout: u32,
+    /// The term that ended.
+    term: u64,
+    /// Whether the workers' lists of tasks are complete and all progress is stored: a task of an
+    /// open job that is in no list doesn't run.
+    has_placements: bool,
+    /// How long the owner would still have waited before it interrupted tasks with a budget, in
+    /// milliseconds.
+    interrupt_pause_ms: u64,
+    /// The workers that may run tasks or have completions to report. All others are idle.
+    workers: Vec<Entry>,
+}
+
+/// One worker of a handover.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Entry {
+    id: String,
+    incarnation: i64,
+    /// How long its leases may last, in milliseconds.
+    lease_ms: u64,
+    /// Whether the registry listed it.
+    is_listed: bool,
+    /// How long the fleet's owner may shut it down together with its tasks, in milliseconds.
+    released_ms: u64,
+    /// The names of the tasks that it may run.
+    tasks: Vec<String>,
+    /// Those of them that were ordered to stop.
+    stopping: Vec<String>,
+}
+
+/// Why a handover is not used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Refusal {
+    /// The pool has no such row.
+    Missing,
+    /// The row can't be decoded.
+    Unreadable,
+    /// The row has another layout.
+    Layout,
+    /// The row is that of another term.
+    Term,
+}
+
+impl Scheduler {
+    /// Returns the table with the row that [`Scheduler::accept_handover`] needs.
+    pub fn handover_table() -> &'static str {
+        HANDOVER
+    }
+
+    /// Returns the key of that row.
+    pub fn handover_key() -> &'static str {
+        HANDOVER_KEY
+    }
+
+    /// Stops to start and stop tasks, to extend leases and to apply reports, before a handover.
+    ///
+    /// Workers repeat to the successor what they report meanwhile, since it isn't acknowledged.
+    pub fn begin_handover(&mut self) {
+        self.is_handing_over = true;
+    }
+
+    /// Returns the value of the row that describes the pool to the next owner, `None` if it would
+    /// be too large. [`Scheduler::begin_handover`] must have been called.
+    pub fn hand_over(&self, now: Duration) -> Option<Vec<u8>> {
+        let mut handover = Handover {
+            layout: LAYOUT,
+            term: self.term,
+            has_placements: self.has_placements(),
+            interrupt_pause_ms: left_ms(self.interrupts_from, now),
+            workers: self.handover_entries(now),
+        };
+        let limit = self.settings.row_limit();
+        let mut value = encode(&handover);
+        if value.len() > limit {
+            handover.has_placements = false;
+            for entry in &mut handover.workers {
+                entry.tasks.clear();
+                entry.stopping.clear();
+            }
+            value = encode(&handover);
+        }
+        let is_small = value.len() <= limit;
+        log::info!(
+            "event=handed-over pool={} term={} workers={} has_placements={} bytes={} stored={is_small}",
+            self.pool,
+            self.term,
+            handover.workers.len(),
+            handover.has_placements,
+            value.len()
+        );
+        is_small.then_some(value)
+    }
+
+    /// Returns whether this owner knows of each task where it may run, and has stored all progress.
+    fn has_placements(&self) -> bool {
+        let are_unreported_known = self.unreported_workers.values().all(Unreported::is_known);
+        !self.has_uncommitted() && (are_unreported_known || self.orphaned_tasks() == 0)
+    }
+
+    fn handover_entries(&self, now: Duration) -> Vec<Entry> {
+        let mut entries: BTreeMap<(String, i64), Entry> = BTreeMap::new();
+        for (key, worker) in &self.workers {
+            if self.is_idle(worker) {
+                continue;
+            }
+            let (id, incarnation) = (worker.listing.id.clone(), worker.listing.incarnation);
+            let names = |is_wanted: &dyn Fn(&super::worker::Run) -> bool| {
+                let runs = worker.runs.iter().filter(|(_, run)| is_wanted(run));
+                runs.filter_map(|(task, _)| self.name_of(*task)).collect()
+            };
+            let entry = Entry {
+                id: id.clone(),
+                incarnation,
+                lease_ms: self.lease_left_ms(*key, now),
+                is_listed: worker.is_listed,
+                released_ms: left_ms(worker.released_until.unwrap_or_default(), now),
+                tasks: names(&|_| true),
+                stopping: names(&|run| run.stopping_at.is_some()),
+            };
+            entries.insert((id, incarnation), entry);
+        }
+        for ((id, incarnation), unreported) in &self.unreported_workers {
+            let name = (id.clone(), *incarnation);
+            let entry = entries.entry(name).or_insert_with(|| Entry {
+                id: id.clone(),
+                incarnation: *incarnation,
+                lease_ms: 0,
+                is_listed: unreported.was_listed,
+                released_ms: 0,
+                tasks: Vec::new(),
+                stopping: Vec::new(),
+            });
+            entry.lease_ms = entry.lease_ms.max(left_ms(unreported.lease_end, now));
+            entry.released_ms = entry
+                .released_ms
+                .max(left_ms(unreported.released_until, now));
+            let held = unreported.tasks.iter().flatten();
+            entry
+                .tasks
+                .extend(held.filter_map(|task| self.name_of(*task)));
+            let stopping = unreported.stopping.iter();
+            entry
+                .stopping
+                .extend(stopping.filter_map(|task| self.name_of(*task)));
+        }
+        entries.into_values().collect()
+    }
+
+    /// Returns whether a worker can neither run tasks nor report completions that are not stored.
+    fn is_idle(&self, worker: &Worker) -> bool {
+        worker.has_reported
+            && worker.disputed_at.is_none()
+            && !worker.has_unknown_runs
+            && worker.runs.is_empty()
+            && worker.acknowledged >= worker.applied
+            && worker.deferred_completions.is_empty()
+    }
+
+    fn lease_left_ms(&self, key: WorkerKey, now: Duration) -> u64 {
+        let lease_end = self.workers.get(&key).map(|worker| worker.lease_end);
+        left_ms(lease_end.unwrap_or_default(), now)
+    }
+
+    fn name_of(&self, task: TaskKey) -> Option<String> {
+        Some(task_name(self.jobs.get(&task.job)?, task))
+    }
+
+    /// Returns the key of a task of an open job.
+    fn task_of(&self, name: &str) -> Option<TaskKey> {
+        let task: work::Task = name.parse().ok()?;
+        Some(TaskKey {
+            job: *self.job_keys.get(&task.job)?,
+            occurrence: task.occurrence,
+            step: task.step,
+            index: task.index,
+        })
+    }
+
+    /// Uses what the owner of `term` handed over, which was read from the store at `now`.
+    ///
+    /// The rows must have been recovered. The leases that the handover names end that of all earlier
+    /// owners, so workers that it doesn't name are not waited for.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the handover isn't used; the pool is then recovered as after a crash.
+    pub fn accept_handover(
+        &mut self,
+        records: &[Record],
+        term: u64,
+        now: Duration,
+    ) -> Result<(), Refusal> {
+        let record = records
+            .iter()
+            .find(|record| record.table == HANDOVER && record.key == HANDOVER_KEY)
+            .ok_or(Refusal::Missing)?;
+        let handover: Handover = decode(&record.value).ok_or(Refusal::Unreadable)?;
+        if handover.layout != LAYOUT {
+            return Err(Refusal::Layout);
+        }
+        if handover.term != term {
+            return Err(Refusal::Term);
+        }
+        let mut unreported = BTreeMap::new();
+        for entry in handover.workers {
+            let keys = |names: &[String]| -> BTreeSet<TaskKey> {
+                names.iter().filter_map(|name| self.task_of(name)).collect()
+            };
+            let known = Unreported {
+                lease_end: after_ms(now, entry.lease_ms),
+                was_listed: entry.is_listed,
+                released_until: after_ms(now, entry.released_ms),
+                tasks: handover.has_placements.then(|| keys(&entry.tasks)),
+                stopping: keys(&entry.stopping),
+            };
+            unreported.insert((entry.id, entry.incarnation), known);
+        }
+        let idle: Vec<(String, i64)> = self
+            .unreported_workers
+            .keys()
+            .filter(|name| !unreported.contains_key(*name))
+            .cloned()
+            .collect();
+        self.unreported_workers = unreported;
+        for (id, incarnation) in &idle {
+            self.forget_row(id, *incarnation);
+        }
+        self.predecessor_end = now;
+        if handover.has_placements {
+            // The stops and releases of the previous owner are known.
+            self.interrupts_from = after_ms(now, handover.interrupt_pause_ms);
+        }
+        let wait_end = self.unreported_workers.values().map(|w| w.lease_end).max();
+        log::info!(
+            "event=handover-accepted pool={} term={} from={term} workers={} idle={} \
+             has_placements={} wait_ms={}",
+            self.pool,
+            self.term,
+            self.unreported_workers.len(),
+            idle.len(),
+            handover.has_placements,
+            wait_end.unwrap_or(now).saturating_sub(now).as_millis()
+        );
+        self.is_requeue_due = true;
+        Ok(())
+    }
+}
+
+/// Returns the time from `now` until `end` in milliseconds, rounded up.
+fn left_ms(end: Duration, now: Duration) -> u64 {
+    end.saturating_sub(now).as_micros().div_ceil(1_000) as u64
+}
+
+/// Returns the time `ms` milliseconds after `now`, at most an hour: a row can't hold up a pool for
+/// longer.
+fn after_ms(now: Duration, ms: u64) -> Duration {
+    const MAX_MS: u64 = 3_600_000;
+    now + Duration::from_millis(ms.min(MAX_MS))
+}
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -1,4 +1,4 @@
-use super::{TaskKey, WorkerKey};
+use super::{JobKey, TaskKey, WorkerKey};
 use hyssop_model::work::{Phase, Queue, Step, Submission};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -137,6 +137,26 @@
         Some(if is_gang { 0 } else { task.index as usize })
     }
 
+    /// Returns the tasks of all open occurrences; `key` is the job's key.
+    pub(super) fn tasks_mut(&mut self, key: JobKey) -> impl Iterator<Item = (TaskKey, &mut Task)> {
+        let occurrences = self.occurrences.iter_mut();
+        occurrences.flat_map(move |(&occurrence, state)| {
+            let stages = state.stages.iter_mut().enumerate();
+            stages.flat_map(move |(step, stage)| {
+                let tasks = stage.tasks.iter_mut().enumerate();
+                tasks.map(move |(index, task)| {
+                    let key = TaskKey {
+                        job: key,
+                        occurrence,
+                        step: step as u32,
+                        index: index as u32,
+                    };
+                    (key, task)
+                })
+            })
+        })
+    }
+
     pub(super) fn stage(&self, occurrence: u32, step: u32) -> Option<&Stage> {
         self.occurrences.get(&occurrence)?.stages.get(step as usize)
     }
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -20,6 +20,7 @@
 mod budget;
 mod capacity;
 mod completion;
+mod handover;
 mod incarnation;
 mod job;
 mod key;
@@ -44,6 +45,7 @@
 pub use admission::{retry_after, Admission, Cancellation, StorePace};
 pub use batch::Batch;
 pub use capacity::{Demand, Load};
+pub use handover::Refusal;
 pub use job::{Job, Rule};
 pub use key::{JobKey, TaskKey, WorkerKey};
 pub use recovery::Record;
@@ -82,9 +84,14 @@
     finished_jobs: VecDeque<(Duration, JobKey)>,
     workers: BTreeMap<WorkerKey, Worker>,
     next_worker: u32,
-    /// Workers of an earlier term that may still run tasks, each with the latest time at which its
-    /// leases expire.
-    unreported_workers: BTreeMap<(String, i64), Duration>,
+    /// Workers of an earlier term that may still run tasks.
+    unreported_workers: BTreeMap<(String, i64), unreported::Unreported>,
+    /// Whether orphaned tasks may have become known not to run.
+    is_requeue_due: bool,
+    /// The number of orphaned tasks that recovery has requeued.
+    unlocated_tasks: usize,
+    /// Whether this owner has stopped acting, to hand the pool over.
+    is_handing_over: bool,
     /// When the previous owner's authority had certainly ended.
     predecessor_end: Duration,
     /// When the registry was first read completely in this term.
@@ -137,6 +144,9 @@
             workers: BTreeMap::new(),
             next_worker: 0,
             unreported_workers: BTreeMap::new(),
+            is_requeue_due: false,
+            unlocated_tasks: 0,
+            is_handing_over: false,
             predecessor_end: Duration::ZERO,
             registry_read_at: None,
             recovered_at: Duration::ZERO,
@@ -204,7 +214,7 @@
     ///
     /// `wall_ms` is the wall-clock time in Unix milliseconds, used only by scheduled jobs.
     pub fn advance(&mut self, now: Duration, wall_ms: i64) -> Vec<Action> {
-        if self.is_deposed {
+        if self.is_deposed || self.is_handing_over {
             return Vec::new();
         }
         self.finish_recovery(now);
--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -130,7 +130,7 @@
         run: u64,
         now: Duration,
     ) -> Option<dialect::Start> {
-        if self.is_deposed {
+        if self.is_deposed || self.is_handing_over {
             return None;
         }
         let lease = self.settings.lease;
@@ -174,7 +174,7 @@
         extends: bool,
         now: Duration,
     ) -> Option<dialect::Renewal> {
-        if self.is_deposed {
+        if self.is_deposed || self.is_handing_over {
             return None;
         }
         let lease = self.settings.lease;
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -1,6 +1,7 @@
 use super::batch::{JOBS, PROGRESS, RULES, WORKERS};
 use super::job::{Job, Occurrence, Rule, State};
 use super::progress::{JobRow, Progress};
+use super::unreported::Unreported;
 use super::{JobKey, Scheduler};
 use hyssop_model::work::{Phase, Submission};
 use hyssop_platform::rows::decode;
@@ -53,7 +54,7 @@
             if let Some((id, incarnation)) = record.key.rsplit_once('@') {
                 let incarnation = incarnation.parse().unwrap_or(0);
                 self.unreported_workers
-                    .insert((id.to_owned(), incarnation), lease_end);
+                    .insert((id.to_owned(), incarnation), Unreported::unknown(lease_end));
             }
         }
         for (id, stored) in progress {
@@ -87,7 +88,7 @@
         if !self.is_recovering {
             return;
         }
-        let wait_end = self.unreported_workers.values().max();
+        let wait_end = self.unreported_workers.values().map(|w| w.lease_end).max();
         let left = wait_end.map_or(Duration::ZERO, |end| end.saturating_sub(now));
         log::info!(
             "event=recovery-unfinished pool={} term={} unreported={} orphaned_tasks={} \
@@ -102,7 +103,7 @@
     }
 
     /// Returns the number of tasks that wait until it is known whether they run.
-    fn orphaned_tasks(&self) -> usize {
+    pub(super) fn orphaned_tasks(&self) -> usize {
         let open = self.open_jobs.iter().filter_map(|key| self.jobs.get(key));
         let tasks = open
             .flat_map(|job| job.occurrences.values())
@@ -216,38 +217,29 @@
         self.open_jobs.insert(key);
     }
 
-    /// Requeues orphaned tasks once every worker of an earlier term has reported or has certainly
-    /// ended.
+    /// Requeues the orphaned tasks of which it has become known that they don't run, and ends the
+    /// recovery once every worker of an earlier term has reported or has certainly ended.
     pub(super) fn finish_recovery(&mut self, now: Duration) {
         if !self.is_recovering {
             return;
         }
         self.end_unreported_workers(now);
+        self.is_requeue_due |= self.unreported_workers.is_empty();
+        self.unlocated_tasks += self.requeue_unheld_tasks(now);
         if !self.unreported_workers.is_empty() {
             return;
         }
         self.is_recovering = false;
         self.is_placement_due = true;
-        let mut requeued = 0;
         for key in self.open_jobs.clone() {
-            let Some(job) = self.jobs.get_mut(&key) else {
-                continue;
-            };
-            for occurrence in job.occurrences.values_mut() {
-                for task in occurrence.stages.iter_mut().flat_map(|s| &mut s.tasks) {
-                    if task.state == State::Orphaned {
-                        task.state = State::Waiting;
-                        requeued += 1;
-                    }
-                }
-            }
             self.finish_occurrences(key, now);
         }
         log::info!(
-            "event=recovered pool={} term={} jobs={} unlocated_tasks={requeued} after_ms={}",
+            "event=recovered pool={} term={} jobs={} unlocated_tasks={} after_ms={}",
             self.pool,
             self.term,
             self.open_jobs.len(),
+            self.unlocated_tasks,
             now.saturating_sub(self.recovered_at).as_millis()
         );
     }
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -25,6 +25,9 @@
         };
         worker.is_polling = false;
         worker.polled_at = now;
+        if self.is_handing_over {
+            return;
+        }
         let other = report
             .incarnation
             .filter(|incarnation| *incarnation != worker.listing.incarnation);
@@ -150,6 +153,9 @@
             }
         }
         let is_final = job.phase.is_final();
+        let name = (worker.listing.id.clone(), worker.listing.incarnation);
+        let unreported = self.unreported_workers.get(&name);
+        let was_stopping = unreported.is_some_and(|known| known.stopping.contains(&task));
         let step = job.step(task.step).cloned();
         job.has_started = true;
         let entry = job
@@ -194,7 +200,7 @@
         }
         if !may_adopt {
             self.actions.push(stop());
-        } else if !self.is_suitable(key, task) {
+        } else if was_stopping || !self.is_suitable(key, task) {
             self.stop_task(key, task, now);
         }
     }
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -89,6 +89,7 @@
         let key = WorkerKey(self.next_worker);
         self.next_worker += 1;
         worker.lease_end = worker.lease_end.max(self.inherited_lease_end(&worker));
+        worker.released_until = worker.released_until.max(self.inherited_release(&worker));
         self.removed_workers.remove(&worker.row_name());
         self.workers.insert(key, worker);
         key
--- a/crates/hyssop-policy/src/owner/unreported.rs
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -1,5 +1,7 @@
+use super::job::State;
 use super::worker::{row_name, IN_FLIGHT};
-use super::{Scheduler, Worker, WorkerKey};
+use super::{Scheduler, TaskKey, Worker, WorkerKey};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use strum::Display;
 
@@ -7,6 +9,39 @@
 /// restores entries that expired during an outage of its store within about two seconds.
 const RELISTING_TIME: Duration = Duration::from_millis(2_500);
 
+/// A worker of an earlier term that has not reported in this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Unreported {
+    /// When its leases have certainly expired.
+    pub(super) lease_end: Duration,
+    /// Whether the previous owner saw it in the registry, or may have.
+    pub(super) was_listed: bool,
+    /// Until when the fleet's owner may shut it down.
+    pub(super) released_until: Duration,
+    /// The tasks that it may run, `None` if any task may run there.
+    pub(super) tasks: Option<BTreeSet<TaskKey>>,
+    /// The tasks that the previous owner ordered to stop.
+    pub(super) stopping: BTreeSet<TaskKey>,
+}
+
+impl Unreported {
+    /// Creates a worker that may run any task until `lease_end`.
+    pub(super) fn unknown(lease_end: Duration) -> Self {
+        Self {
+            lease_end,
+            was_listed: true,
+            released_until: Duration::ZERO,
+            tasks: None,
+            stopping: BTreeSet::new(),
+        }
+    }
+
+    /// Returns whether it is known which tasks it may run.
+    pub(super) fn is_known(&self) -> bool {
+        self.tasks.is_some()
+    }
+}
+
 /// Why recovery no longer waits for a worker of an earlier term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -52,8 +87,9 @@
             return;
         };
         let mut ended = Vec::new();
-        for ((id, incarnation), lease_end) in &self.unreported_workers {
-            if now < *lease_end {
+        for ((id, incarnation), unreported) in &self.unreported_workers {
+            let lease_end = unreported.lease_end;
+            if now < lease_end {
                 continue;
             }
             let worker = self
@@ -62,10 +98,14 @@
             let reason = match worker {
                 Some(worker) => {
                     let is_silent =
-                        worker.unreachable_since.is_some() && worker.polled_at >= *lease_end;
+                        worker.unreachable_since.is_some() && worker.polled_at >= lease_end;
                     is_silent.then_some(Reason::Unreachable)
                 }
-                None => (now >= registry_read_at + RELISTING_TIME).then_some(Reason::Unlisted),
+                None => {
+                    let may_return =
+                        unreported.was_listed && now < registry_read_at + RELISTING_TIME;
+                    (!may_return).then_some(Reason::Unlisted)
+                }
             };
             if let Some(reason) = reason {
                 ended.push(((id.clone(), *incarnation), reason));
@@ -105,8 +145,16 @@
     /// Until then the worker's row is kept, even if it is neither listed nor reachable.
     pub(super) fn inherited_lease_end(&self, worker: &Worker) -> Duration {
         let name = (worker.listing.id.clone(), worker.listing.incarnation);
-        let lease_end = self.unreported_workers.get(&name).copied();
-        lease_end.unwrap_or(Duration::ZERO)
+        let unreported = self.unreported_workers.get(&name);
+        unreported.map_or(Duration::ZERO, |unreported| unreported.lease_end)
+    }
+
+    /// Returns until when the fleet's owner may shut a worker down by the previous owner's release,
+    /// `None` if there is none.
+    pub(super) fn inherited_release(&self, worker: &Worker) -> Option<Duration> {
+        let name = (worker.listing.id.clone(), worker.listing.incarnation);
+        let unreported = self.unreported_workers.get(&name)?;
+        (!unreported.released_until.is_zero()).then_some(unreported.released_until)
     }
 
     /// Waits for a worker's new incarnation instead of recorded previous ones, since a start that the
@@ -125,10 +173,16 @@
             .and_then(|key| self.workers.get(&key))
             .is_some_and(|worker| worker.has_reported);
         for previous in self.unreported_incarnations(&name.0, is_previous) {
+            let known = self.unreported_workers.get(&previous).cloned();
             self.remove_unreported(&previous, Reason::Replaced, now);
-            if !has_reported {
+            if let (false, Some(known)) = (has_reported, known) {
                 let lease_end = self.predecessor_end + IN_FLIGHT + self.settings.max_lease_span();
-                self.unreported_workers.insert(name.clone(), lease_end);
+                let next = Unreported {
+                    lease_end,
+                    was_listed: true,
+                    ..known
+                };
+                self.unreported_workers.insert(name.clone(), next);
             }
         }
     }
@@ -154,9 +208,8 @@
             return;
         }
         let (id, incarnation) = name;
-        if self.worker_key(id, *incarnation).is_none() {
-            self.removed_workers.insert(row_name(id, *incarnation));
-        }
+        self.is_requeue_due = true;
+        self.forget_row(id, *incarnation);
         log::info!(
             "event=worker-recovered pool={} term={} worker={id} incarnation={incarnation} \
              reason={reason} left={} after_ms={}",
@@ -166,4 +219,45 @@
             now.saturating_sub(self.recovered_at).as_millis()
         );
     }
+
+    /// Deletes the row of an incarnation that is not registered.
+    pub(super) fn forget_row(&mut self, id: &str, incarnation: i64) {
+        if self.worker_key(id, incarnation).is_none() {
+            self.removed_workers.insert(row_name(id, incarnation));
+        }
+    }
+
+    /// Takes the orphaned tasks for not running that no unreported worker may run; returns their
+    /// number.
+    pub(super) fn requeue_unheld_tasks(&mut self, now: Duration) -> usize {
+        if !std::mem::take(&mut self.is_requeue_due) {
+            return 0;
+        }
+        if !self.unreported_workers.values().all(Unreported::is_known) {
+            return 0;
+        }
+        let held: BTreeSet<TaskKey> = self
+            .unreported_workers
+            .values()
+            .flat_map(|unreported| unreported.tasks.iter().flatten().copied())
+            .collect();
+        let mut requeued = 0;
+        for key in self.open_jobs.clone() {
+            let Some(job) = self.jobs.get_mut(&key) else {
+                continue;
+            };
+            let before = requeued;
+            for (task, entry) in job.tasks_mut(key) {
+                if entry.state == State::Orphaned && !held.contains(&task) {
+                    entry.state = State::Waiting;
+                    requeued += 1;
+                }
+            }
+            if requeued > before {
+                self.is_placement_due = true;
+                self.finish_occurrences(key, now);
+            }
+        }
+        requeued
+    }
 }
