policy tests: chains of planned stops, with a bound on absent tasks

The model's owners stop as planned: they flush their changes, release the pool with the handover's row, and the next owner reads it after a pause, perhaps behind processes that pass it on. Releases may be lost, calls may be late.

A worker that the next owner doesn't find in the registry may return for 2.5 s after that owner's reading; each owner begins this wait anew, so owners in office for less than that wait for the worker for ever.

--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -8,6 +8,7 @@
 
 mod availability;
 mod invariants;
+mod presence;
 mod seeds;
 mod store;
 mod takeover;
@@ -18,7 +19,7 @@
 pub use store::{assert_within_limits, FakeStore};
 pub use takeover::Takeover;
 pub use worker::FakeWorker;
-pub use world::{Faults, World};
+pub use world::{Faults, PlannedStop, World};
 
 /// Returns a job of `count` long-running tasks, at most one per worker, of which one may be
 /// unavailable.
--- a/crates/hyssop-policy/tests/model/store.rs
+++ b/crates/hyssop-policy/tests/model/store.rs
@@ -6,6 +6,10 @@
 #[derive(Debug, Default)]
 pub struct FakeStore {
     pub term: u64,
+    /// Whether the owner of `term` has released the pool.
+    pub is_released: bool,
+    /// The term whose handover the owner's row names.
+    pub handover: Option<u64>,
     rows: BTreeMap<(&'static str, String), Vec<u8>>,
 }
 
@@ -29,6 +33,29 @@
         true
     }
 
+    /// Replaces the owner's row by that of the next term, which keeps the handover of a released pool.
+    pub fn begin_term(&mut self) {
+        self.term += 1;
+        self.handover = self.handover.filter(|_| self.is_released);
+        self.is_released = false;
+    }
+
+    /// Releases the pool with the row that describes it to the next owner; returns whether `term` is
+    /// still current.
+    pub fn release(&mut self, term: u64, handover: Option<Vec<u8>>) -> bool {
+        if term != self.term {
+            return false;
+        }
+        self.is_released = true;
+        self.handover = handover.as_ref().map(|_| term);
+        if let Some(value) = handover {
+            assert!(value.len() <= ROW_BYTES, "{} bytes", value.len());
+            let key = Scheduler::handover_key().to_owned();
+            self.rows.insert((Scheduler::handover_table(), key), value);
+        }
+        true
+    }
+
     /// Commits all changes of a scheduler at `now`, under the store's term.
     pub fn commit_all(&mut self, scheduler: &mut Scheduler, now: Duration) {
         while let Some(batch) = scheduler.next_batch(now) {
--- a/crates/hyssop-policy/tests/model/takeover.rs
+++ b/crates/hyssop-policy/tests/model/takeover.rs
@@ -14,4 +14,8 @@
     /// Whether the authority of the previous owner is counted from the start of the takeover
     /// instead of its commit.
     pub counts_from_start: bool,
+    /// How many processes own the pool before, one after the other, and release it without acting.
+    pub passed_on: u32,
+    /// Whether the new owner doesn't use the handover of a released pool.
+    pub ignores_handover: bool,
 }
--- a/crates/hyssop-policy/tests/model/world.rs
+++ b/crates/hyssop-policy/tests/model/world.rs
@@ -1,6 +1,7 @@
 use super::availability::Availability;
 use super::configuration;
 use super::invariants::Invariants;
+use super::presence::Presence;
 use super::store::FakeStore;
 use super::takeover::Takeover;
 use super::worker::{FakeWorker, RunEvent};
@@ -14,6 +15,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+mod planned;
+
+pub use planned::PlannedStop;
+
 /// The shares of calls that go wrong, 0 to 1.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
@@ -32,6 +37,7 @@
     pub workers: Vec<FakeWorker>,
     pub invariants: Invariants,
     pub availability: Availability,
+    pub presence: Presence,
     pub is_store_up: bool,
     /// The time from sending a batch until the store commits it.
     pub commit_ms: i64,
@@ -48,6 +54,8 @@
     scheduler: Scheduler,
     is_paused: bool,
     is_cut_from_store: bool,
+    /// Whether it has begun a planned stop.
+    is_leaving: bool,
     /// Whether it has read the registry and follows it.
     follows_registry: bool,
     /// When it stops to start tasks and to extend leases, once another owner has taken over.
@@ -82,6 +90,12 @@
     RegistryRead(u64),
     /// The registry lists a worker again.
     EntryReturns(usize),
+    /// The registry removes the entry of a worker that has ended.
+    EntryExpires(usize, i64),
+    /// The owner of a term checks whether its changes are stored, until the given time.
+    FlushChecked(u64, PlannedStop, i64),
+    /// The store receives the release of a term with the row of its handover, and when it was written.
+    ReleaseArrives(u64, PlannedStop, Option<Vec<u8>>, i64),
 }
 
 const CALL_TIMEOUT_MS: i64 = 500;
@@ -102,6 +116,7 @@
                 .collect(),
             invariants: Invariants::default(),
             availability: Availability::default(),
+            presence: Presence::default(),
             is_store_up: true,
             commit_ms: 10,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -140,7 +155,7 @@
     /// killed.
     pub fn start_owner(&mut self) {
         let now_ms = self.now_ms;
-        self.store.term += 1;
+        self.store.begin_term();
         self.start_scheduler(self.store.term, Takeover::default(), now_ms, now_ms);
         self.read_registry(self.store.term);
     }
@@ -178,6 +193,7 @@
             counted_from,
             self.now_ms,
         );
+        self.accept_handover(&mut scheduler, takeover);
         let cut_worker = takeover.cut_worker.map(|number| {
             let id = self.workers[number].listing.id.clone();
             (id, self.now_ms + CUT_MS)
@@ -186,6 +202,7 @@
             scheduler,
             is_paused: false,
             is_cut_from_store: false,
+            is_leaving: false,
             follows_registry: false,
             authority_end_ms: None,
             confirmed_ms: self.now_ms,
@@ -241,7 +258,9 @@
     /// Returns whether a scheduler of the newest term runs.
     pub fn has_owner(&self) -> bool {
         let newest = self.owners.last();
-        newest.is_some_and(|process| process.scheduler.term() == self.store.term)
+        newest.is_some_and(|process| {
+            process.scheduler.term() == self.store.term && !process.is_leaving
+        })
     }
 
     /// Kills the newest owner's process.
@@ -311,6 +330,7 @@
         let now_ms = self.now_ms;
         for (task, _) in self.workers[worker].running() {
             self.availability.on_lost(task, now_ms);
+            self.presence.on_end(task, now_ms);
         }
         self.workers[worker].restart(now_ms);
         self.register(worker);
@@ -331,6 +351,7 @@
         self.invariants.on_submission(id, &submission);
         self.availability
             .on_submission(id, &submission, self.now_ms);
+        self.presence.on_submission(id, &submission);
         let (now, wall_ms) = (self.now(), self.now_ms);
         self.newest_scheduler()
             .submit(id, "queue", submission, Duration::ZERO, now, wall_ms)
@@ -411,6 +432,7 @@
                     } else {
                         self.availability.on_lost(&task, self.now_ms);
                     }
+                    self.presence.on_end(&task, self.now_ms);
                     self.invariants.on_run_end(
                         (&id, incarnation),
                         &task,
@@ -471,6 +493,7 @@
             Action::Start { .. } if !has_authority => {}
             Action::Start { worker, task, run } => {
                 if let Some(order) = process.scheduler.order(worker, task, run, now) {
+                    self.presence.on_sent(&order.task);
                     let delayed = self.faults.delayed_starts;
                     let is_delayed = self.chance(delayed);
                     if is_delayed {
@@ -624,6 +647,7 @@
                 self.trace("", || format!("{id} is maintained"));
                 for (task, _) in worker.running() {
                     self.availability.on_interrupted(task, is_sound, now_ms);
+                    self.presence.on_end(task, now_ms);
                 }
                 self.workers[number].replace(now_ms);
                 let delay = self.pick(50..500) as i64;
@@ -668,8 +692,12 @@
                 if replaced != self.store.term {
                     return;
                 }
-                self.store.term += 1;
+                self.store.begin_term();
                 let term = self.store.term;
+                if takeover.passed_on > 0 {
+                    self.pass_on(takeover);
+                    return;
+                }
                 self.trace("", || format!("term {term} is committed: {takeover:?}"));
                 let end_ms = self.now_ms + takeover.authority_ms;
                 for process in &mut self.owners {
@@ -696,6 +724,15 @@
                 }
             }
             Event::EntryReturns(number) => self.set_listed(number, true),
+            Event::EntryExpires(number, incarnation) => {
+                if self.workers[number].listing.incarnation == incarnation {
+                    self.set_listed(number, false);
+                }
+            }
+            Event::FlushChecked(term, stop, until_ms) => self.check_flush(term, stop, until_ms),
+            Event::ReleaseArrives(term, stop, value, written_ms) => {
+                self.release(term, stop, value, written_ms);
+            }
             Event::CommitAnswered(term) => {
                 let now_ms = self.now_ms;
                 let Some(process) = self.process(term) else {
@@ -704,6 +741,7 @@
                 for notification in process.scheduler.on_commit(now) {
                     match notification {
                         Notification::Accepted(id) => {
+                            self.presence.on_accepted(&id);
                             self.accepted.insert(id);
                         }
                         Notification::Cancelled(id) => self.invariants.on_cancellation(&id, now_ms),
@@ -731,6 +769,7 @@
             let runs_elsewhere = self.workers.iter().enumerate().any(|(other, worker)| {
                 other != number && worker.is_up && worker.running().any(|(name, _)| *name == task)
             });
+            self.presence.on_start(&task, now_ms);
             self.invariants
                 .on_run_start(&task, runs_elsewhere, is_delayed, now_ms);
         }
--- a/crates/hyssop-policy/tests/takeover_model.rs
+++ b/crates/hyssop-policy/tests/takeover_model.rs
@@ -28,7 +28,7 @@
         registry_ms,
         authority_ms,
         cut_worker,
-        counts_from_start: false,
+        ..Takeover::default()
     });
 }
 
