owner: hand over how long a worker may still return to the registry

A worker that isn't registered may return for 2.5 s after the registry was read without it. Each owner began this wait anew, so a chain of owners in office for less than that waited for an ended worker for ever. The handover now carries the rest of the wait instead of whether the worker was listed.

--- a/crates/hyssop-policy/src/owner/handover.rs
+++ b/crates/hyssop-policy/src/owner/handover.rs
@@ -41,8 +41,8 @@
     incarnation: i64,
     /// How long its leases may last, in milliseconds.
     lease_ms: u64,
-    /// Whether the registry listed it.
-    is_listed: bool,
+    /// How long it may still return to the registry, in milliseconds, if that doesn't list it.
+    returns_ms: Option<u64>,
     /// How long the fleet's owner may shut it down together with its tasks, in milliseconds.
     released_ms: u64,
     /// The names of the tasks that it may run.
@@ -136,7 +136,7 @@
                 id: id.clone(),
                 incarnation,
                 lease_ms: self.lease_left_ms(*key, now),
-                is_listed: worker.is_listed,
+                returns_ms: (!worker.is_listed).then_some(0),
                 released_ms: left_ms(worker.released_until.unwrap_or_default(), now),
                 tasks: names(&|_| true),
                 stopping: names(&|run| run.stopping_at.is_some()),
@@ -149,7 +149,7 @@
                 id: id.clone(),
                 incarnation: *incarnation,
                 lease_ms: 0,
-                is_listed: unreported.was_listed,
+                returns_ms: self.returns_ms(unreported, now),
                 released_ms: 0,
                 tasks: Vec::new(),
                 stopping: Vec::new(),
@@ -180,6 +180,15 @@
             && worker.deferred_completions.is_empty()
     }
 
+    /// Returns how long a worker that isn't registered may still return to the registry.
+    fn returns_ms(&self, unreported: &Unreported, now: Duration) -> Option<u64> {
+        let until = match self.registry_read_at {
+            Some(read_at) => unreported.returns_until(read_at),
+            None => unreported.may_return_until?,
+        };
+        Some(left_ms(until, now))
+    }
+
     fn lease_left_ms(&self, key: WorkerKey, now: Duration) -> u64 {
         let lease_end = self.workers.get(&key).map(|worker| worker.lease_end);
         left_ms(lease_end.unwrap_or_default(), now)
@@ -232,7 +241,7 @@
             };
             let known = Unreported {
                 lease_end: after_ms(now, entry.lease_ms),
-                was_listed: entry.is_listed,
+                may_return_until: entry.returns_ms.map(|ms| after_ms(now, ms)),
                 released_until: after_ms(now, entry.released_ms),
                 tasks: handover.has_placements.then(|| keys(&entry.tasks)),
                 stopping: keys(&entry.stopping),
--- a/crates/hyssop-policy/src/owner/unreported.rs
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -14,8 +14,9 @@
 pub(super) struct Unreported {
     /// When its leases have certainly expired.
     pub(super) lease_end: Duration,
-    /// Whether the previous owner saw it in the registry, or may have.
-    pub(super) was_listed: bool,
+    /// Until when it may return to the registry although it isn't listed, `None` if it was listed
+    /// or may have been when the registry was last read.
+    pub(super) may_return_until: Option<Duration>,
     /// Until when the fleet's owner may shut it down.
     pub(super) released_until: Duration,
     /// The tasks that it may run, `None` if any task may run there.
@@ -29,13 +30,20 @@
     pub(super) fn unknown(lease_end: Duration) -> Self {
         Self {
             lease_end,
-            was_listed: true,
+            may_return_until: None,
             released_until: Duration::ZERO,
             tasks: None,
             stopping: BTreeSet::new(),
         }
     }
 
+    /// Returns until when it may return to the registry, which was read at `registry_read_at` and
+    /// doesn't list it.
+    pub(super) fn returns_until(&self, registry_read_at: Duration) -> Duration {
+        self.may_return_until
+            .unwrap_or(registry_read_at + RELISTING_TIME)
+    }
+
     /// Returns whether it is known which tasks it may run.
     pub(super) fn is_known(&self) -> bool {
         self.tasks.is_some()
@@ -102,9 +110,8 @@
                     is_silent.then_some(Reason::Unreachable)
                 }
                 None => {
-                    let may_return =
-                        unreported.was_listed && now < registry_read_at + RELISTING_TIME;
-                    (!may_return).then_some(Reason::Unlisted)
+                    let until = unreported.returns_until(registry_read_at);
+                    (now >= until).then_some(Reason::Unlisted)
                 }
             };
             if let Some(reason) = reason {
@@ -179,7 +186,7 @@
                 let lease_end = self.predecessor_end + IN_FLIGHT + self.settings.max_lease_span();
                 let next = Unreported {
                     lease_end,
-                    was_listed: true,
+                    may_return_until: None,
                     ..known
                 };
                 self.unreported_workers.insert(name.clone(), next);
