owner: count on the lease of a worker that has reported completions

A worker whose first report lists no runs was taken for one without a lease, also if it reported completions.

worker_with_an_unstored_completion_is_waited_for_until_its_leases_are_over failed before.

--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -50,7 +50,7 @@
         let is_first_report = !worker.has_reported && is_complete;
         if is_first_report {
             worker.has_reported = true;
-            worker.limit_inherited_lease(&report.running, self.settings.lease_span(), now);
+            worker.limit_inherited_lease(&report, self.settings.lease_span(), now);
             self.is_placement_due = true;
         }
         let had_unknown_runs = std::mem::take(&mut worker.has_unknown_runs);
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -142,19 +142,20 @@
     }
 
     /// Limits a lease that an earlier owner granted by the worker's first report to this one: from
-    /// then on the worker refuses the earlier owner's orders, and a worker without runs has no lease.
+    /// then on the worker refuses the earlier owner's orders, and a worker without runs and completions
+    /// has no lease that matters. While the lease lasts in which a run ended, its completion counts.
     ///
     /// Start orders that were meant for a previous incarnation may grant longer ones.
     pub(super) fn limit_inherited_lease(
         &mut self,
-        running: &[work::Running],
+        report: &work::Report,
         lease_span: Duration,
         now: Duration,
     ) {
         if self.succeeded_at.is_some() || !self.runs.is_empty() {
             return;
         }
-        let span = if running.is_empty() {
+        let span = if report.running.is_empty() && report.completions.is_empty() {
             Duration::ZERO
         } else {
             lease_span
