owner: hand over releases of idle workers

A worker that is released for disruption, and whose tasks have ended since, counted as idle, so the next owner didn't learn of the release. It placed tasks there, which the fleet's owner could still end.

released_worker_whose_tasks_have_ended_is_given_no_task_by_the_next_owner failed before.

--- a/crates/hyssop-policy/src/owner/handover.rs
+++ b/crates/hyssop-policy/src/owner/handover.rs
@@ -30,7 +30,7 @@
     /// How long the owner would still have waited before it interrupted tasks with a budget, in
     /// milliseconds.
     interrupt_pause_ms: u64,
-    /// The workers that may run tasks or have completions to report. All others are idle.
+    /// The workers that may run tasks, have completions to report or are released. All others are idle.
     workers: Vec<Entry>,
 }
 
@@ -124,7 +124,7 @@
     fn handover_entries(&self, now: Duration) -> Vec<Entry> {
         let mut entries: BTreeMap<(String, i64), Entry> = BTreeMap::new();
         for (key, worker) in &self.workers {
-            if self.is_idle(worker) {
+            if self.is_idle(worker, now) {
                 continue;
             }
             let (id, incarnation) = (worker.listing.id.clone(), worker.listing.incarnation);
@@ -170,9 +170,11 @@
         entries.into_values().collect()
     }
 
-    /// Returns whether a worker can neither run tasks nor report completions that are not stored.
-    fn is_idle(&self, worker: &Worker) -> bool {
+    /// Returns whether a worker can neither run tasks nor report completions that are not stored, and
+    /// isn't released for disruption.
+    fn is_idle(&self, worker: &Worker, now: Duration) -> bool {
         worker.has_reported
+            && !worker.is_released(now)
             && worker.disputed_at.is_none()
             && !worker.has_unknown_runs
             && worker.runs.is_empty()
