--- a/crates/hyssop-policy/tests/handover.rs
+++ b/crates/hyssop-policy/tests/handover.rs
@@ -183,17 +183,22 @@
 
     /// Starts the next owner, which has read the rows and an empty registry.
     fn take_over(&mut self, ms: u64) -> Result<(), Refusal> {
-        self.store.begin_term();
         let from = self.store.handover.expect("a released pool");
+        self.recover(ms);
+        self.scheduler
+            .accept_handover(&self.store.records(), from, at(ms))
+    }
+
+    /// Starts the next owner without a handover.
+    fn recover(&mut self, ms: u64) {
+        self.store.begin_term();
         let (now, records) = (at(ms), self.store.records());
         self.scheduler = Scheduler::new("pool", self.store.term, self.settings);
         self.scheduler.configure(&configuration(false));
         let authority_end = now + self.settings.authority;
         self.scheduler
             .recover(&records, authority_end, now, ms as i64);
-        let outcome = self.scheduler.accept_handover(&records, from, now);
         self.scheduler.on_registry_snapshot(now);
-        outcome
     }
 }
 
@@ -606,18 +611,17 @@
     assert!(hand_over_within(300, 5).is_none());
 }
 
-/// A run that was meant for a worker's previous incarnation has a lease by its clock. The owner that
-/// found it there knew so, and the next one counted on a usual lease.
-#[test]
-fn next_owner_counts_on_the_longest_lease_of_a_next_incarnation() {
+/// Checks that the next owner of a pool counts on the longest lease of a run that was meant for the
+/// previous incarnation of the worker that runs it.
+fn check_counts_on_longest_lease(take_over: impl Fn(&mut Pool)) {
     let (mut pool, stray, live) = two_runs();
     let next = work::Worker {
         incarnation: BORN + 50,
         ..model::worker(&stray.worker)
     };
     pool.scheduler.register_worker(next.clone(), at(1_050));
-    pool.stop(1_100);
-    assert_eq!(pool.take_over(1_200), Ok(()));
+    pool.commit(1_100);
+    take_over(&mut pool);
     pool.scheduler.register_worker(next, at(1_200));
     pool.register(&live.worker, 1_200);
     pool.report_runs(&live.worker, 1_210);
@@ -634,4 +638,20 @@
     let lease_end = 1_020 + Settings::default().max_lease_span().as_millis() as u64;
     let early = pool.first_start(&stray.task, 1_240, lease_end - 20);
     assert_eq!(early, None, "the lease may last until {lease_end} ms");
+    assert!(pool.first_start(&stray.task, lease_end, 12_000).is_some());
+}
+
+/// An owner that had found a run of a previous incarnation counted on its long lease, and the next one
+/// on a usual lease.
+#[test]
+fn next_owner_counts_on_the_longest_lease_of_a_next_incarnation() {
+    check_counts_on_longest_lease(|pool| {
+        pool.stop(1_100);
+        assert_eq!(pool.take_over(1_200), Ok(()));
+    });
+}
+
+#[test]
+fn next_owner_after_a_crash_counts_on_the_longest_lease_of_a_next_incarnation() {
+    check_counts_on_longest_lease(|pool| pool.recover(1_200));
 }
