owner: keep the longest lease of a next incarnation over its owners' terms

A start that reached a worker's next incarnation may have granted a lease by the clock of the previous one. Only the owner that saw the succession counted on it; the next one limited the lease to a usual one at the worker's first report, and could start the task again while its run went on. That a worker is a successor is now in its row and in the handover.

Rows of earlier versions count as before.

--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -156,7 +156,8 @@
         const MAX_WORKER_ROWS: usize = 40;
         for (key, worker) in &self.workers {
             if !worker.is_recorded && batch.writes.len() < MAX_WORKER_ROWS {
-                batch.writes.push((WORKERS, worker.row_name(), vec![0]));
+                let value = vec![u8::from(worker.is_successor)];
+                batch.writes.push((WORKERS, worker.row_name(), value));
                 pending.recorded_workers.push(*key);
             }
         }
--- a/crates/hyssop-policy/src/owner/handover.rs
+++ b/crates/hyssop-policy/src/owner/handover.rs
@@ -45,6 +45,8 @@
     returns_ms: Option<u64>,
     /// How long the fleet's owner may shut it down together with its tasks, in milliseconds.
     released_ms: u64,
+    /// Whether it took the place of a previous incarnation.
+    is_successor: bool,
     /// The names of the tasks that it may run.
     tasks: Vec<String>,
     /// Those of them that were ordered to stop.
@@ -138,6 +140,7 @@
                 lease_ms: self.lease_left_ms(*key, now),
                 returns_ms: (!worker.is_listed).then_some(0),
                 released_ms: left_ms(worker.released_until.unwrap_or_default(), now),
+                is_successor: worker.is_successor,
                 tasks: names(&|_| true),
                 stopping: names(&|run| run.stopping_at.is_some()),
             };
@@ -151,6 +154,7 @@
                 lease_ms: 0,
                 returns_ms: self.returns_ms(unreported, now),
                 released_ms: 0,
+                is_successor: unreported.is_successor,
                 tasks: Vec::new(),
                 stopping: Vec::new(),
             });
@@ -245,6 +249,7 @@
                 lease_end: after_ms(now, entry.lease_ms),
                 may_return_until: entry.returns_ms.map(|ms| after_ms(now, ms)),
                 released_until: after_ms(now, entry.released_ms),
+                is_successor: entry.is_successor,
                 tasks: handover.has_placements.then(|| keys(&entry.tasks)),
                 stopping: keys(&entry.stopping),
             };
--- a/crates/hyssop-policy/src/owner/incarnation.rs
+++ b/crates/hyssop-policy/src/owner/incarnation.rs
@@ -79,7 +79,7 @@
         if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
             worker.is_listed &= is_listed;
             worker.other_listing = Some(previous);
-            worker.succeeded_at.get_or_insert(now);
+            worker.record_succession(now);
         }
     }
 
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -53,8 +53,10 @@
         for record in records.iter().filter(|record| record.table == WORKERS) {
             if let Some((id, incarnation)) = record.key.rsplit_once('@') {
                 let incarnation = incarnation.parse().unwrap_or(0);
+                let is_successor = record.value == [1];
+                let unreported = Unreported::unknown(lease_end, is_successor);
                 self.unreported_workers
-                    .insert((id.to_owned(), incarnation), Unreported::unknown(lease_end));
+                    .insert((id.to_owned(), incarnation), unreported);
             }
         }
         for (id, stored) in progress {
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -81,13 +81,14 @@
     fn record_succession(&mut self, (id, incarnation): &(String, i64), now: Duration) {
         let key = self.worker_key(id, *incarnation);
         if let Some(worker) = key.and_then(|key| self.workers.get_mut(&key)) {
-            worker.succeeded_at.get_or_insert(now);
+            worker.record_succession(now);
         }
     }
 
     fn insert_worker(&mut self, mut worker: Worker) -> WorkerKey {
         let key = WorkerKey(self.next_worker);
         self.next_worker += 1;
+        worker.is_successor |= self.is_inherited_successor(&worker);
         worker.lease_end = worker.lease_end.max(self.inherited_lease_end(&worker));
         worker.released_until = worker.released_until.max(self.inherited_release(&worker));
         self.removed_workers.remove(&worker.row_name());
--- a/crates/hyssop-policy/src/owner/unreported.rs
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -19,6 +19,8 @@
     pub(super) may_return_until: Option<Duration>,
     /// Until when the fleet's owner may shut it down.
     pub(super) released_until: Duration,
+    /// Whether it took the place of a previous incarnation.
+    pub(super) is_successor: bool,
     /// The tasks that it may run, `None` if any task may run there.
     pub(super) tasks: Option<BTreeSet<TaskKey>>,
     /// The tasks that the previous owner ordered to stop.
@@ -27,11 +29,12 @@
 
 impl Unreported {
     /// Creates a worker that may run any task until `lease_end`.
-    pub(super) fn unknown(lease_end: Duration) -> Self {
+    pub(super) fn unknown(lease_end: Duration, is_successor: bool) -> Self {
         Self {
             lease_end,
             may_return_until: None,
             released_until: Duration::ZERO,
+            is_successor,
             tasks: None,
             stopping: BTreeSet::new(),
         }
@@ -156,6 +159,13 @@
         unreported.map_or(Duration::ZERO, |unreported| unreported.lease_end)
     }
 
+    /// Returns whether an earlier owner knew that a worker took the place of a previous incarnation.
+    pub(super) fn is_inherited_successor(&self, worker: &Worker) -> bool {
+        let name = (worker.listing.id.clone(), worker.listing.incarnation);
+        let unreported = self.unreported_workers.get(&name);
+        unreported.is_some_and(|unreported| unreported.is_successor)
+    }
+
     /// Returns until when the fleet's owner may shut a worker down by the previous owner's release,
     /// `None` if there is none.
     pub(super) fn inherited_release(&self, worker: &Worker) -> Option<Duration> {
@@ -187,6 +197,7 @@
                 let next = Unreported {
                     lease_end,
                     may_return_until: None,
+                    is_successor: true,
                     ..known
                 };
                 self.unreported_workers.insert(name.clone(), next);
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -11,6 +11,9 @@
     /// When this incarnation took the place of a previous one that the owner knew, `None` if it
     /// knew none.
     pub(super) succeeded_at: Option<Duration>,
+    /// Whether it took the place of a previous incarnation in any term. Starts that were meant for
+    /// that one may grant it leases of the longest kind.
+    pub(super) is_successor: bool,
     /// Whether the registry still lists the worker.
     pub(super) is_listed: bool,
     /// The last registration of another incarnation that no report has confirmed.
@@ -90,6 +93,7 @@
         Self {
             listing,
             succeeded_at: None,
+            is_successor: false,
             is_listed: true,
             other_listing: None,
             disputed_at: None,
@@ -122,6 +126,12 @@
         }
     }
 
+    /// Records that it took the place of a previous incarnation at `now`.
+    pub(super) fn record_succession(&mut self, now: Duration) {
+        self.succeeded_at.get_or_insert(now);
+        self.is_successor = true;
+    }
+
     /// Returns the earliest time that the worker's clock may show at `now`, in milliseconds.
     ///
     /// The clock may run slow by the factor `drift`, so the bound falls behind with the age of the
@@ -152,7 +162,7 @@
         lease_span: Duration,
         now: Duration,
     ) {
-        if self.succeeded_at.is_some() || !self.runs.is_empty() {
+        if self.is_successor || !self.runs.is_empty() {
             return;
         }
         let span = if report.running.is_empty() && report.completions.is_empty() {
--- a/crates/hyssop-policy/tests/handover.rs
+++ b/crates/hyssop-policy/tests/handover.rs
@@ -34,6 +34,7 @@
     lease_ms: u64,
     returns_ms: Option<u64>,
     released_ms: u64,
+    is_successor: bool,
     tasks: Vec<String>,
     stopping: Vec<String>,
 }
