owner: bound the durations of a handover by what an owner may count on

A row with a huge lease kept the tasks that it names waiting for an hour, where a row that can't be read costs one lease. Each duration is now limited to the longest one that an owner could have written.

--- a/crates/hyssop-policy/src/owner/budget.rs
+++ b/crates/hyssop-policy/src/owner/budget.rs
@@ -6,7 +6,7 @@
 
 /// How long after its release the fleet's owner may shut down a worker. Must not exceed
 /// `Settings::interrupt_pause`, after which the pool's next owner may interrupt tasks.
-const RELEASE_DURATION: Duration = Duration::from_millis(2_500);
+pub(super) const RELEASE_DURATION: Duration = Duration::from_millis(2_500);
 /// A released worker is reported to the fleet's owner only while at least this much time remains:
 /// the maximum time that the order to shut it down takes.
 pub(super) const MIN_RELEASE_LEFT: Duration = Duration::from_millis(2_000);
--- a/crates/hyssop-policy/src/owner/handover.rs
+++ b/crates/hyssop-policy/src/owner/handover.rs
@@ -1,6 +1,7 @@
+use super::budget::RELEASE_DURATION;
 use super::order::task_name;
-use super::unreported::Unreported;
-use super::worker::Worker;
+use super::unreported::{Unreported, RELISTING_TIME};
+use super::worker::{Worker, IN_FLIGHT};
 use super::{Record, Scheduler, TaskKey, WorkerKey};
 use hyssop_model::work;
 use hyssop_platform::rows::{decode, encode};
@@ -195,6 +196,17 @@
         Some(left_ms(until, now))
     }
 
+    /// Returns the longest lease that an owner may count on for a worker. A row can't hold up a task
+    /// for longer.
+    fn longest_lease(&self, entry: &Entry) -> Duration {
+        let span = if entry.is_successor {
+            IN_FLIGHT + self.settings.max_lease_span()
+        } else {
+            self.settings.lease_span()
+        };
+        self.settings.authority + span
+    }
+
     fn lease_left_ms(&self, key: WorkerKey, now: Duration) -> u64 {
         let lease_end = self.workers.get(&key).map(|worker| worker.lease_end);
         left_ms(lease_end.unwrap_or_default(), now)
@@ -246,9 +258,9 @@
                 names.iter().filter_map(|name| self.task_of(name)).collect()
             };
             let known = Unreported {
-                lease_end: after_ms(now, entry.lease_ms),
-                may_return_until: entry.returns_ms.map(|ms| after_ms(now, ms)),
-                released_until: after_ms(now, entry.released_ms),
+                lease_end: after_ms(now, entry.lease_ms, self.longest_lease(&entry)),
+                may_return_until: entry.returns_ms.map(|ms| after_ms(now, ms, RELISTING_TIME)),
+                released_until: after_ms(now, entry.released_ms, RELEASE_DURATION),
                 is_successor: entry.is_successor,
                 tasks: handover.has_placements.then(|| keys(&entry.tasks)),
                 stopping: keys(&entry.stopping),
@@ -268,7 +280,8 @@
         self.predecessor_end = now;
         if handover.has_placements {
             // The stops and releases of the previous owner are known.
-            self.interrupts_from = after_ms(now, handover.interrupt_pause_ms);
+            let pause = self.settings.interrupt_pause;
+            self.interrupts_from = after_ms(now, handover.interrupt_pause_ms, pause);
         }
         let wait_end = self.unreported_workers.values().map(|w| w.lease_end).max();
         log::info!(
@@ -291,9 +304,7 @@
     end.saturating_sub(now).as_micros().div_ceil(1_000) as u64
 }
 
-/// Returns the time `ms` milliseconds after `now`, at most an hour: a row can't hold up a pool for
-/// longer.
-fn after_ms(now: Duration, ms: u64) -> Duration {
-    const MAX_MS: u64 = 3_600_000;
-    now + Duration::from_millis(ms.min(MAX_MS))
+/// Returns the time `ms` milliseconds after `now`, at most `longest` after it.
+fn after_ms(now: Duration, ms: u64, longest: Duration) -> Duration {
+    now + Duration::from_millis(ms).min(longest)
 }
--- a/crates/hyssop-policy/src/owner/unreported.rs
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -7,7 +7,7 @@
 
 /// How long after the registry was read a live worker may still be missing from it: the platform
 /// restores entries that expired during an outage of its store within about two seconds.
-const RELISTING_TIME: Duration = Duration::from_millis(2_500);
+pub(super) const RELISTING_TIME: Duration = Duration::from_millis(2_500);
 
 /// A worker of an earlier term that has not reported in this one.
 #[derive(Clone, Debug, PartialEq, Eq)]
