owner: refuse a handover that names a worker twice

The last entry of a worker replaced the others, with the tasks that they named, which were then started at once. No owner writes such a row.

doubled_workers_of_a_handover_are_harmless failed before.

--- a/crates/hyssop-policy/src/owner/handover.rs
+++ b/crates/hyssop-policy/src/owner/handover.rs
@@ -66,6 +66,8 @@
     Layout,
     /// The row is that of another term.
     Term,
+    /// The row names a worker twice.
+    Doubled,
 }
 
 impl Scheduler {
@@ -265,7 +267,10 @@
                 tasks: handover.has_placements.then(|| keys(&entry.tasks)),
                 stopping: keys(&entry.stopping),
             };
-            unreported.insert((entry.id, entry.incarnation), known);
+            let name = (entry.id, entry.incarnation);
+            if unreported.insert(name, known).is_some() {
+                return Err(Refusal::Doubled);
+            }
         }
         let idle: Vec<(String, i64)> = self
             .unreported_workers
