owner: hand over the authority of the owner before the last

A planned stop forgot that an earlier owner which was cut off may still act for the rest of its authority. For a worker's next incarnation, which such an owner may reach with a start, the next owner counted the longest lease from the handover, up to 3 s too early, and could start a task beside its run (found by the review; it needs a cut-off owner, a planned stop and a restarted worker within 3 s).

The handover names what is left of that authority. What is known of several previous incarnations of a worker is joined in place of the last one.

next_incarnation_waits_for_the_authority_of_the_owner_before_the_last failed before: the task was started at 8700 ms, its lease may last until 11300 ms.

--- a/crates/hyssop-policy/src/owner/handover.rs
+++ b/crates/hyssop-policy/src/owner/handover.rs
@@ -31,6 +31,8 @@
     /// How long the owner would still have waited before it interrupted tasks with a budget, in
     /// milliseconds.
     interrupt_pause_ms: u64,
+    /// How long an earlier owner that doesn't know of its end may still act, in milliseconds.
+    authority_ms: u64,
     /// The workers that may run tasks, have completions to report or are released. All others are idle.
     workers: Vec<Entry>,
 }
@@ -81,9 +83,10 @@
         HANDOVER_KEY
     }
 
-    /// Stops to start and stop tasks, to extend leases and to apply reports, before a handover.
+    /// Stops to place tasks, to extend leases and to apply reports, before a handover.
     ///
     /// Workers repeat to the successor what they report meanwhile, since it isn't acknowledged.
+    /// Stops that were ordered earlier are still sent.
     pub fn begin_handover(&mut self) {
         self.is_handing_over = true;
     }
@@ -96,6 +99,7 @@
             term: self.term,
             has_placements: self.has_placements(),
             interrupt_pause_ms: left_ms(self.interrupts_from, now),
+            authority_ms: left_ms(self.predecessor_end, now),
             workers: self.handover_entries(now),
         };
         let limit = self.settings.row_limit();
@@ -229,7 +233,7 @@
         })
     }
 
-    /// Uses what the owner of `term` handed over, which was read from the store at `now`.
+    /// Uses what the owner of `from_term` handed over, which was read from the store at `now`.
     ///
     /// The rows must have been recovered. The leases that the handover names end that of all earlier
     /// owners, so workers that it doesn't name are not waited for.
@@ -240,7 +244,7 @@
     pub fn accept_handover(
         &mut self,
         records: &[Record],
-        term: u64,
+        from_term: u64,
         now: Duration,
     ) -> Result<(), Refusal> {
         let record = records
@@ -251,7 +255,7 @@
         if handover.layout != LAYOUT {
             return Err(Refusal::Layout);
         }
-        if handover.term != term {
+        if handover.term != from_term {
             return Err(Refusal::Term);
         }
         let mut unreported = BTreeMap::new();
@@ -282,7 +286,7 @@
         for (id, incarnation) in &idle {
             self.forget_row(id, *incarnation);
         }
-        self.predecessor_end = now;
+        self.predecessor_end = after_ms(now, handover.authority_ms, self.settings.authority);
         if handover.has_placements {
             // The stops and releases of the previous owner are known.
             let pause = self.settings.interrupt_pause;
@@ -290,7 +294,7 @@
         }
         let wait_end = self.unreported_workers.values().map(|w| w.lease_end).max();
         log::info!(
-            "event=handover-accepted pool={} term={} from={term} workers={} idle={} \
+            "event=handover-accepted pool={} term={} from={from_term} workers={} idle={} \
              has_placements={} wait_ms={}",
             self.pool,
             self.term,
--- a/crates/hyssop-policy/src/owner/unreported.rs
+++ b/crates/hyssop-policy/src/owner/unreported.rs
@@ -40,6 +40,18 @@
         }
     }
 
+    /// Returns what holds if the worker may run the tasks of both.
+    fn join(mut self, other: Self) -> Self {
+        self.lease_end = self.lease_end.max(other.lease_end);
+        self.released_until = self.released_until.max(other.released_until);
+        self.tasks = self.tasks.zip(other.tasks).map(|(mut tasks, others)| {
+            tasks.extend(others);
+            tasks
+        });
+        self.stopping.extend(other.stopping);
+        self
+    }
+
     /// Returns until when it may return to the registry, which was read at `registry_read_at` and
     /// doesn't list it.
     pub(super) fn returns_until(&self, registry_read_at: Duration) -> Duration {
@@ -200,6 +212,10 @@
                     is_successor: true,
                     ..known
                 };
+                let next = match self.unreported_workers.remove(name) {
+                    Some(other) => next.join(other),
+                    None => next,
+                };
                 self.unreported_workers.insert(name.clone(), next);
             }
         }
--- a/crates/hyssop-policy/tests/handover.rs
+++ b/crates/hyssop-policy/tests/handover.rs
@@ -24,6 +24,7 @@
     term: u64,
     has_placements: bool,
     interrupt_pause_ms: u64,
+    authority_ms: u64,
     workers: Vec<Entry>,
 }
 
@@ -656,3 +657,36 @@
 fn next_owner_after_a_crash_counts_on_the_longest_lease_of_a_next_incarnation() {
     check_counts_on_longest_lease(|pool| pool.recover(1_200));
 }
+
+/// The authority of an owner that had crashed, or was cut off, was forgotten by a planned stop of its
+/// successor.
+#[test]
+fn next_incarnation_waits_for_the_authority_of_the_owner_before_the_last() {
+    let (mut pool, silent, live) = two_runs();
+    pool.recover(1_200);
+    pool.register(&live.worker, 1_210);
+    pool.report_runs(&live.worker, 1_220);
+    pool.stop(1_500);
+    assert_eq!(pool.take_over(1_600), Ok(()));
+    let next = work::Worker {
+        incarnation: BORN + 50,
+        ..model::worker(&silent.worker)
+    };
+    pool.scheduler.register_worker(next, at(1_650));
+    let key = pool.key(&silent.worker);
+    pool.scheduler.on_report_failure(key, at(1_660));
+    pool.register(&live.worker, 1_660);
+    pool.report_runs(&live.worker, 1_670);
+    pool.join("w3", 1_670);
+    let settings = Settings::default();
+    let authority_end = 1_200 + settings.authority.as_millis() as u64;
+    let lease_end = authority_end + 700 + settings.max_lease_span().as_millis() as u64;
+    pool.scheduler.on_report_failure(key, at(lease_end - 40));
+    let early = pool.first_start(&silent.task, 1_680, lease_end - 20);
+    assert_eq!(early, None, "the lease may last until {lease_end} ms");
+    // The pause between the release and the takeover is added.
+    let lease_end = lease_end + 100;
+    pool.scheduler.on_report_failure(key, at(lease_end));
+    let late = pool.first_start(&silent.task, lease_end, lease_end + 500);
+    assert!(late.is_some());
+}
