edge: repeat a release that the store refuses or doesn't answer

A planned stop tried its release once. A refused call or a lost answer left the pool without an owner until the process had ended, seconds later, and the next owner then waited as after a crash. The review also found that a process that is stopped between its takeover and the start of its driver could take an ended driver of an earlier term for the present one and drop its predecessor's handover, and that leases were not extended during the whole flush and the read of the owner's row.

The release is read and written up to four times; a conflict with this process's own release counts as done. The driver must be of the released term. The owner stops to extend leases only right before the release, for a last flush of 150 ms at most. By reading; no test shows these yet.

--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -15,6 +15,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// How long an owner that releases its shard waits for its last changes to be stored.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(600);
+/// The attempts to read and to write an owner's row for a release.
+const MAX_RELEASE_ATTEMPTS: u32 = 4;
 
 /// Starts to acquire a shard with a new term, unless that is under way.
 pub(super) fn start(node: &Rc<Node>, shard: &str) {
@@ -287,7 +289,10 @@
 /// Releases one shard after its driver has stored its last changes, and hands it over in the same
 /// transaction.
 async fn release(node: &Rc<Node>, shard: &str, ownership: Ownership) {
-    let driver = node.driver(shard);
+    // A driver of an earlier term knows nothing of this one.
+    let driver = node
+        .driver(shard)
+        .filter(|driver| driver.term() == ownership.term);
     if let Some(driver) = &driver {
         driver.leave(FLUSH_TIMEOUT).await;
     }
@@ -295,33 +300,27 @@
         is_released: true,
         ..ownership
     };
-    if let Some(page) = node.store.read(OWNERS_TABLE, shard).await {
-        let row = page.rows.iter().find(|row| row.key.key == OWNER_KEY);
-        // This process may have been replaced without its knowledge.
-        let is_own =
-            |found: &Ownership| (&found.process, found.term) == (&released.process, released.term);
-        let own_row = row.filter(|row| registry::read_ownership(row).is_some_and(|o| is_own(&o)));
-        if let Some(row) = own_row {
-            let key = Key::new(OWNERS_TABLE, shard, OWNER_KEY);
-            let mut writes = Vec::new();
-            // Without a driver this process has not acted, and its predecessor's handover holds on.
-            if let Some(driver) = &driver {
-                let value = driver.hand_over();
-                released.handover = value.as_ref().map(|_| released.term);
-                let (table, name) = (Scheduler::handover_table(), Scheduler::handover_key());
-                writes.extend(value.map(|value| (Key::new(table, shard, name), value)));
-            }
-            writes.push((key.clone(), encode(&released)));
-            let transaction = Transaction {
-                expected: vec![(key, row.version)],
-                writes,
-                removes: Vec::new(),
-            };
-            let outcome = node.store.commit(&transaction).await;
-            log::info!("event=released part={shard} outcome={outcome:?}");
-        } else {
-            log::info!("event=release-skipped part={shard} reason=replaced");
+    // This process may have been replaced without its knowledge.
+    if let Some(version) = own_row_version(node, shard, &released).await {
+        let key = Key::new(OWNERS_TABLE, shard, OWNER_KEY);
+        let mut writes = Vec::new();
+        // Without a driver this process has not acted, and its predecessor's handover holds on.
+        if let Some(driver) = &driver {
+            let value = driver.hand_over().await;
+            released.handover = value.as_ref().map(|_| released.term);
+            let (table, name) = (Scheduler::handover_table(), Scheduler::handover_key());
+            writes.extend(value.map(|value| (Key::new(table, shard, name), value)));
         }
+        writes.push((key.clone(), encode(&released)));
+        let transaction = Transaction {
+            expected: vec![(key, version)],
+            writes,
+            removes: Vec::new(),
+        };
+        let outcome = commit_release(node, &transaction, &released).await;
+        log::info!("event=released part={shard} outcome={outcome:?}");
+    } else {
+        log::info!("event=release-skipped part={shard} reason=replaced-or-unread");
     }
     if let Some(driver) = driver {
         driver.depose("released");
@@ -331,3 +330,44 @@
         node.fleet_term.set(None);
     }
 }
+
+/// Returns the version of the owner's row, `None` if it names another owner or can't be read.
+async fn own_row_version(node: &Rc<Node>, shard: &str, own: &Ownership) -> Option<u64> {
+    for _ in 0..MAX_RELEASE_ATTEMPTS {
+        if let Some(page) = node.store.read(OWNERS_TABLE, shard).await {
+            let row = page.rows.iter().find(|row| row.key.key == OWNER_KEY)?;
+            let found = registry::read_ownership(row)?;
+            let is_own = (&found.process, found.term) == (&own.process, own.term);
+            return is_own.then_some(row.version);
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    None
+}
+
+/// Commits a release. The store may refuse a call or lose its answer, and a process that isn't seen
+/// to have released its shard keeps it from others until it has ended.
+async fn commit_release(
+    node: &Rc<Node>,
+    transaction: &Transaction,
+    released: &Ownership,
+) -> Result<Commit, Failure> {
+    let mut outcome = Err(Failure::Unsent);
+    for _ in 0..MAX_RELEASE_ATTEMPTS {
+        outcome = node.store.commit(transaction).await;
+        match &outcome {
+            Ok(Commit::Conflict(rows)) => {
+                let is_done = rows.iter().any(|row| row.value == encode(released));
+                return if is_done {
+                    Ok(Commit::Done(0))
+                } else {
+                    outcome
+                };
+            }
+            Ok(Commit::Done(_) | Commit::Invalid) => return outcome,
+            Ok(Commit::Refused | Commit::Uncertain) | Err(_) => {}
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    outcome
+}
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -87,13 +87,17 @@
         self.scheduler.borrow().term()
     }
 
-    /// Stops accepting jobs and acting on workers, and waits until all changes are stored, at most
+    /// Stops accepting jobs and starting runs, and waits until all changes are stored, at most
     /// `timeout`.
     pub(crate) async fn leave(&self, timeout: Duration) {
+        self.is_leaving.set(true);
+        self.flush(timeout).await;
+    }
+
+    /// Waits until all changes are stored, at most `timeout`.
+    async fn flush(&self, timeout: Duration) {
         /// The interval between checks for unstored changes.
         const POLL_INTERVAL: Duration = Duration::from_millis(10);
-        self.is_leaving.set(true);
-        self.scheduler.borrow_mut().begin_handover();
         self.store_wake.notify_one();
         let deadline = self.node.clock.now() + timeout;
         while self.scheduler.borrow().has_uncommitted() && self.node.clock.now() < deadline {
@@ -101,10 +105,15 @@
         }
     }
 
-    /// Returns the value of the row that describes the pool to its next owner, `None` if this
-    /// process may have been replaced or the row would be too large. [`Driver::leave`] must have
-    /// returned.
-    pub(crate) fn hand_over(&self) -> Option<Vec<u8>> {
+    /// Stops acting on workers, stores the last changes if the store answers soon, and returns the
+    /// value of the row that describes the pool to its next owner; `None` if this process may have
+    /// been replaced or the row would be too large.
+    pub(crate) async fn hand_over(&self) -> Option<Vec<u8>> {
+        /// Several times what a transaction takes usually. Leases are not extended any more, and
+        /// the next owner can't extend them yet.
+        const LAST_FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+        self.scheduler.borrow_mut().begin_handover();
+        self.flush(LAST_FLUSH_TIMEOUT).await;
         let scheduler = self.scheduler.borrow();
         if self.is_over() || scheduler.is_deposed() {
             return None;
