edge tests: planned stops close requests without an answer

Callers that submit on kept and on new connections while every process, or one, gets SIGTERM; also with a store that doesn't answer, and with a body that is sent in part. Each request that a process took must have a complete answer, each refusal a Retry-After, and no refused job may run later. A connection that is reset without any answer to its first request counts as not taken: the kernel resets connections that were never accepted, while a process that has read a request ends its connection without a reset.

--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // No test binary uses all of these helpers.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod caller;
+
 use platform_standin::{Platform, Shape};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
