edge: answer every request before a planned exit

Callers of a process that stopped as planned got no answer at all if their requests were open at its exit (event=end active=8), most often while no process owned their pool. The process took requests until its exit, waited for its release without a bound, counted callers that had left as requests in flight, and dropped what was open.

A stop now goes through stages. Connections end with their next answer from 2.5 s on, after the balancer's two missed probes; the listener closes at the former earliest time of exit, after the accepted backlog has been served; 0.25 s later, requests on open connections are refused with Retry-After, as they have not run. At the latest 0.2 s before the exit, drivers are deposed, which withdraws submissions that have not been sent to the store, and each open request, of callers and of peers, gets its final answer: 503 if it has certainly not run, 504 if it may be stored, both with Retry-After. Connections are then shut down in order, within the time of the exit. The release runs beside this, so a store that doesn't answer doesn't hold up the answers.

Requests aren't sent to a process that has released the shard: it may exit meanwhile, which made a submission that had not run an unknown one. A request for a pool without an owner is refused at once if every process is stopping.

--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -3,7 +3,7 @@
 use crate::front::{self, Traffic};
 use crate::http::Client;
 use crate::metric::Metrics;
-use crate::node::{Clock, Node, Timing};
+use crate::node::{Clock, Node, Stage, Timing};
 use crate::ownership::{
     confirm_with_peers, follow_owners, monitor_shards, register, release_all, remove_lost_members,
     Suspects,
@@ -25,9 +25,22 @@
 
 /// The time between the end of the process and its kill by the platform.
 const EXIT_MARGIN: Duration = Duration::from_millis(800);
+/// The balancer sends no new connections after two missed probes, a second apart.
+const ROTATION_TIME: Duration = Duration::from_millis(2_500);
+/// The share of the time until the exit after which connections are closed with their next answer
+/// at the latest, if it is too short for [`ROTATION_TIME`].
+const PARTING_SHARE: f64 = 0.5;
+/// The share of the time until the exit in which connections are accepted; a request that waits for
+/// a failover, which takes about a second, is served within the rest.
+const ACCEPTING_SHARE: f64 = 0.7;
+/// How long requests on connections that were opened before the listener was closed are on their
+/// way, and are still served.
+const ARRIVAL_TIME: Duration = Duration::from_millis(250);
+/// The time between the final answers and the exit, in which they reach callers and peers.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// The only supported way of sending orders to workers.
 const ORDERS_BY_CALL: &str = "call";
-/// The interval between checks for requests in flight during a stop.
+/// The interval between checks for open requests and connections during a stop.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Runs the process until it receives SIGTERM.
@@ -103,6 +116,7 @@
         changes: watch::channel(0).0,
         configuration_outdated: Notify::new(),
         is_stopping: Cell::new(false),
+        stage: watch::channel(Stage::Serving).0,
         is_registered: Cell::new(false),
         fleet_seen_at: Cell::new(Duration::ZERO),
         acquiring: RefCell::default(),
@@ -152,12 +166,7 @@
     spawn_local(monitor_shards(node.clone()));
     spawn_local(remove_lost_members(node.clone()));
     spawn_local(confirm_with_peers(node.clone()));
-    spawn_local(front::serve(
-        node.clone(),
-        ready,
-        Rc::default(),
-        front::probe,
-    ));
+    spawn_local(front::serve_probes(node.clone(), ready, front::probe));
     spawn_local(front::serve(
         node.clone(),
         front,
@@ -177,10 +186,10 @@
 }
 
 /// Releases all shards, continues to forward callers' requests to the new owners for most of the
-/// remaining time, and returns when no request is in flight.
+/// remaining time, and returns once all requests are answered.
 async fn stop(node: &Rc<Node>, traffic: &Traffic) {
     let started_at = node.clock.now();
-    let deadline = started_at + node.timing.grace_period.saturating_sub(EXIT_MARGIN);
+    let time = node.timing.grace_period.saturating_sub(EXIT_MARGIN);
     node.is_stopping.set(true);
     log::info!(
         "event=stop node={} active={}",
@@ -188,18 +197,52 @@
         traffic.active.get()
     );
     spawn_local(register(node.clone(), true));
-    release_all(node).await;
-    let min_exit_at = started_at + (deadline.saturating_sub(started_at)).mul_f64(0.7);
-    while node.clock.now() < deadline {
-        if node.clock.now() >= min_exit_at && traffic.active.get() == 0 {
-            break;
-        }
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
+    let releasing = node.clone();
+    let release = spawn_local(async move { release_all(&releasing).await });
+    let sleep_until = |time: Duration| {
+        let elapsed = node.clock.now().saturating_sub(started_at);
+        tokio::time::sleep(time.saturating_sub(elapsed))
+    };
+    let begin = |stage: Stage| {
+        log::info!(
+            "event=stop-stage node={} stage={stage:?} active={} connections={} after_ms={}",
+            node.name,
+            traffic.active.get(),
+            traffic.connections.get(),
+            node.clock.now().saturating_sub(started_at).as_millis()
+        );
+        node.stage.send_replace(stage);
+    };
+    sleep_until(ROTATION_TIME.min(time.mul_f64(PARTING_SHARE))).await;
+    begin(Stage::Parting);
+    let closing_at = time.mul_f64(ACCEPTING_SHARE);
+    sleep_until(closing_at).await;
+    begin(Stage::Closed);
+    sleep_until(closing_at + ARRIVAL_TIME).await;
+    begin(Stage::Refusing);
+    let answering_at = started_at + time.saturating_sub(ANSWER_TIME);
+    wait_until(node, answering_at, || {
+        traffic.active.get() == 0 && release.is_finished()
+    })
+    .await;
+    // The requests that wait for an owner of this process learn whether their jobs may be stored.
+    let drivers: Vec<_> = node.drivers.borrow().values().cloned().collect();
+    drivers.iter().for_each(|driver| driver.depose("exit"));
+    begin(Stage::Final);
+    tokio::time::sleep(POLL_INTERVAL).await;
+    wait_until(node, started_at + time, || traffic.connections.get() == 0).await;
     log::info!(
-        "event=end node={} active={} after_ms={}",
+        "event=end node={} active={} connections={} after_ms={}",
         node.name,
         traffic.active.get(),
+        traffic.connections.get(),
         node.clock.now().saturating_sub(started_at).as_millis()
     );
 }
+
+/// Waits until `condition` is met, or until `deadline`.
+async fn wait_until(node: &Node, deadline: Duration, condition: impl Fn() -> bool) {
+    while !condition() && node.clock.now() < deadline {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
--- a/crates/hyssop-edge/src/front/handler.rs
+++ b/crates/hyssop-edge/src/front/handler.rs
@@ -1,4 +1,4 @@
-use crate::node::{Endpoint, Node, Route};
+use crate::node::{Endpoint, Node, Route, Stage};
 use crate::ownership::{locate_owner, report_owner};
 use crate::peer::{Answer, Operation};
 use bytes::Bytes;
@@ -62,19 +62,25 @@
         return error_response(&node, StatusCode::BAD_REQUEST, reason, 0);
     }
     let method = request.method().clone();
-    match method {
-        Method::POST => {
-            let limit = configuration.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES);
-            let body = match Limited::new(request.into_body(), limit).collect().await {
-                Ok(body) => body.to_bytes(),
-                Err(error) => {
-                    let reason =
-                        format!("the body can't be read or exceeds {limit} bytes: {error}");
-                    return error_response(&node, StatusCode::PAYLOAD_TOO_LARGE, &reason, 0);
-                }
-            };
-            submit(&node, queue, id, &body, received_at, deadline).await
+    let limit = configuration.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES);
+    // A connection that is closed before the body is read may lose the answer.
+    let body = tokio::select! {
+        biased;
+        body = Limited::new(request.into_body(), limit).collect() => body,
+        () = node.reached(Stage::Final) => return refuse_while_stopping(&node, &method, &path),
+    };
+    let body = match body {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            let reason = format!("the body can't be read or exceeds {limit} bytes: {error}");
+            return error_response(&node, StatusCode::PAYLOAD_TOO_LARGE, &reason, 0);
         }
+    };
+    if node.stage() >= Stage::Refusing {
+        return refuse_while_stopping(&node, &method, &path);
+    }
+    match method {
+        Method::POST => submit(&node, queue, id, &body, received_at, deadline).await,
         Method::GET if is_listing => waiting(&node, queue, deadline).await,
         Method::GET => phase(&node, queue, id, deadline).await,
         Method::DELETE => cancel(&node, queue, id, deadline).await,
@@ -87,6 +93,14 @@
     }
 }
 
+/// Refuses a request that arrived when the process took no more requests; it has not run.
+fn refuse_while_stopping(node: &Node, method: &Method, path: &str) -> Reply {
+    log::info!("event=refused-stopping method={method} path={path}");
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let reason = "the process is stopping; the request has not run";
+    error_response(node, status, reason, RETRY_AFTER_MS)
+}
+
 /// Submits a job to its pool's owner.
 async fn submit(
     node: &Rc<Node>,
@@ -133,12 +147,16 @@
                 RETRY_AFTER_MS,
             )
         }
-        _ => error_response(
-            node,
-            StatusCode::GATEWAY_TIMEOUT,
-            "unknown whether the job is stored",
-            0,
-        ),
+        _ => {
+            let reason = "unknown whether the job is stored";
+            // The caller's own deadline has not passed if the stop has ended the wait.
+            let retry_ms = if node.is_stopping.get() {
+                RETRY_AFTER_MS
+            } else {
+                0
+            };
+            error_response(node, StatusCode::GATEWAY_TIMEOUT, reason, retry_ms)
+        }
     }
 }
 
@@ -240,7 +258,11 @@
     loop {
         seek_owner(node, shard, started_at);
         let now = node.clock.now();
-        if now >= deadline || (!was_sent && now.saturating_sub(started_at) >= OWNER_WAIT) {
+        let is_over = now >= deadline
+            || (!was_sent && now.saturating_sub(started_at) >= OWNER_WAIT)
+            || node.stage() >= Stage::Final
+            || node.is_abandoned(shard);
+        if is_over {
             return if was_sent {
                 Outcome::Unanswered
             } else {
@@ -259,6 +281,7 @@
                 tokio::select! {
                     answer = request => answer,
                     () = owner_replaced(node, shard, &link.peer) => None,
+                    () = node.reached(Stage::Final) => None,
                 }
             }
         };
@@ -270,7 +293,10 @@
         /// The maximum wait for a changed owner or link before the next attempt; an owner's row
         /// arrives a little after its link opens.
         const RETRY_PAUSE: Duration = Duration::from_millis(60);
-        let _ = tokio::time::timeout(RETRY_PAUSE, changes.changed()).await;
+        tokio::select! {
+            _ = tokio::time::timeout(RETRY_PAUSE, changes.changed()) => {}
+            () = node.reached(Stage::Final) => {}
+        }
     }
 }
 
--- a/crates/hyssop-edge/src/front/mod.rs
+++ b/crates/hyssop-edge/src/front/mod.rs
@@ -6,4 +6,4 @@
 
 pub(crate) use handler::handle;
 pub(crate) use ready::probe;
-pub(crate) use server::{serve, Traffic};
+pub(crate) use server::{serve, serve_probes, Traffic};
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -1,4 +1,4 @@
-use super::{Clock, Member, Ownership, Route, TrackedWave};
+use super::{Clock, Member, Ownership, Route, Stage, TrackedWave};
 use crate::http::Client;
 use crate::metric::Metrics;
 use crate::ownership::{Suspects, OWNERS_TABLE};
@@ -73,6 +73,8 @@
     /// Triggers a read of the configuration when a peer has a newer version.
     pub(crate) configuration_outdated: Notify,
     pub(crate) is_stopping: Cell<bool>,
+    /// How far the stop has come, to wake those who wait for a stage.
+    pub(crate) stage: watch::Sender<Stage>,
     /// Whether the store has confirmed this process's member row. Peers take an owner without one
     /// for lost, so a process takes over nothing before.
     pub(crate) is_registered: Cell<bool>,
@@ -107,6 +109,27 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Returns how far the stop of this process has come.
+    pub(crate) fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+
+    /// Waits until the stop of this process has come as far as `stage`.
+    pub(crate) async fn reached(&self, stage: Stage) {
+        let mut stages = self.stage.subscribe();
+        // The sender lives as long as this node.
+        let _ = stages.wait_for(|reached| *reached >= stage).await;
+    }
+
+    /// Returns whether a shard has no owner and no process to take it over: every process is
+    /// stopping.
+    pub(crate) fn is_abandoned(&self, shard: &str) -> bool {
+        let owners = self.owners.borrow();
+        let has_owner = owners.get(shard).is_some_and(|owner| !owner.is_released);
+        let may_own = |member: &Member| !member.is_leaving && member.node != self.name;
+        self.is_stopping.get() && !has_owner && !self.members.borrow().values().any(may_own)
+    }
+
     /// Applies a configuration unless the current one is as new or newer.
     pub(crate) fn configure(&self, configuration: Configuration) {
         let current = self.configuration.borrow().version;
@@ -249,13 +272,19 @@
         self.drivers.borrow().get(shard).cloned()
     }
 
-    /// Returns the route to a shard's owner, or `None` if the owner is unknown or not connected
-    /// yet. A link to it is opened then, and subscribers are notified once it is open.
+    /// Returns the route to a shard's owner, or `None` if the owner is unknown, has released the
+    /// shard or is not connected yet. A link to it is opened then, and subscribers are notified once it is open.
     pub(crate) fn route_to(self: &Rc<Self>, shard: &str) -> Option<Route> {
         if self.driver(shard).is_some_and(|driver| !driver.is_over()) {
             return Some(Route::Local);
         }
-        let owner = self.owners.borrow().get(shard)?.endpoint();
+        let owner = {
+            let owners = self.owners.borrow();
+            // A process that has released the shard may exit while it is asked, after which nobody
+            // knows that it has not performed the operation.
+            let owner = owners.get(shard).filter(|owner| !owner.is_released)?;
+            owner.endpoint()
+        };
         if owner.node == self.name {
             return None;
         }
--- a/crates/hyssop-edge/src/node/mod.rs
+++ b/crates/hyssop-edge/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod owner;
 mod route;
+mod stage;
 mod wave;
 
 pub(crate) use clock::Clock;
@@ -12,4 +13,5 @@
 pub(crate) use endpoint::Endpoint;
 pub(crate) use owner::{Member, Ownership};
 pub(crate) use route::Route;
+pub(crate) use stage::Stage;
 pub(crate) use wave::TrackedWave;
