fleet: owners pass on what is left of the minimum interval

Cause: each new owner of the fleet shard leaves the instances that its predecessors ordered lately alone for the whole minimum interval, counted from its own start. With owners stopped 1 s apart the interval of 3.5 s never ended; the instances count against the wave's cap meanwhile, so nothing else could be ordered either. And an owner's row named its own orders only, so the owner after the next could have changed an instance within the interval.

An owner that is stopped now stores what is left of the interval for each instance in the transaction that releases the shard. The row holds durations and the term, so it needs no common clock; only the next term uses it, and without it, or for a term that ended otherwise, the whole interval counts as before. An answered order counts from its answer. Inherited instances stay in the list of the new owner.

--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -109,6 +109,7 @@
         owners: RefCell::default(),
         drivers: RefCell::default(),
         fleet_term: Cell::new(None),
+        recent_orders: RefCell::default(),
         followed_version: Cell::new(0),
         topology: Cell::new(0),
         suspects: Suspects::default(),
--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -9,7 +9,7 @@
 use hyssop_model::work::Instance;
 use hyssop_platform::dialect::{self, Transfer};
 use hyssop_platform::rows::{encode, Key, Transaction};
-use hyssop_policy::fleet::{Decision, Fleet, Settings};
+use hyssop_policy::fleet::{Decision, Fleet, RecentOrders, Settings};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -52,9 +52,6 @@
     /// The workers due for maintenance as last acknowledged by each pool, and when.
     reported_due: BTreeMap<String, (Duration, BTreeSet<String>)>,
     is_base_stored: bool,
-    /// Instances ordered to change within the gap between two owners, and the latest time of the
-    /// order.
-    recent: BTreeMap<String, Duration>,
     /// The waves as stored, by their numbers.
     pub(super) stored: BTreeMap<u64, WaveRow>,
     /// Whether each wave was last published as done.
@@ -70,7 +67,7 @@
                 base,
                 waves,
                 recent,
-            }) = read(&node, committer.version()).await
+            }) = read(&node, term, committer.version()).await
             else {
                 if node.fleet_term.get() == Some(term) {
                     node.fleet_term.set(None);
@@ -87,7 +84,6 @@
                 fleet: RefCell::new(Fleet::new(Settings::default(), base, progress)),
                 observed_at: Duration::ZERO,
                 unanswered_since: BTreeMap::new(),
-                recent: BTreeMap::new(),
                 node,
                 term,
                 committer,
@@ -95,14 +91,23 @@
                 reported_due: BTreeMap::new(),
                 reported: BTreeMap::new(),
             };
-            let until = acquired_at + controller.gap();
+            let gap = controller.gap();
+            let mut orders = RecentOrders::new(gap);
             match recent {
-                Some(recent) => controller.fleet.borrow_mut().exclude(recent, until),
+                Some(recent) => {
+                    let inherited = recent.len();
+                    for (instance, left) in recent {
+                        let until = orders.inherit(instance.clone(), left, acquired_at);
+                        controller.fleet.borrow_mut().exclude([instance], until);
+                    }
+                    log::info!("event=holder-started term={term} recent={inherited}");
+                }
                 None => {
-                    let wait = until.saturating_sub(controller.node.clock.now());
+                    let wait = (acquired_at + gap).saturating_sub(controller.node.clock.now());
                     tokio::time::sleep(wait).await;
                 }
             }
+            *controller.node.recent_orders.borrow_mut() = Some((term, orders));
             controller.run().await;
         });
     }
@@ -350,18 +355,20 @@
             transaction.writes.push((key, value));
         }
         let requested_at = self.node.clock.now();
-        let gap = self.gap();
-        self.recent
-            .retain(|_, ordered_at| requested_at.saturating_sub(*ordered_at) < gap);
         // The commit is abandoned at this time, so no order is sent later.
         let until = requested_at + CALL_TIMEOUT;
         // The rest is decided again once earlier orders have left the row.
         let room = self.node.timing.scheduler.max_row_bytes;
-        changes.truncate(announce(&mut self.recent, &changes, until, room));
+        let Some(names) = self.with_recent_orders(|orders| {
+            orders.expire(requested_at);
+            changes.truncate(orders.announce(&changes, until, room));
+            orders.names().cloned().collect::<BTreeSet<String>>()
+        }) else {
+            return false;
+        };
         if changes.is_empty() {
             return true;
         }
-        let names: BTreeSet<&String> = self.recent.keys().collect();
         let key = Key::new(TABLE, FLEET, RECENT_KEY);
         transaction.writes.push((key, encode(&names)));
         let clock = self.node.clock.clone();
@@ -383,6 +390,13 @@
         true
     }
 
+    /// Applies `apply` to the list of recent orders; returns `None` if it is another term's.
+    fn with_recent_orders<T>(&self, apply: impl FnOnce(&mut RecentOrders) -> T) -> Option<T> {
+        let mut recent = self.node.recent_orders.borrow_mut();
+        let (term, orders) = recent.as_mut()?;
+        (*term == self.term).then(|| apply(orders))
+    }
+
     /// Returns whether orders may be sent by a confirmation of the term requested at `requested_at`
     /// and by the latest observations.
     fn may_order(&self, requested_at: Duration) -> bool {
@@ -421,6 +435,10 @@
         let label = outcome.map_or_else(|| "lost".to_owned(), |outcome| outcome.to_string());
         self.node.metrics.count_transfer(&label);
         let now = self.node.clock.now();
+        if outcome.is_some() {
+            // Without the list the term has ended, and its successor counts from the stored one.
+            self.with_recent_orders(|orders| orders.on_answered(change.instance(), now));
+        }
         let fleet = &mut *self.fleet.borrow_mut();
         if outcome == Some(dialect::Change::Done) {
             fleet.on_accepted(change.instance(), now);
@@ -435,28 +453,3 @@
         }
     }
 }
-
-/// Adds the instances of `changes` to those ordered recently, as far as the encoded names take at
-/// most `room` bytes; returns how many changes are announced.
-fn announce(
-    recent: &mut BTreeMap<String, Duration>,
-    changes: &[Transfer],
-    until: Duration,
-    room: usize,
-) -> usize {
-    /// The largest header of an encoded text or list.
-    const HEADER_BYTES: usize = 5;
-    let size = |name: &str| HEADER_BYTES + name.len();
-    let mut bytes = HEADER_BYTES + recent.keys().map(|name| size(name)).sum::<usize>();
-    for (number, change) in changes.iter().enumerate() {
-        let name = change.instance();
-        if !recent.contains_key(name) {
-            bytes += size(name);
-        }
-        if bytes > room {
-            return number;
-        }
-        recent.insert(name.to_owned(), until);
-    }
-    changes.len()
-}
--- a/crates/hyssop-edge/src/fleet/mod.rs
+++ b/crates/hyssop-edge/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod waves;
 
 pub(crate) use controller::Controller;
+pub(crate) use stored::left_row;
 
 /// The table of the controller's rows.
 const TABLE: &str = "holder";
@@ -13,5 +14,7 @@
 const BASE_KEY: &str = "base";
 /// The key of the row with the instances that were recently ordered to change.
 const RECENT_KEY: &str = "recent";
+/// The key of the row with what was left of the gap between two owners at a release.
+const LEFT_KEY: &str = "left";
 /// The prefix of the keys of the waves' progress rows.
 const PROGRESS_PREFIX: &str = "campaign/";
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -7,6 +7,7 @@
 use crate::store::Store;
 use hyssop_model::work::Configuration;
 use hyssop_platform::dialect::Dialect;
+use hyssop_policy::fleet::RecentOrders;
 use hyssop_policy::owner::Settings;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -62,6 +63,8 @@
     pub(crate) drivers: RefCell<BTreeMap<String, Rc<Driver>>>,
     /// The term in which this process owns the fleet shard.
     pub(crate) fleet_term: Cell<Option<u64>>,
+    /// The recent orders of the fleet shard's controller, with its term.
+    pub(crate) recent_orders: RefCell<Option<(u64, RecentOrders)>>,
     /// The newest version of the rows of members and owners that were followed so far.
     pub(crate) followed_version: Cell<u64>,
     /// Incremented on each change of a member or an owner.
--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -311,6 +311,9 @@
             let (table, name) = (Scheduler::handover_table(), Scheduler::handover_key());
             writes.extend(value.map(|value| (Key::new(table, shard, name), value)));
         }
+        if shard == FLEET {
+            writes.extend(fleet::left_row(node, released.term));
+        }
         writes.push((key.clone(), encode(&released)));
         let transaction = Transaction {
             expected: vec![(key, version)],
--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -8,11 +8,13 @@
 mod history;
 mod maintain;
 mod progress;
+mod recent;
 mod report;
 mod settings;
 mod supply;
 
 pub use progress::Progress;
+pub use recent::RecentOrders;
 pub use settings::Settings;
 
 use crate::owner::{Demand, Load};
