failover: instances restarted in a series take pools over first

What was seen: during a series of planned restarts pools move to instances that are about to be stopped although others have been restarted already.

Cause: the order of succession knows CPU shares only. The row of a stopping process now names the first stop of the series under way, as a version of the store, so that all processes tell from the same rows who has been restarted since, without any clock of another instance. A process that starts meanwhile learns the series from these rows; 30 s without a stop end it. Restarted instances go before the others unless one of those has twice their CPU share per shard. Without a stopping member the order is as before.

--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -113,6 +113,7 @@
         followed_version: Cell::new(0),
         topology: Cell::new(0),
         suspects: Suspects::default(),
+        series: Cell::default(),
         links: Links::default(),
         changes: watch::channel(0).0,
         configuration_outdated: Notify::new(),
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -7,6 +7,7 @@
 use crate::store::Store;
 use hyssop_model::work::Configuration;
 use hyssop_platform::dialect::Dialect;
+use hyssop_policy::failover::Series;
 use hyssop_policy::fleet::RecentOrders;
 use hyssop_policy::owner::Settings;
 use std::cell::{Cell, RefCell};
@@ -70,6 +71,8 @@
     /// Incremented on each change of a member or an owner.
     pub(crate) topology: Cell<u64>,
     pub(crate) suspects: Suspects,
+    /// The series of planned stops under way.
+    pub(crate) series: Cell<Series>,
     pub(crate) links: Links,
     /// Incremented on each change of an owner or a link, to wake its subscribers.
     pub(crate) changes: watch::Sender<u64>,
--- a/crates/hyssop-edge/src/node/owner.rs
+++ b/crates/hyssop-edge/src/node/owner.rs
@@ -51,7 +51,12 @@
     pub(crate) share: u64,
     /// Whether the process is stopping and must not take over shards.
     pub(crate) is_leaving: bool,
-    /// The row's version, 0 for this process's own row.
+    /// In the row of a stopping process, the version of the row that announced the first stop of
+    /// the series of planned stops under way, `None` if this stop is the first one known. The rows
+    /// of earlier versions have none.
+    #[serde(default)]
+    pub(crate) series: Option<u64>,
+    /// The row's version, 0 for this process's own row until the store has confirmed it.
     #[serde(skip)]
     pub(crate) version: u64,
 }
--- a/crates/hyssop-edge/src/ownership/candidates.rs
+++ b/crates/hyssop-edge/src/ownership/candidates.rs
@@ -13,6 +13,13 @@
         }
     }
     let members = node.members.borrow();
+    // From the rows alone, so that all processes come to the same order.
+    let series = members
+        .values()
+        .filter(|member| member.is_leaving)
+        .map(|member| member.series.unwrap_or(member.version))
+        .filter(|first| *first > 0)
+        .min();
     let candidates: Vec<Candidate> = members
         .values()
         .filter(|member| !member.is_leaving)
@@ -21,6 +28,7 @@
             data_centre: member.data_centre.clone(),
             owned: owned.get(member.node.as_str()).copied().unwrap_or(0),
             share: member.share,
+            is_renewed: series.is_some_and(|first| member.version > first),
         })
         .collect();
     failover::rank(vacant, &candidates)
--- a/crates/hyssop-edge/src/ownership/registry.rs
+++ b/crates/hyssop-edge/src/ownership/registry.rs
@@ -20,6 +20,11 @@
         data_centre: node.data_centre.clone(),
         share: node.share,
         is_leaving,
+        series: node
+            .series
+            .get()
+            .first(node.clock.now())
+            .filter(|_| is_leaving),
         version: 0,
     };
     node.members
@@ -29,8 +34,14 @@
         writes: vec![(Key::new(OWNERS_TABLE, "", &node.name), encode(&member))],
         ..Transaction::default()
     };
-    while !matches!(node.store.commit(&transaction).await, Ok(Commit::Done(_))) {
-        tokio::time::sleep(RETRY_PAUSE).await;
+    let version = loop {
+        match node.store.commit(&transaction).await {
+            Ok(Commit::Done(version)) => break version,
+            _ => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    };
+    if let Some(own) = node.members.borrow_mut().get_mut(&node.name) {
+        own.version = own.version.max(version);
     }
     node.is_registered.set(true);
 }
@@ -91,7 +102,11 @@
         return;
     }
     if row.key.shard.is_empty() {
-        if let Some(member) = read_member(row).filter(|member| member.node != node.name) {
+        let member = read_member(row);
+        if let Some(member) = member.as_ref().filter(|member| member.is_leaving) {
+            record_stop(node, member);
+        }
+        if let Some(member) = member.filter(|member| member.node != node.name) {
             node.members
                 .borrow_mut()
                 .insert(member.node.clone(), member);
@@ -104,6 +119,13 @@
     }
 }
 
+/// Records the planned stop of a member, or of an earlier process of this node.
+fn record_stop(node: &Node, member: &Member) {
+    let mut series = node.series.get();
+    series.on_stop(member.version, member.series, node.clock.now());
+    node.series.set(series);
+}
+
 /// Reads an owner's row; returns `None` if it is unreadable.
 pub(super) fn read_ownership(row: &Row) -> Option<Ownership> {
     let ownership: Ownership = decode_row(&row.key.shard, row)?;
--- a/crates/hyssop-lab/src/measure/links.rs
+++ b/crates/hyssop-lab/src/measure/links.rs
@@ -179,6 +179,7 @@
                 data_centre: format!("dc-{}", number % DATA_CENTRES),
                 owned: 0,
                 share: [120, 250, 500][number / DATA_CENTRES % 3],
+                is_renewed: false,
             })
             .collect();
         let shard = "pool".to_owned();
--- a/crates/hyssop-policy/src/failover/candidate.rs
+++ b/crates/hyssop-policy/src/failover/candidate.rs
@@ -9,4 +9,6 @@
     pub owned: usize,
     /// The CPU share of its instance, in thousandths of a core.
     pub share: u64,
+    /// Whether its process started after the first stop of the series of planned stops under way.
+    pub is_renewed: bool,
 }
--- a/crates/hyssop-policy/src/failover/mod.rs
+++ b/crates/hyssop-policy/src/failover/mod.rs
@@ -6,11 +6,13 @@
 
 mod candidate;
 mod rank;
+mod series;
 mod turn;
 mod watch;
 
 pub use candidate::Candidate;
 pub use rank::rank;
+pub use series::Series;
 pub use turn::Turn;
 pub use watch::{Verdict, Watch};
 
