owner, fleet: tell every owner of a pool which workers were stopped

Cause: the notice of the stop was sent once. It found no receiver, or one that was leaving and had already described the pool to its successor. It named the worker by its identifier alone, so that it could not be repeated without ending the worker's next incarnation, and it did nothing for a worker that is known from a row only.

The notice names the incarnation that the pool's owner itself had reported with its load before the order; as a fact about one incarnation it holds whenever it comes. An owner that is leaving answers that it is not the owner. The platform's list has to confirm each stop as before.

The tests of on_worker_terminated stay as they were; those of the fleet got the new field in their literals.

--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -9,7 +9,7 @@
 use hyssop_model::work::Instance;
 use hyssop_platform::dialect::{self, Transfer};
 use hyssop_platform::rows::{encode, Key, Transaction};
-use hyssop_policy::fleet::{Decision, Fleet, RecentOrders, Settings};
+use hyssop_policy::fleet::{Decision, Fleet, RecentOrders, Settings, StopNotices, StoppedWorker};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -47,6 +47,10 @@
     pub(super) committer: Committer,
     /// Since when each pool's owner has not answered.
     unanswered_since: BTreeMap<String, Duration>,
+    /// The confirmed stops of workers, of which each pool's owners are told.
+    stop_notices: StopNotices,
+    /// The pools whose owner has not acknowledged stops yet, with its term.
+    unacknowledged: BTreeMap<String, u64>,
     /// The workers that each pool was last requested to evacuate.
     evacuating: BTreeMap<String, BTreeSet<String>>,
     /// The workers due for maintenance as last acknowledged by each pool, and when.
@@ -84,6 +88,8 @@
                 fleet: RefCell::new(Fleet::new(Settings::default(), base, progress)),
                 observed_at: Duration::ZERO,
                 unanswered_since: BTreeMap::new(),
+                stop_notices: StopNotices::default(),
+                unacknowledged: BTreeMap::new(),
                 node,
                 term,
                 committer,
@@ -208,26 +214,69 @@
     }
 
     /// Notifies the pools of workers that stopped because their instances changed, long before the
-    /// registry shows it.
-    async fn notify_stopped_workers(&self) {
-        let stopped = self.fleet.borrow_mut().take_stopped_workers();
+    /// registry shows it, and repeats it until each pool's present owner has acknowledged it.
+    async fn notify_stopped_workers(&mut self) {
         let now = self.node.clock.now();
-        let requests = stopped.into_iter().map(|stopped| async move {
-            let age_ms = now.saturating_sub(stopped.stopped_at).as_millis() as u64;
-            let operation = Operation::WorkersStopped {
-                part: stopped.pool.clone(),
-                workers: vec![stopped.worker.clone()],
-                age_ms,
-            };
-            let is_received = matches!(self.request(operation).await, Some(Answer::Done));
-            log::info!(
-                "event=worker-stop-notified pool={} worker={} age_ms={age_ms} received={is_received}",
-                stopped.pool,
-                stopped.worker
-            );
-        });
-        // A lost notification is not repeated: the pool's owner then waits for the leases of the worker.
-        join_all(requests).await;
+        self.stop_notices
+            .add(self.fleet.borrow_mut().take_stopped_workers());
+        self.stop_notices.expire(now);
+        let due: Vec<(String, u64, Vec<StoppedWorker>)> = {
+            let owners = self.node.owners.borrow();
+            let term = |pool: &str| owners.get(pool).map_or(0, |owner| owner.term);
+            let pools = self.stop_notices.pools().into_iter();
+            pools
+                .map(|pool| {
+                    let term = term(&pool);
+                    let stops = self.stop_notices.due(&pool, term);
+                    (pool, term, stops)
+                })
+                .filter(|(_, _, stops)| !stops.is_empty())
+                // One that doesn't answer must not hold up every round.
+                .filter(|(pool, term, _)| {
+                    !self.unanswered_since.contains_key(pool)
+                        || self.unacknowledged.get(pool) != Some(term)
+                })
+                .collect()
+        };
+        let requests = due
+            .iter()
+            .map(|(pool, _, stops)| self.notify_stops(pool, stops, now));
+        let answers = join_all(requests).await;
+        for ((pool, term, stops), is_acknowledged) in due.iter().zip(answers) {
+            self.stop_notices.on_told(stops, *term, is_acknowledged);
+            // One line for each owner that learns of a stop, and one for the first failure.
+            let is_repeated = self.unacknowledged.get(pool) == Some(term);
+            if is_acknowledged {
+                self.unacknowledged.remove(pool);
+            } else {
+                self.unacknowledged.insert(pool.clone(), *term);
+            }
+            if is_repeated && !is_acknowledged {
+                continue;
+            }
+            for stopped in stops {
+                log::info!(
+                    "event=worker-stop-notified pool={pool} term={term} worker={} incarnation={:?} \
+                     age_ms={} received={is_acknowledged}",
+                    stopped.worker,
+                    stopped.incarnation,
+                    now.saturating_sub(stopped.stopped_at).as_millis()
+                );
+            }
+        }
+    }
+
+    /// Notifies the owner of a pool of stopped workers; returns whether it has acknowledged them.
+    async fn notify_stops(&self, pool: &str, stops: &[StoppedWorker], now: Duration) -> bool {
+        let oldest = stops.iter().map(|stopped| stopped.stopped_at).min();
+        let age = now.saturating_sub(oldest.unwrap_or(now));
+        let operation = Operation::WorkersStopped {
+            part: pool.to_owned(),
+            workers: stops.iter().map(|stop| stop.worker.clone()).collect(),
+            incarnations: stops.iter().map(|stop| stop.incarnation).collect(),
+            age_ms: age.as_millis() as u64,
+        };
+        matches!(self.request(operation).await, Some(Answer::Done))
     }
 
     /// Returns the platform's list of instances, or `None` if a call fails.
--- a/crates/hyssop-edge/src/peer/frame.rs
+++ b/crates/hyssop-edge/src/peer/frame.rs
@@ -101,7 +101,11 @@
         /// The shard.
         part: String,
         workers: Vec<String>,
-        /// How long ago they stopped, at least.
+        /// The incarnation of each worker that stopped, as far as it is known. Earlier versions send
+        /// none.
+        #[serde(default)]
+        incarnations: Vec<Option<i64>>,
+        /// How long ago the first of them stopped.
         #[serde(default)]
         age_ms: u64,
     },
--- a/crates/hyssop-edge/src/pool/operations.rs
+++ b/crates/hyssop-edge/src/pool/operations.rs
@@ -88,14 +88,23 @@
                 self.node.fleet_seen_at.set(now);
                 Answer::Demand(self.scheduler.borrow().demand(now))
             }
+            // The successor would not learn of it.
+            Operation::WorkersStopped { .. } if self.is_leaving.get() => Answer::NotOwner,
             Operation::WorkersStopped {
-                workers, age_ms, ..
+                workers,
+                incarnations,
+                age_ms,
+                ..
             } => {
                 let now = self.node.clock.now();
                 let stopped_at = now.saturating_sub(Duration::from_millis(age_ms));
                 let scheduler = &mut *self.scheduler.borrow_mut();
-                for id in workers {
-                    scheduler.on_worker_terminated(&id, stopped_at, now);
+                let known = incarnations.into_iter().chain(std::iter::repeat(None));
+                for (id, incarnation) in workers.iter().zip(known) {
+                    match incarnation {
+                        Some(known) => scheduler.on_incarnation_terminated(id, known, now),
+                        None => scheduler.on_worker_terminated(id, stopped_at, now),
+                    }
                 }
                 self.wake.notify_one();
                 Answer::Done
--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -7,12 +7,14 @@
 mod census;
 mod history;
 mod maintain;
+mod notices;
 mod progress;
 mod recent;
 mod report;
 mod settings;
 mod supply;
 
+pub use notices::{StopNotices, MAX_STOPS, RETENTION};
 pub use progress::Progress;
 pub use recent::RecentOrders;
 pub use settings::Settings;
@@ -30,6 +32,9 @@
     pub pool: String,
     /// The worker.
     pub worker: String,
+    /// The incarnation that its pool's owner knew before the change, `None` if it had told of none.
+    /// No other one is known to have ended.
+    pub incarnation: Option<i64>,
     /// When the platform had accepted the change, which ends the worker at once.
     pub stopped_at: Duration,
 }
@@ -219,12 +224,20 @@
             let pending_stop = StoppedWorker {
                 pool: listed.pool.clone(),
                 worker: worker.clone(),
+                incarnation: self.incarnation(listed, worker),
                 stopped_at: now,
             };
             self.pending_stops.insert(instance.to_owned(), pending_stop);
         }
     }
 
+    /// Returns the incarnation of an instance's worker that its pool's owner last told of.
+    fn incarnation(&self, instance: &Instance, worker: &str) -> Option<i64> {
+        let report = self.reports.get(&instance.pool)?;
+        let load = report.loads.get(&instance.name)?;
+        load.incarnation.filter(|_| load.worker == worker)
+    }
+
     /// Removes and returns the workers that were certainly stopped by changes of their instances.
     pub fn take_stopped_workers(&mut self) -> Vec<StoppedWorker> {
         std::mem::take(&mut self.stopped)
--- a/crates/hyssop-policy/src/owner/capacity.rs
+++ b/crates/hyssop-policy/src/owner/capacity.rs
@@ -30,6 +30,9 @@
 pub struct Load {
     /// The worker.
     pub worker: String,
+    /// Its incarnation, `None` from owners of earlier versions.
+    #[serde(default)]
+    pub incarnation: Option<i64>,
     /// The instance that hosts it.
     pub instance: String,
     /// The number of its runs.
@@ -85,6 +88,7 @@
                 .count() as u32;
             demand.loads.push(Load {
                 worker: worker.listing.id.clone(),
+                incarnation: Some(worker.listing.incarnation),
                 instance: worker.listing.instance.clone(),
                 runs: worker.runs.len() as u32,
                 long_running,
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -171,6 +171,19 @@
         }
     }
 
+    /// Ends an incarnation of a worker whose instance was moved or maintained, which terminates it.
+    ///
+    /// The word holds whenever it comes: it names no other incarnation. The worker may be known from
+    /// a row only, or not at all yet while the registry still lists it.
+    pub fn on_incarnation_terminated(&mut self, id: &str, incarnation: i64, now: Duration) {
+        let name = (id.to_owned(), incarnation);
+        if let Some(key) = self.worker_key(id, incarnation) {
+            self.remove_worker(key, now);
+        }
+        self.on_unreported_terminated(&name, now);
+        self.terminated_workers.insert(name);
+    }
+
     /// Requeues a task that ran on `worker`, if it is still assigned to that worker.
     pub(super) fn requeue(&mut self, task: TaskKey, worker: WorkerKey) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
--- a/crates/hyssop-policy/tests/fleet.rs
+++ b/crates/hyssop-policy/tests/fleet.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 const CORE: u64 = 1_000;
+/// The incarnation of every worker.
+const BORN: i64 = 1_000;
 
 fn instance(name: &str, pool: &str, condition: Condition) -> Instance {
     Instance {
@@ -80,6 +82,7 @@
             .filter(|instance| instance.pool == pool && instance.condition == Condition::Up)
             .map(|instance| Load {
                 worker: format!("w-{}", instance.name),
+                incarnation: Some(BORN),
                 instance: instance.name.clone(),
                 runs: u32::from(busy.contains(&instance.name.as_str())),
                 long_running: self.long_running_per_instance,
@@ -481,6 +484,7 @@
     let stopped = StoppedWorker {
         pool: "a".to_owned(),
         worker: "w-a0".to_owned(),
+        incarnation: None,
         stopped_at: accepted_at,
     };
     assert_eq!(fixture.fleet.take_stopped_workers(), [stopped]);
@@ -491,6 +495,34 @@
     );
 }
 
+#[test]
+fn stop_names_the_incarnation_that_its_owner_reported() {
+    let mut fixture = Fixture::new();
+    fixture.report_demand("a", 0, &["a0"], &[]);
+    fixture.fleet.on_accepted("a0", fixture.now);
+    fixture.instances[0].condition = Condition::Maintained;
+    fixture.advance(100);
+    fixture.refresh_list();
+    let stops = fixture.fleet.take_stopped_workers();
+    let incarnations: Vec<Option<i64>> = stops.iter().map(|stop| stop.incarnation).collect();
+    assert_eq!(incarnations, [Some(BORN)]);
+}
+
+#[test]
+fn stop_of_a_worker_that_its_owner_did_not_report_names_no_incarnation() {
+    let mut fixture = Fixture::new();
+    fixture.report_demand("a", 0, &[], &[]);
+    fixture.instances[0].worker = Some("w-other".to_owned());
+    fixture.refresh_list();
+    fixture.fleet.on_accepted("a0", fixture.now);
+    fixture.instances[0].condition = Condition::Maintained;
+    fixture.advance(100);
+    fixture.refresh_list();
+    let stops = fixture.fleet.take_stopped_workers();
+    let incarnations: Vec<Option<i64>> = stops.iter().map(|stop| stop.incarnation).collect();
+    assert_eq!(incarnations, [None]);
+}
+
 /// The platform also accepts maintenance that was done before, while the instance's tasks run on.
 #[test]
 fn repeated_change_does_not_stop_worker() {
--- a/crates/hyssop-policy/tests/incarnations.rs
+++ b/crates/hyssop-policy/tests/incarnations.rs
@@ -248,6 +248,52 @@
     assert_eq!(setting.starts_within(1_220, 1_400).len(), 1);
 }
 
+/// The word of a stop did not end the wait for a worker that was known from its row only.
+#[test]
+fn owner_does_not_wait_for_a_stopped_worker_that_is_not_registered() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    setting.fail_over(1_200);
+    setting.join(listing("w1", FIRST_BORN), 1_220);
+    setting
+        .scheduler
+        .on_incarnation_terminated("w0", FIRST_BORN, at(1_250));
+    assert_eq!(setting.starts_within(1_260, 1_400).len(), 1);
+}
+
+/// A new owner that knew only the next incarnation of a stopped worker took the word for one about it.
+#[test]
+fn repeated_word_of_a_stopped_worker_does_not_end_its_next_incarnation() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    setting
+        .scheduler
+        .on_incarnation_terminated("w0", FIRST_BORN, at(1_200));
+    setting.fail_over(1_300);
+    let next = setting.join(listing("w0", NEXT_BORN), 3_500);
+    for ms in [3_600, 3_700] {
+        setting
+            .scheduler
+            .on_incarnation_terminated("w0", FIRST_BORN, at(ms));
+    }
+    assert_eq!(setting.key("w0", NEXT_BORN), next);
+    let starts = setting.starts_within(3_720, 3_900);
+    assert_eq!(starts.first().map(|start| start.0), Some(next));
+}
+
+/// An owner recorded a stopped worker that the registry still listed, and the next one waited for it.
+#[test]
+fn stopped_worker_that_is_listed_later_is_not_recorded() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    setting
+        .scheduler
+        .on_incarnation_terminated("w9", FIRST_BORN, at(1_100));
+    let listed = listing("w9", FIRST_BORN);
+    setting.scheduler.register_worker(listed, at(1_150));
+    setting.commit(1_160);
+    assert!(setting.find("w9", FIRST_BORN).is_none());
+    let records = setting.store.records();
+    assert!(records.iter().all(|record| !record.key.starts_with("w9@")));
+}
+
 /// The registry may list a worker for some time after it was stopped.
 #[test]
 fn stopped_worker_that_is_still_listed_is_not_used() {
