fleet: hand confirmed stops of workers over to the next fleet's owner

A planned stop often ends the pool's and the fleet's owner at once; the notices that the latter had not delivered went with it.

The instances that are ordered to change were stored before the order already, so that two owners keep the platform's gap. The same transaction now also stores which worker runs there and in which incarnation. The next fleet's owner waits until the platform's list shows the instance moved, maintained or with another worker, for as long as its predecessor's orders may take effect, and then notifies the pool. Nothing is believed without the list; an instance that is down or up as before confirms nothing. The row is left out if it would be too large.

Remains: stops that are older than the gap between two fleet's owners and that no owner of the pool has acknowledged are not in the row.

--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -1,5 +1,5 @@
 use super::stored::{read, StoredState, WaveRow};
-use super::{BASE_KEY, RECENT_KEY, TABLE};
+use super::{BASE_KEY, RECENT_KEY, STOPS_KEY, TABLE};
 use crate::http::Lane;
 use crate::node::{Node, Route, FLEET};
 use crate::ownership::report_owner;
@@ -9,7 +9,9 @@
 use hyssop_model::work::Instance;
 use hyssop_platform::dialect::{self, Transfer};
 use hyssop_platform::rows::{encode, Key, Transaction};
-use hyssop_policy::fleet::{Decision, Fleet, RecentOrders, Settings, StopNotices, StoppedWorker};
+use hyssop_policy::fleet::{
+    Decision, ExpectedStop, Fleet, RecentOrders, Settings, StopNotices, StoppedWorker,
+};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -56,6 +58,8 @@
     /// The workers due for maintenance as last acknowledged by each pool, and when.
     reported_due: BTreeMap<String, (Duration, BTreeSet<String>)>,
     is_base_stored: bool,
+    /// The workers that recent orders stop, by instance.
+    recent_stops: BTreeMap<String, ExpectedStop>,
     /// The waves as stored, by their numbers.
     pub(super) stored: BTreeMap<u64, WaveRow>,
     /// Whether each wave was last published as done.
@@ -71,6 +75,7 @@
                 base,
                 waves,
                 recent,
+                stops,
             }) = read(&node, term, committer.version()).await
             else {
                 if node.fleet_term.get() == Some(term) {
@@ -90,6 +95,7 @@
                 unanswered_since: BTreeMap::new(),
                 stop_notices: StopNotices::default(),
                 unacknowledged: BTreeMap::new(),
+                recent_stops: BTreeMap::new(),
                 node,
                 term,
                 committer,
@@ -98,6 +104,10 @@
                 reported: BTreeMap::new(),
             };
             let gap = controller.gap();
+            controller
+                .fleet
+                .borrow_mut()
+                .expect_stops(stops, acquired_at, acquired_at + gap);
             let mut orders = RecentOrders::new(gap);
             match recent {
                 Some(recent) => {
@@ -418,6 +428,7 @@
         if changes.is_empty() {
             return true;
         }
+        self.announce_stops(&changes, &names, &mut transaction);
         let key = Key::new(TABLE, FLEET, RECENT_KEY);
         transaction.writes.push((key, encode(&names)));
         let clock = self.node.clock.clone();
@@ -446,6 +457,38 @@
         (*term == self.term).then(|| apply(orders))
     }
 
+    /// Adds the workers that `changes` and the orders to the `recent` instances stop to a transaction,
+    /// so that the next fleet's owner can notify the pools of them.
+    fn announce_stops(
+        &mut self,
+        changes: &[Transfer],
+        recent: &BTreeSet<String>,
+        transaction: &mut Transaction,
+    ) {
+        let fleet = self.fleet.borrow();
+        let stops = &mut self.recent_stops;
+        stops.retain(|instance, _| recent.contains(instance));
+        let expected = changes
+            .iter()
+            .filter_map(|change| fleet.expected_stop(change.instance()));
+        stops.extend(expected.map(|stop| (stop.instance.clone(), stop)));
+        if stops.is_empty() {
+            return;
+        }
+        let value = encode(&stops.values().collect::<Vec<_>>());
+        if value.len() > self.node.timing.scheduler.max_row_bytes {
+            // The row keeps the earlier ones; the pools' owners wait for the leases of these.
+            log::warn!(
+                "event=stops-not-announced term={} bytes={}",
+                self.term,
+                value.len()
+            );
+            return;
+        }
+        let key = Key::new(TABLE, FLEET, STOPS_KEY);
+        transaction.writes.push((key, value));
+    }
+
     /// Returns whether orders may be sent by a confirmation of the term requested at `requested_at`
     /// and by the latest observations.
     fn may_order(&self, requested_at: Duration) -> bool {
--- a/crates/hyssop-edge/src/fleet/mod.rs
+++ b/crates/hyssop-edge/src/fleet/mod.rs
@@ -16,5 +16,7 @@
 const RECENT_KEY: &str = "recent";
 /// The key of the row with what was left of the gap between two owners at a release.
 const LEFT_KEY: &str = "left";
+/// The key of the row with the workers that recent orders stop.
+const STOPS_KEY: &str = "stops";
 /// The prefix of the keys of the waves' progress rows.
 const PROGRESS_PREFIX: &str = "campaign/";
--- a/crates/hyssop-edge/src/fleet/stored.rs
+++ b/crates/hyssop-edge/src/fleet/stored.rs
@@ -1,8 +1,8 @@
-use super::{BASE_KEY, LEFT_KEY, PROGRESS_PREFIX, RECENT_KEY, TABLE};
+use super::{BASE_KEY, LEFT_KEY, PROGRESS_PREFIX, RECENT_KEY, STOPS_KEY, TABLE};
 use crate::node::{Node, FLEET};
 use crate::store::decode_row;
 use hyssop_platform::rows::{encode, Key};
-use hyssop_policy::fleet::Progress;
+use hyssop_policy::fleet::{ExpectedStop, Progress};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -30,6 +30,8 @@
     /// what is left of the gap if that is known; `None` if the row is malformed, so that any may have
     /// been.
     pub(super) recent: Option<BTreeMap<String, Option<Duration>>>,
+    /// The workers that those orders stop, as far as they are known.
+    pub(super) stops: Vec<ExpectedStop>,
 }
 
 /// The stored row of what is left of the gap between two owners when one has released the shard.
@@ -70,6 +72,7 @@
         base: BTreeMap::new(),
         waves: BTreeMap::new(),
         recent: Some(BTreeMap::new()),
+        stops: Vec::new(),
     };
     let mut left: Option<LeftRow> = None;
     for row in page.rows {
@@ -81,6 +84,9 @@
             stored.recent = names.map(|names| names.into_iter().map(|name| (name, None)).collect());
         } else if row.key.key == LEFT_KEY {
             left = decode_row(FLEET, &row);
+        } else if row.key.key == STOPS_KEY {
+            // The pools' owners wait for the leases of these workers then.
+            stored.stops = decode_row(FLEET, &row).unwrap_or_default();
         } else if let Some(number) = row.key.key.strip_prefix(PROGRESS_PREFIX) {
             // The wave starts anew then; the platform accepts an order that was carried out before.
             if let (Ok(number), Some(wave)) = (number.parse(), decode_row(FLEET, &row)) {
--- a/crates/hyssop-edge/tests/waves.rs
+++ b/crates/hyssop-edge/tests/waves.rs
@@ -111,3 +111,34 @@
     wait_until("the list is read after the orders", || ordered().1);
     assert!((1..=MAX_CALLS).contains(&ordered().0), "{:?}", ordered());
 }
+
+/// The notice that a worker was stopped by maintenance was lost when the process that had ordered it
+/// was stopped just then, and the pool's next owners waited for the worker's leases.
+#[test]
+fn successor_notifies_a_pool_of_a_worker_that_its_predecessor_stopped() {
+    let platform = platform();
+    let mut first = Edge::start(&platform, "e0");
+    wait_until("all shards have owners", || first.owned_shards() == 3);
+    first.submit_until_accepted(PATH, &job(1, 1, 10));
+    let second = Edge::start(&platform, "e1");
+    second.submit_until_accepted("/b/00000000000000b1", &job(1, 1, 10));
+    let mut pools = platform.pools().into_iter();
+    let (machine, _) = pools.find(|(_, pool)| pool == "alpha").expect("a machine");
+    let is_there = |id: &String| id.starts_with(&format!("i-{machine}-"));
+    let workers = platform.worker_ids();
+    let worker = workers.into_iter().find(is_there).expect("a worker");
+    announce_wave(&platform, &[machine], 20, 1);
+    wait_until("the maintenance is ordered", || {
+        !platform.orders().is_empty()
+    });
+    first.terminate();
+    wait_until("the successor notifies the pool's owner", || {
+        let is_notice = |line: &String| {
+            line.contains("event=worker-stop-notified pool=alpha")
+                && line.contains(&worker)
+                && line.contains("received=true")
+        };
+        !second.lines(is_notice).is_empty()
+    });
+    wait_for_wave(&platform, "done");
+}
--- a/crates/hyssop-policy/src/fleet/mod.rs
+++ b/crates/hyssop-policy/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 use crate::owner::{Demand, Load};
 use hyssop_model::work::{Condition, Instance, Wave};
 use hyssop_platform::dialect::Transfer;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -39,6 +40,27 @@
     pub stopped_at: Duration,
 }
 
+/// A worker that a change of its instance is to stop, as stored for the next fleet's owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpectedStop {
+    /// The instance.
+    pub instance: String,
+    /// The worker's pool.
+    pub pool: String,
+    /// The worker.
+    pub worker: String,
+    /// The incarnation that its pool's owner knew before the change.
+    pub incarnation: i64,
+}
+
+/// A stop that no list has confirmed yet.
+#[derive(Clone, Debug)]
+struct PendingStop {
+    stopped: StoppedWorker,
+    /// The stop is taken for not made if no list requested before this time confirms it.
+    until: Duration,
+}
+
 /// The state of the fleet's instances and the decisions on them, for one term.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -60,7 +82,7 @@
     /// Instances that the platform refused to change, with the time of the next attempt.
     refused_until: BTreeMap<String, Duration>,
     /// Workers to be stopped by a change of their instance, by instance.
-    pending_stops: BTreeMap<String, StoppedWorker>,
+    pending_stops: BTreeMap<String, PendingStop>,
     /// Confirmed stops that are not returned yet.
     stopped: Vec<StoppedWorker>,
     /// Instances with a possible recent order by the previous owner, with the time until which
@@ -221,16 +243,54 @@
             return;
         };
         if let (false, Some(worker)) = (self.spare_pools.contains(&listed.pool), &listed.worker) {
-            let pending_stop = StoppedWorker {
+            let stopped = StoppedWorker {
                 pool: listed.pool.clone(),
                 worker: worker.clone(),
                 incarnation: self.incarnation(listed, worker),
                 stopped_at: now,
             };
+            let until = now + self.settings.list_delay;
+            let pending_stop = PendingStop { stopped, until };
             self.pending_stops.insert(instance.to_owned(), pending_stop);
         }
     }
 
+    /// Returns the worker that a change of an instance would stop, `None` if there is none or its
+    /// incarnation is unknown.
+    pub fn expected_stop(&self, instance: &str) -> Option<ExpectedStop> {
+        let listed = self.instances.get(instance)?;
+        let worker = listed.worker.as_ref()?;
+        Some(ExpectedStop {
+            instance: instance.to_owned(),
+            pool: listed.pool.clone(),
+            worker: worker.clone(),
+            incarnation: self.incarnation(listed, worker)?,
+        })
+    }
+
+    /// Adds the workers that the orders of the previous fleet's owner may have stopped before `now`
+    /// or may still stop.
+    ///
+    /// They ran on their instances before the orders, so a list that shows an instance changed, by
+    /// whichever order, confirms the stop. `until` is when the last order has taken effect.
+    pub fn expect_stops(
+        &mut self,
+        stops: impl IntoIterator<Item = ExpectedStop>,
+        now: Duration,
+        until: Duration,
+    ) {
+        for stop in stops {
+            let stopped = StoppedWorker {
+                pool: stop.pool,
+                worker: stop.worker,
+                incarnation: Some(stop.incarnation),
+                stopped_at: now,
+            };
+            let pending_stop = PendingStop { stopped, until };
+            self.pending_stops.insert(stop.instance, pending_stop);
+        }
+    }
+
     /// Returns the incarnation of an instance's worker that its pool's owner last told of.
     fn incarnation(&self, instance: &Instance, worker: &str) -> Option<i64> {
         let report = self.reports.get(&instance.pool)?;
@@ -248,10 +308,10 @@
     /// A worker whose instance is up as before wasn't stopped: the platform also accepts a change
     /// that was made earlier, and the worker's tasks must not start elsewhere.
     fn confirm_stops(&mut self, requested_at: Duration) {
-        let list_delay = self.settings.list_delay;
         let instances = &self.instances;
-        let stopped = &mut self.stopped;
+        let confirmed = &mut self.stopped;
         self.pending_stops.retain(|name, pending_stop| {
+            let stopped = &pending_stop.stopped;
             let is_changed = instances
                 .get(name)
                 .is_some_and(|instance| match instance.condition {
@@ -259,15 +319,15 @@
                     Condition::Up => instance
                         .worker
                         .as_ref()
-                        .is_some_and(|worker| *worker != pending_stop.worker),
+                        .is_some_and(|worker| *worker != stopped.worker),
                     // Its tasks may run on, out of reach, until their leases expire.
                     Condition::Down => false,
                 });
-            if is_changed && requested_at >= pending_stop.stopped_at {
-                stopped.push(pending_stop.clone());
+            if is_changed && requested_at >= stopped.stopped_at {
+                confirmed.push(stopped.clone());
                 return false;
             }
-            requested_at < pending_stop.stopped_at + list_delay
+            requested_at < pending_stop.until
         });
     }
 
--- a/crates/hyssop-policy/tests/fleet.rs
+++ b/crates/hyssop-policy/tests/fleet.rs
@@ -3,7 +3,7 @@
 use hyssop_model::work::{Condition, Instance, Resources, Wave};
 use hyssop_platform::dialect::Transfer;
 use hyssop_platform::rows::{decode, encode};
-use hyssop_policy::fleet::{Decision, Fleet, Progress, Settings, StoppedWorker};
+use hyssop_policy::fleet::{Decision, ExpectedStop, Fleet, Progress, Settings, StoppedWorker};
 use hyssop_policy::owner::{Demand, Load};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -523,6 +523,60 @@
     assert_eq!(incarnations, [None]);
 }
 
+/// Returns the stop of the worker on `a0` that the previous fleet's owner has announced.
+fn announced_stop() -> ExpectedStop {
+    let mut previous = Fixture::new();
+    previous.report_demand("a", 0, &["a0"], &[]);
+    assert_eq!(previous.fleet.expected_stop("s0"), None);
+    assert_eq!(previous.fleet.expected_stop("b0"), None, "not reported");
+    previous.fleet.expected_stop("a0").expect("a known worker")
+}
+
+/// What the previous fleet's owner had ordered and told nobody was lost with it.
+#[test]
+fn successor_learns_of_a_stop_that_its_predecessor_ordered() {
+    let until = Duration::from_secs(12);
+    for condition in [Condition::Maintained, Condition::Moving] {
+        let mut fixture = Fixture::new();
+        let began_at = fixture.now;
+        fixture
+            .fleet
+            .expect_stops([announced_stop()], began_at, until);
+        fixture.refresh_list();
+        assert!(fixture.fleet.take_stopped_workers().is_empty());
+        fixture.instances[0].condition = condition;
+        fixture.instances[0].worker = None;
+        fixture.advance(900);
+        fixture.refresh_list();
+        let stopped = StoppedWorker {
+            pool: "a".to_owned(),
+            worker: "w-a0".to_owned(),
+            incarnation: Some(BORN),
+            stopped_at: began_at,
+        };
+        assert_eq!(fixture.fleet.take_stopped_workers(), [stopped]);
+    }
+}
+
+#[test]
+fn successor_does_not_believe_a_stop_that_no_list_confirms() {
+    let mut fixture = Fixture::new();
+    let until = fixture.now + Duration::from_millis(2_000);
+    fixture
+        .fleet
+        .expect_stops([announced_stop()], fixture.now, until);
+    fixture.instances[0].condition = Condition::Down;
+    fixture.advance(1_000);
+    fixture.refresh_list();
+    fixture.instances[0].condition = Condition::Up;
+    fixture.advance(1_000);
+    fixture.refresh_list();
+    fixture.instances[0].condition = Condition::Maintained;
+    fixture.advance(100);
+    fixture.refresh_list();
+    assert!(fixture.fleet.take_stopped_workers().is_empty());
+}
+
 /// The platform also accepts maintenance that was done before, while the instance's tasks run on.
 #[test]
 fn repeated_change_does_not_stop_worker() {
