--- a/crates/hyssop-policy/tests/incarnations.rs
+++ b/crates/hyssop-policy/tests/incarnations.rs
@@ -653,6 +653,28 @@
     assert_eq!(setting.starts_within(8_040, 8_300).len(), 1);
 }
 
+/// The entry of an ended incarnation whose clock was ahead replaced the live one at a new owner, which
+/// had not known the former, and the live one's run was repeated.
+#[test]
+#[ignore = "known red, issue 37: see KNOWN-RED.txt"]
+fn entry_of_an_earlier_incarnation_does_not_replace_a_reported_one_at_a_new_owner() {
+    let mut setting = Setting::new(job(1, 1, 900));
+    let listed = Report {
+        running: vec![running(setting.run)],
+        ..report(FIRST_BORN)
+    };
+    setting.fail_over(1_200);
+    setting.join(listing("w1", FIRST_BORN), 1_210);
+    let live = listing("w0", FIRST_BORN);
+    setting.scheduler.register_worker(live, at(1_210));
+    let key = setting.key("w0", FIRST_BORN);
+    setting.receive(key, listed, 1_220, 1_225);
+    assert_eq!(setting.starts_within(1_230, 1_300), []);
+    let earlier = listing("w0", NEXT_BORN);
+    setting.scheduler.register_worker(earlier, at(1_310));
+    assert_eq!(setting.starts_within(1_320, 1_500), []);
+}
+
 #[test]
 fn report_of_another_incarnation_ends_wait_for_recorded_one() {
     let mut setting = Setting::new(job(1, 1, 900));
