--- a/crates/hyssop-edge/tests/waves.rs
+++ b/crates/hyssop-edge/tests/waves.rs
@@ -42,11 +42,11 @@
 #[test]
 fn malformed_rows_of_the_fleet_are_logged_and_written_anew() {
     let platform = platform();
-    for key in ["base", "recent", "left", "campaign/1"] {
+    for key in ["base", "recent", "left", "stops", "campaign/1"] {
         platform.write_own_row("holder", "fleet/", key, b"\xff\x00 no row");
     }
     let edge = Edge::start(&platform, "e0");
-    for key in ["base", "recent", "left", "campaign/1"] {
+    for key in ["base", "recent", "left", "stops", "campaign/1"] {
         let line = format!("event=row-unreadable part=fleet/ key={key}");
         wait_until("the malformed row is logged", || edge.has_logged(&line));
     }
