policy tests: budgets of long-running tasks over planned stops

Draws planned stops beside evacuations, maintenance, draining and lost workers; the draws of the existing seeds don't change.

--- a/crates/hyssop-policy/tests/availability_model.rs
+++ b/crates/hyssop-policy/tests/availability_model.rs
@@ -3,7 +3,7 @@
 
 mod model;
 
-use model::{job, long_running_job, Faults, World};
+use model::{job, long_running_job, play_seeds, Faults, PlannedStop, Takeover, World};
 use std::time::Duration;
 
 const SEEDS: u64 = 200;
@@ -16,9 +16,39 @@
 /// The longest time from an answer that a worker is released until its maintenance begins.
 const MAX_ORDER_MS: u64 = 2_000;
 
-/// Runs the simulation of `seed`: every 100 ms released workers may be maintained, and every half
+/// Begins a planned stop of the owner, whose successor starts within 0.6 s.
+fn stop_owner(world: &mut World) {
+    let takeover = Takeover {
+        commit_ms: world.pick(2..100) as i64,
+        read_ms: world.pick(0..100) as i64,
+        registry_ms: world.pick(0..100) as i64,
+        authority_ms: world.pick(0..300) as i64,
+        ..Takeover::default()
+    };
+    let stop = PlannedStop {
+        release_ms: world.pick(2..100) as i64,
+        pause_ms: world.pick(0..200) as i64,
+        late_ms: world.pick(0..300),
+        takeover,
+        ..PlannedStop::default()
+    };
+    world.stop_owner(stop);
+}
+
+/// Evacuates a worker, as the fleet's owner asks of each new owner again.
+fn evacuate_any(world: &mut World) {
+    let number = world.pick(0..WORKERS) as usize;
+    let id = world.workers[number].listing.id.clone();
+    let until = Duration::from_millis(world.now_ms as u64 + 1_000);
+    if world.has_owner() {
+        world.scheduler().evacuate(&id, until);
+    }
+}
+
+/// Runs the simulation of `seed` with an owner that stops as planned every `stop_rounds` rounds on
+/// average, never if that is 0: every 100 ms released workers may be maintained, and every half
 /// second a fault may begin or end.
-fn simulate(seed: u64) -> World {
+fn simulate(seed: u64, stop_rounds: u64) -> World {
     let mut world = World::new(seed, WORKERS as usize, 8);
     world.run(500);
     let jobs = 1 + world.pick(0..3);
@@ -81,8 +111,19 @@
             19 => world.cut_owner_from_store(false),
             _ => {}
         }
-        for _ in 0..5 {
+        let stops_after = match stop_rounds {
+            0 => None,
+            rounds if world.pick(0..rounds) == 0 => Some(world.pick(0..5)),
+            _ => None,
+        };
+        for part in 0..5 {
             maintain_released(&mut world);
+            if stops_after == Some(part) {
+                stop_owner(&mut world);
+            }
+            if stop_rounds > 0 {
+                evacuate_any(&mut world);
+            }
             world.run(100);
         }
     }
@@ -103,7 +144,13 @@
 fn orders_keep_to_the_budgets_of_long_running_steps() {
     let seeds = (0..SEEDS).chain(BROKEN_SEEDS);
     let interrupts: usize = seeds
-        .map(|seed| simulate(seed).availability.interrupts)
+        .map(|seed| simulate(seed, 0).availability.interrupts)
         .sum();
     assert!(interrupts > 500, "only {interrupts} tasks were interrupted");
 }
+
+#[test]
+fn orders_keep_to_the_budgets_over_planned_stops() {
+    let interrupts = play_seeds(SEEDS, |seed| simulate(seed, 5).availability.interrupts);
+    assert!(interrupts > 500, "only {interrupts} tasks were interrupted");
+}
