owner: hand over for each worker whether it may run other tasks

A completion that was not stored at a planned stop, or one worker of unknown runs, made the whole handover one without placements. The next owner then held every task of unknown whereabouts until all silent workers had reported or ended, and passed that on: in a chain of short terms during a wave, with workers that end in each of them, such tasks were held without end.

Each worker's entry now says for itself whether the worker may run tasks that its list doesn't name, or has ended some whose end isn't stored. Others are held by no one but the workers that name them.

unstored_completion_holds_queued_tasks_only_until_its_worker_reports is new; the behaviour that it checks did not exist before (the row had no such field), so it was not run on the old code.

--- a/crates/hyssop-policy/src/owner/handover.rs
+++ b/crates/hyssop-policy/src/owner/handover.rs
@@ -25,8 +25,8 @@
     layout: u32,
     /// The term that ended.
     term: u64,
-    /// Whether the workers' lists of tasks are complete and all progress is stored: a task of an
-    /// open job that is in no list doesn't run.
+    /// Whether all workers' lists of tasks are complete: a task of an open job that is in no list
+    /// doesn't run.
     has_placements: bool,
     /// How long the owner would still have waited before it interrupted tasks with a budget, in
     /// milliseconds.
@@ -52,6 +52,8 @@
     is_successor: bool,
     /// The names of the tasks that it may run.
     tasks: Vec<String>,
+    /// Whether it may run tasks that are not in the list, or have ended some whose end isn't stored.
+    may_run_others: bool,
     /// Those of them that were ordered to stop.
     stopping: Vec<String>,
 }
@@ -94,19 +96,22 @@
     /// Returns the value of the row that describes the pool to the next owner, `None` if it would
     /// be too large. [`Scheduler::begin_handover`] must have been called.
     pub fn hand_over(&self, now: Duration) -> Option<Vec<u8>> {
+        let workers = self.handover_entries(now);
         let mut handover = Handover {
             layout: LAYOUT,
             term: self.term,
-            has_placements: self.has_placements(),
+            has_placements: workers.iter().all(|entry| !entry.may_run_others),
             interrupt_pause_ms: left_ms(self.interrupts_from, now),
             authority_ms: left_ms(self.predecessor_end, now),
-            workers: self.handover_entries(now),
+            workers,
         };
         let limit = self.settings.row_limit();
         let mut value = encode(&handover);
         if value.len() > limit {
             handover.has_placements = false;
+            handover.interrupt_pause_ms = self.settings.interrupt_pause.as_millis() as u64;
             for entry in &mut handover.workers {
+                entry.may_run_others = true;
                 entry.tasks.clear();
                 entry.stopping.clear();
             }
@@ -124,13 +129,8 @@
         is_small.then_some(value)
     }
 
-    /// Returns whether this owner knows of each task where it may run, and has stored all progress.
-    fn has_placements(&self) -> bool {
-        let are_unreported_known = self.unreported_workers.values().all(Unreported::is_known);
-        !self.has_uncommitted() && (are_unreported_known || self.orphaned_tasks() == 0)
-    }
-
     fn handover_entries(&self, now: Duration) -> Vec<Entry> {
+        let has_orphans = self.orphaned_tasks() > 0;
         let mut entries: BTreeMap<(String, i64), Entry> = BTreeMap::new();
         for (key, worker) in &self.workers {
             if self.is_idle(worker, now) {
@@ -149,6 +149,8 @@
                 released_ms: left_ms(worker.released_until.unwrap_or_default(), now),
                 is_successor: worker.is_successor,
                 tasks: names(&|_| true),
+                may_run_others: worker.applied > worker.stored
+                    || !worker.deferred_completions.is_empty(),
                 stopping: names(&|run| run.stopping_at.is_some()),
             };
             entries.insert((id, incarnation), entry);
@@ -163,8 +165,11 @@
                 released_ms: 0,
                 is_successor: unreported.is_successor,
                 tasks: Vec::new(),
+                may_run_others: false,
                 stopping: Vec::new(),
             });
+            // Without orphaned tasks it is known of all where they may run.
+            entry.may_run_others |= !unreported.is_known() && has_orphans;
             entry.lease_ms = entry.lease_ms.max(left_ms(unreported.lease_end, now));
             entry.released_ms = entry
                 .released_ms
@@ -268,7 +273,7 @@
                 may_return_until: entry.returns_ms.map(|ms| after_ms(now, ms, RELISTING_TIME)),
                 released_until: after_ms(now, entry.released_ms, RELEASE_DURATION),
                 is_successor: entry.is_successor,
-                tasks: handover.has_placements.then(|| keys(&entry.tasks)),
+                tasks: (!entry.may_run_others).then(|| keys(&entry.tasks)),
                 stopping: keys(&entry.stopping),
             };
             let name = (entry.id, entry.incarnation);
@@ -287,11 +292,9 @@
             self.forget_row(id, *incarnation);
         }
         self.predecessor_end = after_ms(now, handover.authority_ms, self.settings.authority);
-        if handover.has_placements {
-            // The stops and releases of the previous owner are known.
-            let pause = self.settings.interrupt_pause;
-            self.interrupts_from = after_ms(now, handover.interrupt_pause_ms, pause);
-        }
+        // The stops and releases of the previous owner are known.
+        let pause = self.settings.interrupt_pause;
+        self.interrupts_from = after_ms(now, handover.interrupt_pause_ms, pause);
         let wait_end = self.unreported_workers.values().map(|w| w.lease_end).max();
         log::info!(
             "event=handover-accepted pool={} term={} from={from_term} workers={} idle={} \
--- a/crates/hyssop-policy/tests/handover.rs
+++ b/crates/hyssop-policy/tests/handover.rs
@@ -37,6 +37,7 @@
     released_ms: u64,
     is_successor: bool,
     tasks: Vec<String>,
+    may_run_others: bool,
     stopping: Vec<String>,
 }
 
@@ -309,6 +310,23 @@
     assert_eq!(pool.first_start(&ended.task, 2_020, 12_000), None);
 }
 
+/// One completion that was not stored made the next owner take all tasks for ones that any worker may
+/// run, so a chain of short terms held them for as long as workers ended.
+#[test]
+fn unstored_completion_holds_queued_tasks_only_until_its_worker_reports() {
+    let (mut pool, silent, live) = two_runs();
+    pool.submit(OTHER_JOB, job(1, 1, 60_000), 1_100);
+    pool.report(&live.worker, done(&live), 1_500);
+    pool.release(1_510);
+    assert_eq!(pool.take_over(1_600), Ok(()));
+    pool.register(&live.worker, 1_600);
+    let queued = format!("{OTHER_JOB}.0.0.0");
+    assert_eq!(pool.first_start(&queued, 1_620, 1_900), None);
+    pool.report(&live.worker, done(&live), 1_910);
+    assert!(pool.first_start(&queued, 1_920, 2_100).is_some());
+    assert_eq!(pool.first_start(&silent.task, 2_120, 4_000), None);
+}
+
 /// A completion reported to an owner that stops isn't acknowledged, and the worker repeats it.
 #[test]
 fn completion_reported_during_a_stop_is_waited_for() {
