edge: don't take a shard from an owner that becomes known meanwhile

A process that began to take over a shard read the owner's row and then compared its term with the newest one that it knew.

The row is compared with the term that was known when the takeover began. No test shows it yet.

--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -34,6 +34,8 @@
 
 /// Acquires a shard by compare-and-set on its owner's row, and starts its driver.
 async fn acquire(node: &Rc<Node>, shard: &str) {
+    // The owner that was found to be lost: a newer one may become known during the read.
+    let lost_term = node.owners.borrow().get(shard).map(|known| known.term);
     let Some(page) = node.store.read(OWNERS_TABLE, shard).await else {
         return;
     };
@@ -41,7 +43,7 @@
     let current = row.and_then(registry::read_ownership);
     let known_term = node.owners.borrow().get(shard).map(|known| known.term);
     if let Some(found) = &current {
-        if known_term.is_none_or(|term| found.term > term) {
+        if lost_term.is_none_or(|term| found.term > term) {
             node.record_owner(shard, found.clone());
             return;
         }
