model: client accounts, the account of a submission, and settings that later parts read

Shared types of the work on accounts, quotas and expected durations, so that the parts can be built side by side.

--- a/crates/hyssop-lab/src/measure/owner.rs
+++ b/crates/hyssop-lab/src/measure/owner.rs
@@ -111,6 +111,7 @@
         stretch: 1.6,
         objective: Duration::from_millis(600),
         needs_advice: false,
+        allows_anonymous: false,
     };
     scheduler.configure(&Configuration {
         version: 1,
@@ -144,6 +145,7 @@
         specification: "x".repeat(200),
         steps: vec![step],
         schedule: None,
+        account: None,
     }
 }
 
--- a/crates/hyssop-model/src/work/configuration.rs
+++ b/crates/hyssop-model/src/work/configuration.rs
@@ -1,4 +1,4 @@
-use super::{Pool, Queue};
+use super::{Account, Pool, Queue};
 use std::collections::BTreeMap;
 
 /// One version of the operators' configuration.
@@ -11,7 +11,9 @@
     pub queues: BTreeMap<String, Queue>,
     /// The pools, by name.
     pub pools: BTreeMap<String, Pool>,
-    /// The number of queues and pools that could not be decoded and are left out.
+    /// The client accounts, by name; `None` if callers need no account.
+    pub accounts: Option<BTreeMap<String, Account>>,
+    /// The number of queues, pools and accounts that could not be decoded and are left out.
     pub rejected: usize,
     /// The maximum size of a request body, in bytes.
     pub max_body_bytes: Option<usize>,
--- a/crates/hyssop-model/src/work/mod.rs
+++ b/crates/hyssop-model/src/work/mod.rs
@@ -3,6 +3,7 @@
 //! These types are independent of any platform; an adapter translates a platform's names into them
 //! where its messages are decoded.
 
+mod account;
 mod address;
 mod configuration;
 mod instance;
@@ -13,12 +14,14 @@
 mod report;
 mod resources;
 mod schedule;
+mod secret;
 mod step;
 mod submission;
 mod task;
 mod wave;
 mod worker;
 
+pub use account::Account;
 pub use address::Address;
 pub use configuration::Configuration;
 pub use instance::{Condition, Instance};
@@ -29,6 +32,7 @@
 pub use report::{Completion, Report, Running};
 pub use resources::Resources;
 pub use schedule::Schedule;
+pub use secret::Secret;
 pub use step::Step;
 pub use submission::Submission;
 pub use task::Task;
--- a/crates/hyssop-model/src/work/queue.rs
+++ b/crates/hyssop-model/src/work/queue.rs
@@ -22,4 +22,6 @@
     pub objective: Duration,
     /// Whether starting a task of this queue requires a ticket from the advice service.
     pub needs_advice: bool,
+    /// Whether calls without a key are served.
+    pub allows_anonymous: bool,
 }
--- a/crates/hyssop-model/src/work/submission.rs
+++ b/crates/hyssop-model/src/work/submission.rs
@@ -10,6 +10,9 @@
     pub steps: Vec<Step>,
     /// The schedule of the occurrences; `None` for a job that runs once, immediately.
     pub schedule: Option<Schedule>,
+    /// The client account that submitted the job, if callers have accounts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<String>,
 }
 
 impl Submission {
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -74,9 +74,8 @@
         }
         let wait = self.store_wait(pace);
         let rule = self.rules.get(queue).copied().unwrap_or_default();
-        let factor = self.learning.factor(queue);
         let work_ms =
-            submission.critical_path_ms(|step| submission.steps[step].estimate_ms as f64 * factor);
+            submission.critical_path_ms(|step| self.expected_ms(queue, &submission.steps[step]));
         let slack_ms = work_ms * (rule.stretch - 1.0).max(0.0);
         let slack = rule.objective + Duration::from_millis(slack_ms as u64);
         // The result has to be stored too.
--- a/crates/hyssop-policy/src/owner/learning.rs
+++ b/crates/hyssop-policy/src/owner/learning.rs
@@ -1,3 +1,5 @@
+use super::Scheduler;
+use hyssop_model::work::Step;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -34,3 +36,10 @@
         *factor += (ratio - *factor) * WEIGHT;
     }
 }
+
+impl Scheduler {
+    /// Returns the expected duration of a task of `step` in `queue`, in milliseconds.
+    pub(super) fn expected_ms(&self, queue: &str, step: &Step) -> f64 {
+        step.estimate_ms as f64 * self.learning.factor(queue)
+    }
+}
--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -73,8 +73,7 @@
                 key: job.submitted_at.as_secs_f64(),
             };
         }
-        let factor = self.learning.factor(&job.queue);
-        let estimate = |step: usize| job.submission.steps[step].estimate_ms as f64 * factor;
+        let estimate = |step: usize| self.expected_ms(&job.queue, &job.submission.steps[step]);
         let total_ms = job.submission.critical_path_ms(estimate);
         let occurrence = job
             .occurrences
--- a/crates/hyssop-policy/src/owner/watch.rs
+++ b/crates/hyssop-policy/src/owner/watch.rs
@@ -130,7 +130,7 @@
                 {
                     continue;
                 }
-                let expected = step.estimate_ms as f64 * self.learning.factor(&job.queue);
+                let expected = self.expected_ms(&job.queue, step);
                 let threshold = Duration::from_secs_f64(expected * STALL_SHARE / 1_000.0);
                 // Only reports show progress, so the time since the last report doesn't count.
                 let reported_at = worker.polled_at;
--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -48,6 +48,7 @@
         stretch: 1.6,
         objective: Duration::from_millis(600),
         needs_advice,
+        allows_anonymous: false,
     };
     Configuration {
         version: 1,
@@ -82,5 +83,6 @@
         specification: format!("{ms}"),
         steps: (0..steps).map(step).collect(),
         schedule: None,
+        account: None,
     }
 }
--- a/crates/hyssop-policy/tests/pace.rs
+++ b/crates/hyssop-policy/tests/pace.rs
@@ -26,6 +26,7 @@
         specification: "lasts".to_owned(),
         steps: vec![step(false), step(true)],
         schedule: None,
+        account: None,
     }
 }
 
--- a/crates/hyssop-policy/tests/placement.rs
+++ b/crates/hyssop-policy/tests/placement.rs
@@ -61,6 +61,7 @@
         specification: "s".to_owned(),
         steps: vec![step],
         schedule: None,
+        account: None,
     };
     scheduler.submit(ID, "queue", submission, Duration::ZERO, at(1_000), 1_000);
     commit(scheduler, 1_000);
@@ -246,6 +247,7 @@
             interval_ms: 2_000,
             count: 2,
         }),
+        account: None,
     };
     scheduler.submit(ID, "queue", submission, Duration::ZERO, at(1_000), 1_000);
     commit(&mut scheduler, 1_000);
