--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -56,7 +56,7 @@
 pub use start::StartResult;
 pub use worker::Worker;
 
-use hyssop_model::work::Configuration;
+use hyssop_model::work::{Account, Configuration};
 use learning::Learning;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -76,6 +76,8 @@
     term: u64,
     settings: Settings,
     rules: rules::Rules,
+    /// The client accounts of the configuration, by name.
+    accounts: BTreeMap<String, Account>,
     addresses: addresses::Addresses,
     barred: recall::Barred,
     jobs: BTreeMap<JobKey, Job>,
@@ -142,6 +144,7 @@
             term,
             settings,
             rules: rules::Rules::default(),
+            accounts: BTreeMap::new(),
             addresses: addresses::Addresses::default(),
             barred: recall::Barred::default(),
             jobs: BTreeMap::new(),
@@ -205,10 +208,16 @@
     /// accepted under them.
     pub fn configure(&mut self, configuration: &Configuration) {
         self.rules.configure(configuration);
+        self.accounts = configuration.accounts.clone().unwrap_or_default();
         self.addresses.configure(&self.pool, configuration);
         self.is_placement_due = true;
     }
 
+    /// Returns a client account of the configuration.
+    pub fn account(&self, name: &str) -> Option<&Account> {
+        self.accounts.get(name)
+    }
+
     /// Adds the rules of a queue that this owner may not know: the process that received a job may
     /// have a newer configuration.
     pub fn learn_rule(&mut self, queue: &str, rule: Rule) {
