owner: serve jobs beyond an account's weight after those that are owed, and defer what would end late

Cause: one account that sends several times its usual load had its jobs run beside and before those of all others, so every account had late jobs. Change: each pool's owner counts an account's jobs by their first attempt against its weight. Jobs beyond it come last, by weighted dominant share, and are refused with a Retry-After when the capacity that owed jobs leave free is not enough for them; a place is reserved, in the order of first attempts, while it can still be in time. Without accounts nothing changes.

--- a/crates/hyssop-edge/src/pool/operations.rs
+++ b/crates/hyssop-edge/src/pool/operations.rs
@@ -63,6 +63,9 @@
                 match admission {
                     Admission::Accepted => Answer::Done,
                     Admission::Refused(reason) => Answer::Refused(reason, 0),
+                    Admission::Deferred(reason, wait) => {
+                        Answer::Refused(reason, wait.as_millis() as u64)
+                    }
                     Admission::Pending => self.await_acceptance(&id, timeout_ms).await,
                 }
             }
--- a/crates/hyssop-model/src/job/size.rs
+++ b/crates/hyssop-model/src/job/size.rs
@@ -1,3 +1,4 @@
+use crate::work::Resources;
 use serde::{Deserialize, Serialize};
 
 /// The resources that a job requests, or the capacity of a worker.
@@ -12,6 +13,16 @@
     pub accelerators: u64,
 }
 
+impl From<Resources> for Size {
+    fn from(resources: Resources) -> Self {
+        Self {
+            cpu_millis: resources.cpu,
+            memory_mib: resources.memory,
+            accelerators: resources.accelerators,
+        }
+    }
+}
+
 impl Size {
     /// Returns whether `other` fits into `self` in every resource.
     pub fn can_fit(&self, other: &Self) -> bool {
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -1,5 +1,6 @@
 use super::job::{Job, Occurrence, State};
 use super::progress::{JobRow, Progress};
+use super::share::Entitlement;
 use super::{Action, JobKey, Scheduler};
 use hyssop_model::work::{Phase, Submission};
 use hyssop_platform::rows::encode;
@@ -19,6 +20,8 @@
     Pending,
     /// The job is rejected, for the given reason, and never runs.
     Refused(String),
+    /// The job is rejected, for the given reason, and may be submitted again after the given time.
+    Deferred(String, Duration),
 }
 
 /// The outcome of a cancellation.
@@ -73,11 +76,7 @@
             return None;
         }
         let wait = self.store_wait(pace);
-        let rule = self.rules.get(queue).copied().unwrap_or_default();
-        let work_ms =
-            submission.critical_path_ms(|step| self.expected_ms(queue, &submission.steps[step]));
-        let slack_ms = work_ms * (rule.stretch - 1.0).max(0.0);
-        let slack = rule.objective + Duration::from_millis(slack_ms as u64);
+        let slack = self.slack(queue, submission);
         // The result has to be stored too.
         (age + wait + pace.commit_time > slack && wait > pace.commit_time * 2).then_some(wait)
     }
@@ -125,8 +124,20 @@
             log::info!("event=job-too-large job={id} queue={queue} bytes={row_bytes}");
             return Admission::Refused(reason);
         }
+        let submitted_at = self.shares.first_request(id, now.saturating_sub(age));
+        let entitlement = self.entitle(id, queue, &submission, submitted_at, now);
+        if let Some(wait) = self.deferral(id, queue, &submission, entitlement, submitted_at, now) {
+            let account = submission.account.unwrap_or_default();
+            log::info!(
+                "event=job-deferred job={id} queue={queue} account={account} wait_ms={}",
+                wait.as_millis()
+            );
+            let reason =
+                "the account exceeds its weight while the pool is full; the job has not run";
+            return Admission::Deferred(reason.to_owned(), wait);
+        }
+        self.shares.on_accepted(id);
         let key = self.allocate_key(id);
-        let submitted_at = now.saturating_sub(age);
         let mut occurrences = BTreeMap::new();
         if submission.schedule.is_none() {
             occurrences.insert(
@@ -140,6 +151,7 @@
             next_occurrence: u32::from(submission.schedule.is_none()),
             max_open_occurrences,
             stored_occurrences: u32::from(submission.schedule.is_none()),
+            is_excess: entitlement != Entitlement::Within,
             submission,
             submitted_at,
             submitted_wall_ms,
@@ -153,6 +165,9 @@
             is_oversized: false,
             finished_at: None,
         };
+        if entitlement == Entitlement::Within && !self.accounts.is_empty() {
+            self.shares.record_owed_work(self.remaining_work(&job), now);
+        }
         self.jobs.insert(key, job);
         self.open_jobs.insert(key);
         self.dirty.insert(key);
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -48,6 +48,8 @@
     pub queue: String,
     /// The submitted work; its specification is dropped once the final phase is stored.
     pub submission: Submission,
+    /// Whether the job is beyond the number of jobs a second that its account is owed.
+    pub(super) is_excess: bool,
     /// When the caller first submitted the job, on the owner's clock.
     pub(super) submitted_at: Duration,
     /// The same time in Unix milliseconds, stored for the next owner.
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -38,6 +38,7 @@
 mod roster;
 mod rules;
 mod settings;
+mod share;
 mod start;
 mod unreported;
 mod watch;
@@ -120,6 +121,10 @@
     /// Row names of removed workers, to be deleted from the store.
     removed_workers: BTreeSet<String>,
     learning: Learning,
+    shares: share::Shares,
+    /// Whether recovered jobs are to be counted against the weights of their accounts, once these are
+    /// known.
+    is_recount_due: bool,
     /// Answers of the advice service, by step.
     permits: BTreeMap<TaskKey, permit::Permit>,
     actions: Vec<Action>,
@@ -170,6 +175,8 @@
             finished_submissions: BTreeSet::new(),
             removed_workers: BTreeSet::new(),
             learning: Learning::default(),
+            shares: share::Shares::default(),
+            is_recount_due: false,
             permits: BTreeMap::new(),
             actions: Vec::new(),
             is_deposed: false,
@@ -209,6 +216,10 @@
     pub fn configure(&mut self, configuration: &Configuration) {
         self.rules.configure(configuration);
         self.accounts = configuration.accounts.clone().unwrap_or_default();
+        self.shares.retain(&self.accounts);
+        if std::mem::take(&mut self.is_recount_due) {
+            self.count_recovered_jobs();
+        }
         self.addresses.configure(&self.pool, configuration);
         self.is_placement_due = true;
     }
--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -24,6 +24,10 @@
 /// The rank of an open job; the lowest is served first.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub(super) struct Rank {
+    /// Whether the job is beyond the number of jobs a second that its account is owed.
+    is_excess: bool,
+    /// The weighted dominant share of its account; 0 for a job that is owed.
+    share: f64,
     /// 0 for long-running jobs, 1 for jobs that can meet their deadline, 2 for overdue ones.
     class: u32,
     priority: u32,
@@ -32,13 +36,23 @@
     key: f64,
 }
 
+/// Sorts jobs by their ranks.
+fn sort(ranked: &mut [(Rank, JobKey)]) {
+    ranked.sort_by(|(a, key_a), (b, key_b)| {
+        a.partial_cmp(b)
+            .unwrap_or(std::cmp::Ordering::Equal)
+            .then(key_a.cmp(key_b))
+    });
+}
+
 impl Scheduler {
     /// Returns the open jobs in the order in which they are given capacity.
     ///
     /// Demand may exceed the pool's capacity several times for some seconds, and only whole jobs
     /// completed in time count. Jobs that can still meet their deadline therefore come first, the
     /// earliest deadline first. Overdue jobs get the remaining capacity, the one with the least
-    /// work first, so that as many of them as possible complete.
+    /// work first, so that as many of them as possible complete. Jobs beyond what their accounts are
+    /// owed come last, by weighted dominant share: free capacity is lent to them.
     pub(super) fn ranked(&mut self, now: Duration) -> Vec<JobKey> {
         /// How long a ranking is reused: time and progress change it little within this time.
         const MAX_AGE: Duration = Duration::from_millis(50);
@@ -56,11 +70,16 @@
             .iter()
             .filter_map(|&key| Some((self.rank(self.jobs.get(&key)?, now), key)))
             .collect();
-        ranked.sort_by(|(a, key_a), (b, key_b)| {
-            a.partial_cmp(b)
-                .unwrap_or(std::cmp::Ordering::Equal)
-                .then(key_a.cmp(key_b))
-        });
+        sort(&mut ranked);
+        let first = ranked.partition_point(|(rank, _)| !rank.is_excess);
+        if first < ranked.len() {
+            let excess: Vec<JobKey> = ranked[first..].iter().map(|(_, key)| *key).collect();
+            let shares = self.excess_shares(&excess);
+            for (rank, key) in &mut ranked[first..] {
+                rank.share = shares.get(key).copied().unwrap_or(0.0);
+            }
+            sort(&mut ranked[first..]);
+        }
         ranked.into_iter().map(|(_, key)| key).collect()
     }
 
@@ -68,6 +87,8 @@
         let rule = self.rules.get(&job.queue).copied().unwrap_or_default();
         if job.submission.is_long_running() {
             return Rank {
+                is_excess: false,
+                share: 0.0,
                 class: 0,
                 priority: rule.priority,
                 key: job.submitted_at.as_secs_f64(),
@@ -94,6 +115,8 @@
         let now_ms = now.as_secs_f64() * 1_000.0;
         if now_ms + remaining_ms <= deadline_ms {
             return Rank {
+                is_excess: job.is_excess,
+                share: 0.0,
                 class: 1,
                 priority: rule.priority,
                 key: deadline_ms,
@@ -107,6 +130,8 @@
             remaining_tasks as f64 * step.need.cpu as f64 * step.estimate_ms as f64
         };
         Rank {
+            is_excess: job.is_excess,
+            share: 0.0,
             class: 2,
             priority: rule.priority,
             key: job
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -2,6 +2,7 @@
 use super::batch::{JOBS, PROGRESS, RULES, WORKERS};
 use super::job::{Job, Occurrence, Rule, State};
 use super::progress::{JobRow, Progress};
+use super::share::Entitlement;
 use super::unreported::Unreported;
 use super::worker::Stretch;
 use super::{JobKey, Scheduler};
@@ -53,6 +54,7 @@
             let stored = progress.remove(id);
             self.recover_job(id, accepted, stored, now, wall_ms);
         }
+        self.is_recount_due = true;
         for record in records.iter().filter(|record| record.table == WORKERS) {
             if let Some((id, incarnation)) = record.key.rsplit_once('@') {
                 let incarnation = incarnation.parse().unwrap_or(0);
@@ -179,6 +181,32 @@
         }
     }
 
+    /// Counts the recovered jobs against the weights of their accounts, the oldest first, as the
+    /// previous owner has.
+    pub(super) fn count_recovered_jobs(&mut self) {
+        let mut recovered: Vec<(Duration, JobKey)> = self
+            .open_jobs
+            .iter()
+            .filter_map(|key| Some((self.jobs.get(key)?.submitted_at, *key)))
+            .collect();
+        recovered.sort_unstable();
+        for (submitted_at, key) in recovered {
+            let Some(job) = self.jobs.get(&key) else {
+                continue;
+            };
+            let account = job.submission.account.as_ref();
+            let Some(account) = account.and_then(|name| self.accounts.get(name)) else {
+                continue;
+            };
+            let entitlement =
+                self.shares
+                    .count(account, &job.id, submitted_at, false, submitted_at);
+            if let Some(job) = self.jobs.get_mut(&key) {
+                job.is_excess = entitlement != Entitlement::Within;
+            }
+        }
+    }
+
     fn recover_job(
         &mut self,
         id: &str,
@@ -230,6 +258,7 @@
             finished_occurrences: stored.map_or(0, |stored| stored.finished_occurrences),
             occurrences,
             submission,
+            is_excess: false,
             is_oversized: false,
             finished_at: None,
         };
@@ -271,6 +300,7 @@
         id: id.to_owned(),
         queue: queue.to_owned(),
         submission: Submission::default(),
+        is_excess: false,
         submitted_at: now,
         submitted_wall_ms: 0,
         phase,
