front: check callers' keys and pass their accounts on

Cause: anybody who reached a front could run, see and cancel jobs.

Change: hyssop-policy::account decides from the keys of the configuration in force, the route and the presented header. A front checks a request after its route is found, after its body is read, and each time before it is passed on until an owner may have performed it, by the newest configuration. The account goes into the submission. The platform crate holds the header's name, its parser and the scheme of the challenge. A deployment without accounts decides nothing new.

--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -1,7 +1,7 @@
 use super::addresses::follow_addresses;
 use super::configuration::{fetch_on_demand, follow_operators};
 use super::error::{Error, ListenSnafu, LogSnafu, RuntimeSnafu};
-use crate::front::{self, Traffic};
+use crate::front::{self, Gate, Traffic};
 use crate::http::Client;
 use crate::metric::Metrics;
 use crate::node::{Clock, Node, Stage, Timing};
@@ -12,7 +12,7 @@
 use crate::peer::{self, Links};
 use crate::store::Store;
 use hyssop_platform::dialect::Dialect;
-use hyssop_policy::owner;
+use hyssop_policy::{account, owner};
 use platform::settings::Settings;
 use snafu::ResultExt;
 use std::cell::{Cell, RefCell};
@@ -105,6 +105,11 @@
         store,
         metrics,
         configuration: RefCell::default(),
+        gate: Gate::new(account::Bounds::new(
+            settings.requires_accounts(),
+            settings.bounds.strict_revocation,
+            Duration::from_millis(settings.bounds.revocation_ms),
+        )),
         directory: RefCell::default(),
         waves: RefCell::default(),
         members: RefCell::default(),
--- a/crates/hyssop-edge/src/front/handler.rs
+++ b/crates/hyssop-edge/src/front/handler.rs
@@ -1,12 +1,15 @@
+use super::discard::discard;
+use super::gate::{Caller, Denial};
 use crate::node::{Endpoint, Node, Route, Stage};
 use crate::ownership::{locate_owner, report_owner};
 use crate::peer::{Answer, Operation};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HOST, RETRY_AFTER};
+use hyper::header::{HeaderValue, CONTENT_TYPE, HOST, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Method, Request, Response, StatusCode};
-use hyssop_model::work::{Address, Queue};
+use hyssop_model::work::{Address, Queue, Submission};
+use hyssop_policy::account::Credential;
 use hyssop_policy::owner::Rule;
 use std::rc::Rc;
 use std::time::Duration;
@@ -61,6 +64,12 @@
         return error_response(&node, StatusCode::NOT_FOUND, "no such queue", 0);
     };
     let id = path[queue.prefix.len()..].to_owned();
+    let limit = configuration.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES);
+    let caller = Caller::new(host, path, credential(&node, &request), queue);
+    if let Err(denial) = caller.admit(&node) {
+        discard(request, limit).await;
+        return denial_response(&node, denial);
+    }
     let timeout = request
         .headers()
         .get(node.dialect.deadline_header())
@@ -74,13 +83,16 @@
         return error_response(&node, StatusCode::BAD_REQUEST, reason, 0);
     }
     let method = request.method().clone();
-    let limit = configuration.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES);
     // A connection that is closed before the body is read may lose the answer.
     let body = tokio::select! {
         biased;
         body = Limited::new(request.into_body(), limit).collect() => body,
-        () = node.reached(Stage::Final) => return refuse_while_stopping(&node, &method, &path),
+        () = node.reached(Stage::Final) => return refuse_while_stopping(&node, &method, &caller.path),
     };
+    // The configuration may have changed while the body was read.
+    if let Err(denial) = caller.admit(&node) {
+        return denial_response(&node, denial);
+    }
     let body = match body {
         Ok(body) => body.to_bytes(),
         Err(error) => {
@@ -89,21 +101,20 @@
         }
     };
     if node.stage() >= Stage::Refusing {
-        return refuse_while_stopping(&node, &method, &path);
+        return refuse_while_stopping(&node, &method, &caller.path);
     }
     match method {
         Method::POST => {
             let arrival = Arrival {
-                host,
-                path,
+                caller,
                 received_at,
                 deadline,
             };
             submit(&node, arrival, id, &body).await
         }
-        Method::GET if is_listing => waiting(&node, queue, deadline).await,
-        Method::GET => phase(&node, queue, id, deadline).await,
-        Method::DELETE => cancel(&node, queue, id, deadline).await,
+        Method::GET if is_listing => waiting(&node, &caller, queue, deadline).await,
+        Method::GET => phase(&node, &caller, queue, id, deadline).await,
+        Method::DELETE => cancel(&node, &caller, queue, id, deadline).await,
         _ => error_response(
             &node,
             StatusCode::METHOD_NOT_ALLOWED,
@@ -113,6 +124,14 @@
     }
 }
 
+/// Returns what the caller of a request presents to authenticate.
+fn credential(node: &Node, request: &Request<Incoming>) -> Credential {
+    let headers = request.headers();
+    let values = headers.get_all(node.dialect.credential_header());
+    let values = values.iter().map(HeaderValue::as_bytes);
+    Credential::read(values, |value| node.dialect.read_credential(value))
+}
+
 /// Refuses a request that arrived when the process took no more requests; it has not run.
 fn refuse_while_stopping(node: &Node, method: &Method, path: &str) -> Reply {
     log::info!("event=refused-stopping method={method} path={path}");
@@ -123,8 +142,7 @@
 
 /// A caller's request to submit a job.
 struct Arrival {
-    host: String,
-    path: String,
+    caller: Caller,
     received_at: Duration,
     deadline: Duration,
 }
@@ -138,24 +156,30 @@
     let mut changes = node.changes.subscribe();
     loop {
         let configuration = node.configuration.borrow().clone();
-        let Some(queue) = configuration.route(&arrival.host, &arrival.path) else {
+        let Some(queue) = configuration.route(&arrival.caller.host, &arrival.caller.path) else {
             return error_response(node, StatusCode::NOT_FOUND, "no such queue", 0);
         };
         let version = configuration.version;
-        let operation = |now: Duration| Operation::Submit {
+        let operation = |now: Duration, account: Option<String>| Operation::Submit {
             part: queue.pool.clone(),
             queue: queue.name.clone(),
             id: id.clone(),
             age_ms: now.saturating_sub(arrival.received_at).as_millis() as u64,
             patience_ms: arrival.deadline.saturating_sub(now).as_millis() as u64,
-            submission: submission.clone(),
+            submission: Submission {
+                account,
+                ..submission.clone()
+            },
             rule: Some(Rule::new(queue)),
             address: Some(Address::of(queue)),
             version,
         };
-        let answer = match recall(node, queue, &id, version, arrival.deadline).await {
+        let caller = &arrival.caller;
+        let answer = match recall(node, caller, queue, &id, version, arrival.deadline).await {
             Some(answer) => answer,
-            None => request_from_owner(node, &queue.pool, arrival.deadline, &operation).await,
+            None => {
+                request_from_owner(node, caller, &queue.pool, arrival.deadline, &operation).await
+            }
         };
         let elapsed = node.clock.now().saturating_sub(arrival.received_at);
         log::info!(
@@ -182,6 +206,7 @@
 /// Asks the other pools that may have a job for it; returns `None` if none has it or will accept it.
 async fn recall(
     node: &Rc<Node>,
+    caller: &Caller,
     queue: &Queue,
     id: &str,
     version: u64,
@@ -192,13 +217,13 @@
         directory.other_pools(queue, node.clock.now())
     };
     for pool in pools {
-        let operation = |now: Duration| Operation::Recall {
+        let operation = |now: Duration, _: Option<String>| Operation::Recall {
             part: pool.clone(),
             id: id.to_owned(),
             version,
             patience_ms: deadline.saturating_sub(now).as_millis() as u64,
         };
-        match request_from_owner(node, &pool, deadline, &operation).await {
+        match request_from_owner(node, caller, &pool, deadline, &operation).await {
             Outcome::Answered(Answer::Unknown) => {}
             outcome => {
                 log::info!(
@@ -219,6 +244,7 @@
         Outcome::Answered(Answer::Refused(reason, retry_ms)) => {
             error_response(node, StatusCode::SERVICE_UNAVAILABLE, &reason, retry_ms)
         }
+        Outcome::Denied(denial) => denial_response(node, denial),
         Outcome::NotSent => {
             let reason = "the pool has no reachable owner";
             error_response(
@@ -242,17 +268,24 @@
 }
 
 /// Returns a job's phase.
-async fn phase(node: &Rc<Node>, queue: &Queue, id: String, deadline: Duration) -> Reply {
+async fn phase(
+    node: &Rc<Node>,
+    caller: &Caller,
+    queue: &Queue,
+    id: String,
+    deadline: Duration,
+) -> Reply {
     for shard in candidate_shards(node, queue) {
-        let operation = |_: Duration| Operation::Phase {
+        let operation = |_: Duration, _: Option<String>| Operation::Phase {
             part: shard.clone(),
             id: id.clone(),
         };
-        match request_from_owner(node, &shard, deadline, &operation).await {
+        match request_from_owner(node, caller, &shard, deadline, &operation).await {
             Outcome::Answered(Answer::Phase(phase)) => {
                 return json_response(StatusCode::OK, node.dialect.phase_body(phase));
             }
             Outcome::Answered(Answer::Unknown) => {}
+            Outcome::Denied(denial) => return denial_response(node, denial),
             _ => return owner_unavailable(node),
         }
     }
@@ -260,14 +293,20 @@
 }
 
 /// Cancels a job.
-async fn cancel(node: &Rc<Node>, queue: &Queue, id: String, deadline: Duration) -> Reply {
+async fn cancel(
+    node: &Rc<Node>,
+    caller: &Caller,
+    queue: &Queue,
+    id: String,
+    deadline: Duration,
+) -> Reply {
     for shard in candidate_shards(node, queue) {
-        let operation = |now: Duration| Operation::Cancel {
+        let operation = |now: Duration, _: Option<String>| Operation::Cancel {
             part: shard.clone(),
             id: id.clone(),
             patience_ms: deadline.saturating_sub(now).as_millis() as u64,
         };
-        let answer = request_from_owner(node, &shard, deadline, &operation).await;
+        let answer = request_from_owner(node, caller, &shard, deadline, &operation).await;
         log::info!(
             "event=cancel job={id} pool={shard} outcome={}",
             label(&answer)
@@ -275,6 +314,7 @@
         match answer {
             Outcome::Answered(Answer::Done) => return empty_response(StatusCode::OK),
             Outcome::Answered(Answer::Unknown) => {}
+            Outcome::Denied(denial) => return denial_response(node, denial),
             _ => return owner_unavailable(node),
         }
     }
@@ -283,16 +323,17 @@
 
 /// Returns the number of waiting jobs at a queue's address, those in pools that it was assigned to earlier
 /// included.
-async fn waiting(node: &Rc<Node>, queue: &Queue, deadline: Duration) -> Reply {
+async fn waiting(node: &Rc<Node>, caller: &Caller, queue: &Queue, deadline: Duration) -> Reply {
     let queues = node.directory.borrow().queues_at(queue);
     let mut total = 0;
     for (pool, name) in queues {
-        let operation = |_: Duration| Operation::Waiting {
+        let operation = |_: Duration, _: Option<String>| Operation::Waiting {
             part: pool.clone(),
             queue: name.clone(),
         };
-        match request_from_owner(node, &pool, deadline, &operation).await {
+        match request_from_owner(node, caller, &pool, deadline, &operation).await {
             Outcome::Answered(Answer::Waiting(count)) => total += count,
+            Outcome::Denied(denial) => return denial_response(node, denial),
             _ => return owner_unavailable(node),
         }
     }
@@ -312,6 +353,8 @@
 enum Outcome {
     /// The owner answered.
     Answered(Answer),
+    /// The caller is no longer admitted; the request was not sent to any owner.
+    Denied(Denial),
     /// The request was not sent to any owner.
     NotSent,
     /// The request was sent without a conclusive answer; an owner may have performed it.
@@ -326,21 +369,27 @@
         Outcome::Answered(Answer::Unknown) => "unknown",
         Outcome::Answered(Answer::Reassigned) => "reassigned",
         Outcome::Answered(_) => "answered",
+        Outcome::Denied(_) => "denied",
         Outcome::NotSent => "no-owner",
         Outcome::Unanswered => "unanswered",
     }
 }
 
 /// Requests an operation from the shard's owner, and from the next one if the owner changes.
+///
+/// `operation` gets the time and the caller's account. The caller is checked by the newest
+/// configuration each time, until an owner may have performed the operation.
 async fn request_from_owner(
     node: &Rc<Node>,
+    caller: &Caller,
     shard: &str,
     deadline: Duration,
-    operation: &dyn Fn(Duration) -> Operation,
+    operation: &dyn Fn(Duration, Option<String>) -> Operation,
 ) -> Outcome {
     let mut changes = node.changes.subscribe();
     let started_at = node.clock.now();
     let mut was_sent = false;
+    let mut account = None;
     loop {
         seek_owner(node, shard, started_at);
         let now = node.clock.now();
@@ -357,13 +406,22 @@
         }
         changes.mark_unchanged();
         let left = deadline.saturating_sub(now);
+        if !was_sent {
+            match caller.admit(node) {
+                Ok(admitted) => account = admitted,
+                Err(denial) => return Outcome::Denied(denial),
+            }
+        }
         let answer = match node.route_to(shard) {
             None => Some(Answer::NotOwner),
-            Some(Route::Local) => tokio::time::timeout(left, node.perform(operation(now)))
-                .await
-                .ok(),
+            Some(Route::Local) => {
+                tokio::time::timeout(left, node.perform(operation(now, account.clone())))
+                    .await
+                    .ok()
+            }
             Some(Route::Link(link)) => {
-                let request = link.request(operation(now), left.min(OWNER_TIMEOUT));
+                let request =
+                    link.request(operation(now, account.clone()), left.min(OWNER_TIMEOUT));
                 tokio::select! {
                     answer = request => answer,
                     () = owner_replaced(node, shard, &link.peer) => None,
@@ -422,10 +480,9 @@
 fn json_response(status: StatusCode, bytes: Vec<u8>) -> Reply {
     let mut response = Response::new(Full::new(Bytes::from(bytes)));
     *response.status_mut() = status;
-    response.headers_mut().insert(
-        CONTENT_TYPE,
-        hyper::header::HeaderValue::from_static("application/json"),
-    );
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
@@ -440,6 +497,24 @@
     )
 }
 
+/// Returns the response to a request that is denied; it has not run.
+fn denial_response(node: &Node, denial: Denial) -> Reply {
+    match denial {
+        Denial::Unauthorized(cause) => {
+            let reason = format!("the request has not run: {}", cause.message());
+            let mut response = error_response(node, StatusCode::UNAUTHORIZED, &reason, 0);
+            let challenge = HeaderValue::from_static(node.dialect.challenge());
+            response.headers_mut().insert(WWW_AUTHENTICATE, challenge);
+            response
+        }
+        Denial::Stale => {
+            let reason = "the process does not know the present keys; the request has not run";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            error_response(node, status, reason, RETRY_AFTER_MS)
+        }
+    }
+}
+
 /// Returns an error response; a `retry_ms` of 0 omits the `Retry-After` header.
 fn error_response(node: &Node, status: StatusCode, reason: &str, retry_ms: u64) -> Reply {
     let mut response = json_response(status, node.dialect.refusal_body(reason));
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -1,4 +1,5 @@
 use super::{Clock, Member, Ownership, Route, Stage, TrackedWave};
+use crate::front::Gate;
 use crate::http::Client;
 use crate::metric::Metrics;
 use crate::ownership::{Suspects, OWNERS_TABLE};
@@ -59,6 +60,8 @@
     pub(crate) store: Store,
     pub(crate) metrics: Metrics,
     pub(crate) configuration: RefCell<Rc<Configuration>>,
+    /// The admission of callers.
+    pub(crate) gate: Gate,
     /// The pools that have jobs of each queue's address.
     pub(crate) directory: RefCell<Directory>,
     pub(crate) waves: RefCell<BTreeMap<u64, TrackedWave>>,
@@ -163,6 +166,7 @@
             &configuration,
             self.clock.now(),
         );
+        self.gate.configure(&configuration);
         *self.configuration.borrow_mut() = Rc::new(configuration);
         let configuration = self.configuration.borrow().clone();
         for driver in self.drivers.borrow().values() {
--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -42,11 +42,16 @@
 
     /// As `start`, with further lines for the section `bounds` of the settings.
     pub fn start_with(platform: &Platform, name: &str, bounds: &str) -> Self {
+        Self::start_as(platform, name, "", bounds)
+    }
+
+    /// As `start`, with further lines for the settings outside of sections and for `bounds`.
+    pub fn start_as(platform: &Platform, name: &str, general: &str, bounds: &str) -> Self {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let number = NEXT.fetch_add(1, Ordering::SeqCst);
         let file = format!("hyssop-edge-{}-{number}.toml", std::process::id());
         let settings = std::env::temp_dir().join(file);
-        let text = settings_text(platform, name, bounds);
+        let text = settings_text(platform, name, general, bounds);
         std::fs::write(&settings, text).expect("settings can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_hyssop-edge"))
             .env("HYSSOPWORKS_BOOT", &settings)
@@ -129,15 +134,33 @@
     /// Makes a call and returns the status, 0 without an answer, and the body, null unless it is
     /// JSON.
     pub fn call(&self, method: &str, path: &str, body: &str) -> (i32, Value) {
+        self.call_with_header(None, method, path, body)
+    }
+
+    /// As `call`, with the key of a client account.
+    pub fn call_with_key(&self, key: &str, method: &str, path: &str, body: &str) -> (i32, Value) {
+        self.call_with_header(Some(&format!("Token {key}")), method, path, body)
+    }
+
+    fn call_with_header(
+        &self,
+        authorization: Option<&str>,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> (i32, Value) {
         let method = match method {
             "POST" => minreq::Method::Post,
             "DELETE" => minreq::Method::Delete,
             "PUT" => minreq::Method::Put,
             _ => minreq::Method::Get,
         };
-        let request = minreq::Request::new(method, format!("http://{}{path}", self.front))
+        let mut request = minreq::Request::new(method, format!("http://{}{path}", self.front))
             .with_body(body)
             .with_timeout(WAIT_TIMEOUT.as_secs());
+        if let Some(authorization) = authorization {
+            request = request.with_header("Authorization", authorization);
+        }
         match request.send() {
             Ok(response) => {
                 let body = serde_json::from_slice(response.as_bytes()).unwrap_or(Value::Null);
@@ -254,6 +277,11 @@
 
 /// Writes a configuration with a queue for each route, a path prefix and its pool.
 pub fn configure(platform: &Platform, version: u64, routes: &[(&str, &str)]) {
+    platform.write_operator_row("config", &configuration(version, routes));
+}
+
+/// Returns a configuration with a queue for each route, a path prefix and its pool.
+pub fn configuration(version: u64, routes: &[(&str, &str)]) -> Value {
     let route = |(prefix, pool): &(&str, &str)| {
         json!({
             "name": format!("r{}", prefix.replace('/', "")), "hostname": HOST,
@@ -262,15 +290,14 @@
         })
     };
     let routes: Vec<Value> = routes.iter().map(route).collect();
-    let value = json!({
+    json!({
         "version": version, "routes": routes, "limits": { "max-body-bytes": 65_536 },
         "services": [
             { "name": "alpha", "rejects-overload": true },
             { "name": "beta", "rejects-overload": true },
             { "name": "spare", "rejects-overload": true, "spare": true },
         ],
-    });
-    platform.write_operator_row("config", &value);
+    })
 }
 
 /// Announces wave 1, which may have at most `cap` of the machines down at once.
@@ -300,7 +327,7 @@
 }
 
 /// Returns the settings file of a process.
-fn settings_text(platform: &Platform, name: &str, bounds: &str) -> String {
+fn settings_text(platform: &Platform, name: &str, general: &str, bounds: &str) -> String {
     format!(
         r#"
 node-name = "{name}"
@@ -308,6 +335,7 @@
 zone = "zone-a"
 internal-port-range = [0, 0]
 orders = "call"
+{general}
 [listen-addresses]
 front = "127.0.0.1:0"
 ready = "127.0.0.1:0"
--- a/crates/hyssop-platform/src/dialect/mod.rs
+++ b/crates/hyssop-platform/src/dialect/mod.rs
@@ -101,4 +101,10 @@
     fn refusal_body(&self, reason: &str) -> Vec<u8>;
     /// Returns the name of the header with the caller's deadline, in milliseconds.
     fn deadline_header(&self) -> &'static str;
+    /// Returns the name of the header with the caller's key.
+    fn credential_header(&self) -> &'static str;
+    /// Returns the key in a value of that header, or `None` if it holds none.
+    fn read_credential<'a>(&self, value: &'a [u8]) -> Option<&'a [u8]>;
+    /// Returns the authentication scheme for callers without a valid key.
+    fn challenge(&self) -> &'static str;
 }
--- /dev/null
+++ b/crates/hyssop-policy/src/account/mod.rs
@@ -0,0 +1,16 @@
+//! Access of callers by the keys of client accounts.
+//!
+//! A key is known by its digest only. The decision depends on the configuration in force and on its
+//! age, so a front repeats it right before it passes a request on.
+
+mod access;
+mod bounds;
+mod credential;
+mod digest;
+mod keys;
+
+pub use access::{decide, Access, Cause};
+pub use bounds::Bounds;
+pub use credential::{Credential, MAX_HEADER_BYTES};
+pub use digest::Digest;
+pub use keys::Keys;
