store: followed tables never look more recent than they are

Cause: the time up to which a table is followed was mapped from the store's clock with the largest offset seen. An answer that was read long after it was sent, since the process was frozen, gives too small an offset. If no quick answer came before, what it told counted as known at the time of the reading.

Change: rows::Offset keeps the most that the store's clock may be ahead, which follows from when calls were sent. The mapped time is at most later than the true one by the drift of the clocks and the fastest recent response. A feed call after a freeze asks without a wait, so that the table is current again after one round trip.

--- a/crates/hyssop-edge/src/store/client.rs
+++ b/crates/hyssop-edge/src/store/client.rs
@@ -2,7 +2,7 @@
 use crate::metric::Rejections;
 use crate::node::Clock;
 use hyssop_platform::dialect::{Dialect, Reply};
-use hyssop_platform::rows::{Commit, Page, Range, Row, Transaction};
+use hyssop_platform::rows::{Commit, Offset, Page, Range, Row, Transaction};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -30,6 +30,8 @@
     failed_since: Cell<Option<Duration>>,
     /// The store's clock less this process's, in milliseconds, once the store has told its time.
     clock_offset_ms: Cell<Option<i64>>,
+    /// The most that the store's clock may be ahead of this process's.
+    offset: Cell<Offset>,
     /// The latest time as of which all changes of a followed table are known, by table.
     followed_at: RefCell<BTreeMap<&'static str, Duration>>,
     /// Notified when a call succeeds after others have failed.
@@ -62,8 +64,13 @@
 
     /// Records that all changes of `table` are known up to the time told in an answer, or up to
     /// `sent_at`, when the call was sent, if the answer tells none.
+    ///
+    /// What is followed must never look more recent than it is, since owners and keys are trusted by
+    /// it: an answer may be read long after it was sent, if the process was frozen in between, so the
+    /// told time counts, and [`Offset`] maps it to the earliest time that it may have been.
     pub(super) fn record_followed(&self, table: &'static str, page: &Page, sent_at: Duration) {
-        let answered_at = page.now_ms.and_then(|now_ms| self.local_time(now_ms));
+        let offset = self.health.offset.get();
+        let answered_at = page.now_ms.and_then(|now_ms| offset.earliest(now_ms));
         // The clocks' offset is known to a few milliseconds only.
         let at = answered_at.map_or(sent_at, |at| at.clamp(sent_at, self.clock.now()));
         let mut followed_at = self.health.followed_at.borrow_mut();
@@ -79,10 +86,13 @@
         Some(Duration::from_millis(local_ms.max(0) as u64))
     }
 
-    /// Records the time that the store told in an answer. An answer arrives later than that, so the
-    /// largest offset is the closest.
-    pub(super) fn record_time(&self, page: &Page) {
+    /// Records the time that the store told in an answer to a call sent at `sent_at`. An answer arrives
+    /// later than that, so the largest offset is the closest.
+    pub(super) fn record_time(&self, page: &Page, sent_at: Duration) {
         if let Some(now_ms) = page.now_ms {
+            let mut bound = self.health.offset.get();
+            bound.observe(now_ms, sent_at, self.clock.now());
+            self.health.offset.set(bound);
             let offset = now_ms.saturating_sub(self.clock.now().as_millis() as i64);
             let known = self.health.clock_offset_ms.get();
             let largest = known.map_or(offset, |known| known.max(offset));
@@ -193,6 +203,7 @@
         };
         loop {
             let call = self.dialect.get(&range);
+            let sent_at = self.clock.now();
             let reply = self
                 .client
                 .call(self.address, Lane::Plain, call, CALL_TIMEOUT)
@@ -205,7 +216,7 @@
                 self.record_result(page.is_some());
             }
             let page = page?;
-            self.record_time(&page);
+            self.record_time(&page, sent_at);
             self.record_rejected(table, &page);
             if all.version == 0 {
                 all.version = page.version;
--- a/crates/hyssop-edge/src/store/feed.rs
+++ b/crates/hyssop-edge/src/store/feed.rs
@@ -79,9 +79,14 @@
         };
         // During an outage, short calls detect the store's recovery soon; a call that waits for
         // changes would hang beyond it.
-        let (wait, timeout) = match store.failed_since() {
-            Some(_) => (Duration::ZERO, PROBE_TIMEOUT),
-            None => (FEED_WAIT, FEED_WAIT + FEED_SLACK),
+        // So does a call after a freeze, which shows at once what happened meanwhile.
+        let is_behind = store.followed_at(table).is_none_or(|followed_at| {
+            store.clock.now().saturating_sub(followed_at) > FEED_WAIT + FEED_SLACK
+        });
+        let (wait, timeout) = if is_behind || store.failed_since().is_some() {
+            (Duration::ZERO, PROBE_TIMEOUT)
+        } else {
+            (FEED_WAIT, FEED_WAIT + FEED_SLACK)
         };
         let wait_ms = wait.as_millis() as u64;
         let call = store.dialect.feed(table, cursor.version(), wait_ms);
@@ -124,7 +129,7 @@
         }
         unreadable_answers = 0;
         store.record_result(true);
-        store.record_time(&page);
+        store.record_time(&page, sent_at);
         store.record_rejected(table, &page);
         let changed_at_ms = cursor.advance(&page);
         let has_changed = !page.rows.is_empty();
