front: refuse keys while the configuration may be outdated

Cause: a front without the store, or one that wakes from a freeze, accepted keys that had been withdrawn.

Change: with strict-revocation, a configuration decides about keys only while its table was followed up to less than 0.6 x revocation-ms ago and no newer row of it is unreadable or removed. Beyond that, a request with a key gets 503 with Retry-After and the readiness probe answers 503. Routes for anonymous calls serve calls without a key. The age is taken at each check, on a clock that includes suspension.

--- a/crates/hyssop-edge/src/daemon/configuration.rs
+++ b/crates/hyssop-edge/src/daemon/configuration.rs
@@ -47,10 +47,15 @@
     let (_, key) = node.dialect.configuration_row();
     let (rejections, now) = (&node.metrics.rejections, node.clock.now());
     if row.is_removed {
+        if row.key.key == key {
+            node.gate.on_row(row.version, false);
+        }
         return;
     }
     if row.key.key == key {
-        match node.dialect.read_configuration(&row.value) {
+        let read = node.dialect.read_configuration(&row.value);
+        node.gate.on_row(row.version, read.is_some());
+        match read {
             Some(configuration) => {
                 match configuration.rejected {
                     0 => rejections.accept(LIST, key),
--- a/crates/hyssop-edge/src/front/gate.rs
+++ b/crates/hyssop-edge/src/front/gate.rs
@@ -1,7 +1,7 @@
 use crate::node::Node;
 use hyssop_model::work::{Configuration, Queue};
 use hyssop_policy::account::{decide, Access, Bounds, Cause, Credential, Keys};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +10,10 @@
 pub(crate) struct Gate {
     bounds: Bounds,
     keys: RefCell<Option<Rc<Keys>>>,
+    /// The newest version of the configuration's row that was read.
+    readable_row: Cell<u64>,
+    /// The newest version of the configuration's row that could not be read.
+    unreadable_row: Cell<u64>,
 }
 
 /// Why a request is denied; it has not run.
@@ -34,7 +38,7 @@
     pub(crate) fn new(bounds: Bounds) -> Self {
         Self {
             bounds,
-            keys: RefCell::default(),
+            ..Self::default()
         }
     }
 
@@ -42,6 +46,37 @@
     pub(crate) fn configure(&self, configuration: &Configuration) {
         *self.keys.borrow_mut() = Keys::of(configuration).map(Rc::new);
     }
+
+    /// Records that version `version` of the configuration's row was read, or could not be.
+    ///
+    /// The row may be read out of order, since a peer's newer version is read beside the followed
+    /// changes.
+    pub(crate) fn on_row(&self, version: u64, is_readable: bool) {
+        let newest = if is_readable {
+            &self.readable_row
+        } else {
+            &self.unreadable_row
+        };
+        newest.set(newest.get().max(version));
+    }
+
+    /// Returns for how long a newer configuration may exist than the one in force, `None` if that is
+    /// unknown or one exists that can't be read.
+    pub(crate) fn age(&self, node: &Node) -> Option<Duration> {
+        if self.unreadable_row > self.readable_row {
+            return None;
+        }
+        let (table, _) = node.dialect.configuration_row();
+        let followed_at = node.store.followed_at(table)?;
+        Some(node.clock.now().saturating_sub(followed_at))
+    }
+
+    /// Returns whether the process can decide about all callers: it needs no keys, or trusts its
+    /// configuration.
+    pub(crate) fn is_ready(&self, node: &Node) -> bool {
+        let needs_keys = self.bounds.requires_accounts || self.keys.borrow().is_some();
+        !needs_keys || self.bounds.trusts(self.age(node))
+    }
 }
 
 impl Caller {
@@ -67,7 +102,7 @@
             queue.map_or(self.allows_anonymous, |queue| queue.allows_anonymous)
         };
         let keys = node.gate.keys.borrow().clone();
-        let age = Some(Duration::ZERO);
+        let age = node.gate.age(node);
         let bounds = &node.gate.bounds;
         let access = decide(
             keys.as_deref(),
--- a/crates/hyssop-edge/src/front/ready.rs
+++ b/crates/hyssop-edge/src/front/ready.rs
@@ -9,7 +9,8 @@
 
 /// Handles the balancer's readiness probe and requests for metrics.
 ///
-/// The process is ready once it knows a configuration and the pools with jobs, until it starts to stop.
+/// The process is ready once it knows a configuration and the pools with jobs, until it starts to stop,
+/// and while it can decide about callers' keys.
 pub(crate) async fn probe(node: Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     if request.uri().path() == METRICS_PATH {
         node.metrics.set_terms(&node.status().owned);
@@ -17,7 +18,7 @@
         return Response::new(Full::new(Bytes::from(node.metrics.text())));
     }
     let has_started = node.configuration.borrow().version > 0 && node.knows_pools();
-    let is_ready = has_started && !node.is_stopping.get();
+    let is_ready = has_started && !node.is_stopping.get() && node.gate.is_ready(&node);
     let mut response = Response::new(Full::default());
     if !is_ready {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/hyssop-edge/tests/access.rs
+++ b/crates/hyssop-edge/tests/access.rs
@@ -2,8 +2,10 @@
 
 mod support;
 
-use platform_standin::Platform;
+use platform_standin::{Access, Platform};
 use serde_json::{json, Value};
+use std::time::Duration;
+use support::caller::{Connection, Outcome};
 use support::{configuration, job, platform, wait_until, Edge};
 
 const FIRST: &str = "/a/5c0e7a21d94b36f8";
@@ -74,3 +76,105 @@
     let (status, _) = edge.call_with_key("key-2", "POST", OPEN, &short_job());
     assert_eq!(status, 401, "an unknown key where none is needed");
 }
+
+/// Calls with a key until the status is `status`, and asserts that no call before got 200.
+fn wait_without_success(edge: &Edge, key: &str, path: &str, status: i32) {
+    let body = short_job();
+    wait_until(&format!("{path} with {key} gets {status}"), || {
+        let (answered, has_retry_after) = edge.call_for_retry(key, path, &body);
+        assert_ne!(answered, 200, "{path} with {key} was accepted");
+        assert_eq!(has_retry_after, answered == 503, "{answered}");
+        answered == status
+    });
+}
+
+/// A front without the store would go on to accept a withdrawn key.
+#[test]
+fn front_cut_off_from_store_refuses_keys_and_serves_anonymous_calls() {
+    let platform = platform();
+    configure(&platform, 2, &[account("one", &["key-1", "key-2"])]);
+    let owner = start(&platform, "e1");
+    wait_for(&owner, "key-1", FIRST, 200);
+    wait_for(&owner, "key-1", OPEN, 200);
+    let front = start(&platform, "e2");
+    wait_for(&front, "key-1", SECOND, 200);
+    wait_until("the front is ready", || front.probe() == 200);
+
+    platform.set_access("e2", Access::Silent);
+    wait_until("the front refuses the key", || {
+        front.call_for_retry("key-1", FIRST, &short_job()) == (503, true)
+    });
+    assert_eq!(front.probe(), 503, "new callers go elsewhere");
+    configure(&platform, 3, &[account("one", &["key-2"])]);
+    for key in ["key-1", "key-2", "key-3"] {
+        assert_eq!(
+            front.call_for_retry(key, FIRST, &short_job()),
+            (503, true),
+            "{key} may be valid or not"
+        );
+    }
+    assert_eq!(front.call("GET", FIRST, "").0, 401, "a key is required");
+    wait_until("a call without a key is served", || {
+        front.call("GET", OPEN, "").0 == 200
+    });
+    wait_for(&owner, "key-1", SECOND, 401);
+
+    platform.set_access("e2", Access::Open);
+    wait_without_success(&front, "key-1", FIRST, 401);
+    wait_for(&front, "key-2", FIRST, 200);
+    wait_until("the front is ready", || front.probe() == 200);
+}
+
+/// A request that waited in a frozen process was decided by the configuration of before the freeze.
+#[test]
+fn frozen_front_refuses_withdrawn_key_when_it_wakes() {
+    /// Longer than the time after which a withdrawn key must not work.
+    const FROZEN: Duration = Duration::from_secs(6);
+    let platform = platform();
+    configure(&platform, 2, &[account("one", &["key-1", "key-2"])]);
+    let owner = start(&platform, "e1");
+    wait_for(&owner, "key-1", FIRST, 200);
+    let front = start(&platform, "e2");
+    wait_for(&front, "key-1", FIRST, 200);
+    let started = platform.started_tasks().len();
+
+    front.signal("STOP");
+    // The answers that wait for the front tell of nothing either.
+    platform.set_access("e2", Access::Silent);
+    configure(&platform, 3, &[account("one", &["key-2"])]);
+    std::thread::sleep(FROZEN);
+    let mut caller = Connection::open(&front.front).expect("a connection");
+    assert!(caller.send_with_key("key-1", "POST", SECOND, &short_job()));
+    front.signal("CONT");
+    let refused = Outcome::Answered {
+        status: 503,
+        has_retry_after: true,
+    };
+    assert_eq!(
+        caller.read_answer(),
+        refused,
+        "decided by the age on waking"
+    );
+
+    platform.set_access("e2", Access::Open);
+    wait_without_success(&front, "key-1", SECOND, 401);
+    wait_for(&front, "key-2", FIRST, 200);
+    assert_eq!(platform.started_tasks().len(), started, "it has not run");
+}
+
+/// A newer configuration that can't be read may withdraw any key.
+#[test]
+fn unreadable_configuration_ends_trust_in_keys_until_next_one() {
+    let platform = platform();
+    let accounts = [account("one", &["key-1"])];
+    configure(&platform, 2, &accounts);
+    let edge = start(&platform, "e1");
+    wait_for(&edge, "key-1", FIRST, 200);
+    platform.write_own_row("op", "", "config", b"[[[");
+    wait_until("the key is refused", || {
+        edge.call_for_retry("key-1", FIRST, &short_job()) == (503, true)
+    });
+    assert_eq!(edge.probe(), 503, "new callers go elsewhere");
+    configure(&platform, 3, &accounts);
+    wait_for(&edge, "key-1", FIRST, 200);
+}
--- a/crates/hyssop-edge/tests/support/caller.rs
+++ b/crates/hyssop-edge/tests/support/caller.rs
@@ -78,6 +78,17 @@
         self.stream.write_all(text.as_bytes()).is_ok()
     }
 
+    /// Sends a request with the key of a client account; returns whether that succeeded.
+    pub fn send_with_key(&mut self, key: &str, method: &str, path: &str, body: &str) -> bool {
+        let host = super::HOST;
+        let length = body.len();
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {host}\r\nAuthorization: Token {key}\r\n\
+             Content-Length: {length}\r\n\r\n{body}"
+        );
+        self.stream.write_all(text.as_bytes()).is_ok()
+    }
+
     /// Waits for the answer to the request that was sent last.
     pub fn read_answer(&mut self) -> Outcome {
         let mut bytes = Vec::new();
--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -142,6 +142,25 @@
         self.call_with_header(Some(&format!("Token {key}")), method, path, body)
     }
 
+    /// As `call_with_key`, and returns whether the response tells when to try again.
+    pub fn call_for_retry(&self, key: &str, path: &str, body: &str) -> (i32, bool) {
+        let request = minreq::post(format!("http://{}{path}", self.front))
+            .with_header("Authorization", format!("Token {key}"))
+            .with_body(body)
+            .with_timeout(WAIT_TIMEOUT.as_secs());
+        request.send().map_or((0, false), |response| {
+            let has_retry_after = response.headers.contains_key("retry-after");
+            (status(&response), has_retry_after)
+        })
+    }
+
+    /// Returns the status of the readiness probe, 0 without an answer.
+    pub fn probe(&self) -> i32 {
+        let request = minreq::get(format!("http://{}/", self.ready));
+        let response = request.with_timeout(WAIT_TIMEOUT.as_secs()).send();
+        response.map_or(0, |response| status(&response))
+    }
+
     fn call_with_header(
         &self,
         authorization: Option<&str>,
