--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -70,6 +70,7 @@
             max_lease,
             job_retention: Duration::from_secs_f64(settings.bounds.status_s)
                 + Duration::from_secs(10),
+            account_window: Duration::from_secs_f64(settings.bounds.quota_window_s),
             max_row_bytes: settings.platform.row_bytes,
             ..owner::Settings::default()
         },
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -198,9 +198,14 @@
             let Some(account) = account.and_then(|name| self.accounts.get(name)) else {
                 continue;
             };
-            let entitlement =
-                self.shares
-                    .count(account, &job.id, submitted_at, false, submitted_at);
+            let entitlement = self.shares.count(
+                account,
+                self.settings.account_window,
+                &job.id,
+                submitted_at,
+                false,
+                submitted_at,
+            );
             if let Some(job) = self.jobs.get_mut(&key) {
                 job.is_excess = entitlement != Entitlement::Within;
             }
--- a/crates/hyssop-policy/src/owner/settings.rs
+++ b/crates/hyssop-policy/src/owner/settings.rs
@@ -32,6 +32,8 @@
     /// How long after a failover no task with a budget is interrupted: stops ordered by the previous
     /// owner take effect meanwhile, and reports don't show them before.
     pub interrupt_pause: Duration,
+    /// The time within which a client account may make up for jobs that it was owed and didn't send.
+    pub account_window: Duration,
     /// The maximum number of rows in one batch; the store accepts 100 entries per call, conditions
     /// included.
     pub max_batch_rows: usize,
@@ -56,6 +58,7 @@
             job_retention: Duration::from_secs(130),
             quarantine: Duration::from_millis(2_500),
             interrupt_pause: Duration::from_millis(2_500),
+            account_window: Duration::from_secs(1),
             max_batch_rows: 90,
             max_row_bytes: 65_536,
             max_batch_bytes: 600_000,
--- a/crates/hyssop-policy/src/owner/share.rs
+++ b/crates/hyssop-policy/src/owner/share.rs
@@ -5,8 +5,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// The time over which an account may save up jobs that it is owed: weights are rates per second.
-const SAVING_TIME: Duration = Duration::from_secs(1);
+/// The time over which the rate of the jobs that are owed is measured; a turn of a queue's demand lasts
+/// some seconds.
+const RATE_TIME: Duration = Duration::from_secs(1);
 
 /// How long a deferred caller is remembered; those that come back at all do so within this time.
 const RETURN_TIME: Duration = Duration::from_secs(15);
@@ -56,13 +57,15 @@
 }
 
 impl Shares {
-    /// Counts a job of `account` that was first requested at `requested_at`.
+    /// Counts a job of `account` that was first requested at `requested_at`; an account that sends less
+    /// than it is owed may make up for it within `window`.
     ///
     /// A deferred job whose deadline has passed is not owed any more: one that can still meet its
     /// deadline comes in its place.
     pub(super) fn count(
         &mut self,
         account: &Account,
+        window: Duration,
         id: &str,
         requested_at: Duration,
         is_overdue: bool,
@@ -76,7 +79,7 @@
                 None => {}
             }
         }
-        let limit = (account.weight * SAVING_TIME.as_secs_f64()).max(1.0);
+        let limit = (account.weight * window.as_secs_f64()).max(1.0);
         let balance = self
             .balances
             .entry(account.name.clone())
@@ -140,7 +143,7 @@
             Some((at, sum)) if now.saturating_sub(*at) < RESOLUTION => *sum += work,
             _ => self.owed_work.push_back((now, work)),
         }
-        let is_old = |(at, _): &(Duration, f64)| now.saturating_sub(*at) > SAVING_TIME;
+        let is_old = |(at, _): &(Duration, f64)| now.saturating_sub(*at) > RATE_TIME;
         while self.owed_work.front().is_some_and(is_old) {
             self.owed_work.pop_front();
         }
@@ -159,7 +162,7 @@
                 .take_while(|(at, _)| *at >= since);
             recent.map(|(_, work)| work).sum::<f64>() / (span.as_secs_f64() * 1_000.0)
         };
-        rate(SAVING_TIME).max(rate(RISE_TIME))
+        rate(RATE_TIME).max(rate(RISE_TIME))
     }
 
     /// Forgets accounts that the configuration has no longer.
@@ -181,10 +184,11 @@
         let slack = self.slack(queue, submission);
         let is_overdue = now.saturating_sub(requested_at) > slack;
         let account = submission.account.as_ref();
+        let window = self.settings.account_window;
         match account.and_then(|name| self.accounts.get(name)) {
             Some(account) => self
                 .shares
-                .count(account, id, requested_at, is_overdue, now),
+                .count(account, window, id, requested_at, is_overdue, now),
             None => Entitlement::Within,
         }
     }
