owner: hide jobs from callers of other accounts

Cause: a caller who knew the identifier of another account's job could follow and cancel it.

Change: the operations about a job carry the caller's account, omitted if there is none. An owner answers about a job of another account as if it had no such job, and refuses a submission under its identifier, also when another pool asks for the job. The progress row of a finished job keeps the account, since the submission is removed. Jobs without an account are visible to all.

Without the account in the progress row, the test of a failover without the submission fails.

--- a/crates/hyssop-edge/src/front/handler.rs
+++ b/crates/hyssop-edge/src/front/handler.rs
@@ -217,11 +217,12 @@
         directory.other_pools(queue, node.clock.now())
     };
     for pool in pools {
-        let operation = |now: Duration, _: Option<String>| Operation::Recall {
+        let operation = |now: Duration, account: Option<String>| Operation::Recall {
             part: pool.clone(),
             id: id.to_owned(),
             version,
             patience_ms: deadline.saturating_sub(now).as_millis() as u64,
+            account,
         };
         match request_from_owner(node, caller, &pool, deadline, &operation).await {
             Outcome::Answered(Answer::Unknown) => {}
@@ -276,9 +277,10 @@
     deadline: Duration,
 ) -> Reply {
     for shard in candidate_shards(node, queue) {
-        let operation = |_: Duration, _: Option<String>| Operation::Phase {
+        let operation = |_: Duration, account: Option<String>| Operation::Phase {
             part: shard.clone(),
             id: id.clone(),
+            account,
         };
         match request_from_owner(node, caller, &shard, deadline, &operation).await {
             Outcome::Answered(Answer::Phase(phase)) => {
@@ -301,10 +303,11 @@
     deadline: Duration,
 ) -> Reply {
     for shard in candidate_shards(node, queue) {
-        let operation = |now: Duration, _: Option<String>| Operation::Cancel {
+        let operation = |now: Duration, account: Option<String>| Operation::Cancel {
             part: shard.clone(),
             id: id.clone(),
             patience_ms: deadline.saturating_sub(now).as_millis() as u64,
+            account,
         };
         let answer = request_from_owner(node, caller, &shard, deadline, &operation).await;
         log::info!(
--- a/crates/hyssop-edge/src/peer/frame.rs
+++ b/crates/hyssop-edge/src/peer/frame.rs
@@ -70,12 +70,18 @@
         version: u64,
         /// How long the owner may wait for the store.
         patience_ms: u64,
+        /// The caller's client account, if it has one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        account: Option<String>,
     },
     /// Returns a job's phase.
     Phase {
         /// The shard.
         part: String,
         id: String,
+        /// The caller's client account, if it has one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        account: Option<String>,
     },
     /// Cancels a job.
     Cancel {
@@ -84,6 +90,9 @@
         id: String,
         /// How long the owner may wait for the store.
         patience_ms: u64,
+        /// The caller's client account, if it has one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        account: Option<String>,
     },
     /// Counts a queue's waiting jobs.
     Waiting {
--- a/crates/hyssop-edge/src/pool/operations.rs
+++ b/crates/hyssop-edge/src/pool/operations.rs
@@ -1,7 +1,9 @@
 use super::{Driver, Waiters};
 use crate::peer::{Answer, Operation};
 use hyssop_model::work::Submission;
-use hyssop_policy::owner::{retry_after, Admission, Cancellation, Recall, StorePace};
+use hyssop_policy::owner::{
+    retry_after, Admission, Cancellation, Recall, StorePace, IDENTIFIER_IN_USE,
+};
 use std::cell::RefCell;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -70,6 +72,9 @@
             Operation::Recall { .. } if self.is_leaving.get() || !self.has_authority() => {
                 Answer::NotOwner
             }
+            Operation::Recall { id, account, .. } if !self.is_visible(&id, &account) => {
+                Answer::Refused(IDENTIFIER_IN_USE.to_owned(), 0)
+            }
             Operation::Recall {
                 id,
                 version,
@@ -88,6 +93,12 @@
                     }
                 }
             }
+            Operation::Phase { id, account, .. } | Operation::Cancel { id, account, .. }
+                if !self.is_visible(&id, &account) =>
+            {
+                log::info!("event=job-hidden job={id} account={account:?}");
+                self.unknown_job()
+            }
             Operation::Phase { id, .. } => match self.scheduler.borrow().phase(&id) {
                 Some(phase) => Answer::Phase(phase),
                 None => self.unknown_job(),
@@ -168,6 +179,11 @@
         }
     }
 
+    /// Returns whether a caller of an account may see a job.
+    fn is_visible(&self, id: &str, account: &Option<String>) -> bool {
+        self.scheduler.borrow().is_visible(id, account.as_deref())
+    }
+
     /// Returns the answer about a job that this owner does not know; its successor may have accepted
     /// it.
     fn unknown_job(&self) -> Answer {
--- a/crates/hyssop-edge/tests/access.rs
+++ b/crates/hyssop-edge/tests/access.rs
@@ -178,3 +178,53 @@
     configure(&platform, 3, &accounts);
     wait_for(&edge, "key-1", FIRST, 200);
 }
+
+/// Another account could follow and cancel a job whose identifier it knows, also after a failover.
+#[test]
+fn job_is_hidden_from_other_accounts_after_failover_too() {
+    let platform = platform();
+    let accounts = [
+        account("one", &["key-1", "key-2"]),
+        account("two", &["key-3"]),
+    ];
+    configure(&platform, 2, &accounts);
+    let mut owner = start(&platform, "e1");
+    wait_for(&owner, "key-1", FIRST, 200);
+    let long = job(1, 1, 600_000).to_string();
+    assert_eq!(owner.call_with_key("key-1", "POST", SECOND, &long).0, 200);
+    assert_eq!(owner.call("POST", OPEN, &short_job()).0, 200);
+    wait_until("the job is done", || {
+        owner.call_with_key("key-2", "GET", FIRST, "").1["state"] == "done"
+    });
+    let front = start(&platform, "e2");
+    wait_for(&front, "key-1", FIRST, 200);
+    owner.kill();
+    for path in [FIRST, SECOND] {
+        // Another key of the account.
+        wait_until("the job has an owner", || {
+            front.call_with_key("key-2", "GET", path, "").0 == 200
+        });
+        for method in ["GET", "DELETE"] {
+            assert_eq!(front.call_with_key("key-3", method, path, "").0, 410);
+        }
+        let (status, _) = front.call_with_key("key-3", "POST", path, &long);
+        assert_eq!(status, 503, "the identifier is in use");
+    }
+    wait_until("a job without an account has an owner", || {
+        front.call("GET", OPEN, "").0 == 200
+    });
+    assert_eq!(front.call_with_key("key-3", "GET", OPEN, "").0, 200);
+    // A job goes on after its key was withdrawn, and other keys of its account may cancel it.
+    configure(
+        &platform,
+        3,
+        &[account("one", &["key-2"]), account("two", &["key-3"])],
+    );
+    wait_for(&front, "key-1", SECOND, 401);
+    let (_, running) = front.call_with_key("key-2", "GET", SECOND, "");
+    assert_eq!(running["state"], "running");
+    wait_until("the cancellation is stored", || {
+        front.call_with_key("key-2", "DELETE", SECOND, "").0 == 200
+    });
+    assert!(platform.overlapping_tasks().is_empty());
+}
--- a/crates/hyssop-edge/tests/links.rs
+++ b/crates/hyssop-edge/tests/links.rs
@@ -291,3 +291,19 @@
         let _ = socket.send(message).await;
     }
 }
+
+/// Processes of earlier versions name no account in their requests, and none is named in a deployment
+/// without accounts.
+#[test]
+fn request_about_job_without_an_account_is_answered() {
+    let platform = platform();
+    let edge = Edge::start(&platform, "e1");
+    edge.submit_until_accepted("/a/00000000000000a0", &job(1, 1, 50));
+    let operation = json!({ "Phase": { "part": "alpha", "id": "00000000000000a0" } });
+    let frame = json!({ "version": 1, "body": { "Ask": [7, operation] } });
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&frame, &mut bytes).expect("a frame can be encoded");
+    let answer = runtime().block_on(ask(&edge.peers, &bytes));
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(answer.contains("Phase"), "{answer}");
+}
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -32,6 +32,10 @@
     Unknown,
 }
 
+/// The reason for which a job is refused whose identifier another account has used. The job's caller
+/// has to choose another one, so there is no time for a retry.
+pub const IDENTIFIER_IN_USE: &str = "the identifier is in use; the job has not run";
+
 /// Returns the delay after which a caller should retry a submission that was rejected because the
 /// store has not answered for `outage`.
 ///
@@ -94,7 +98,8 @@
 
     /// Submits a job that its caller first requested `age` ago.
     ///
-    /// Submitting a known job again has no effect and returns its current state.
+    /// Submitting a known job again has no effect and returns its current state, unless it belongs to
+    /// another account.
     pub fn submit(
         &mut self,
         id: &str,
@@ -104,6 +109,9 @@
         now: Duration,
         wall_ms: i64,
     ) -> Admission {
+        if !self.is_visible(id, submission.account.as_deref()) {
+            return Admission::Refused(IDENTIFIER_IN_USE.to_owned());
+        }
         if let Some(job) = self.job_keys.get(id).and_then(|key| self.jobs.get(key)) {
             return if job.is_stored {
                 Admission::Accepted
@@ -206,6 +214,14 @@
         true
     }
 
+    /// Returns whether callers of an account may see and cancel a job and submit it again; those
+    /// without an account may do so only with jobs that have none.
+    pub fn is_visible(&self, id: &str, account: Option<&str>) -> bool {
+        let job = self.job_keys.get(id).and_then(|key| self.jobs.get(key));
+        let owner = job.and_then(|job| job.submission.account.as_deref());
+        owner.is_none() || owner == account
+    }
+
     /// Returns the phase of a job that callers may see, `None` if no accepted job has that
     /// identifier.
     pub fn phase(&self, id: &str) -> Option<Phase> {
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -44,7 +44,7 @@
 mod worker;
 
 pub use action::{Action, Notification};
-pub use admission::{retry_after, Admission, Cancellation, StorePace};
+pub use admission::{retry_after, Admission, Cancellation, StorePace, IDENTIFIER_IN_USE};
 pub use batch::Batch;
 pub use capacity::{Demand, Load};
 pub use handover::Refusal;
--- a/crates/hyssop-policy/src/owner/progress.rs
+++ b/crates/hyssop-policy/src/owner/progress.rs
@@ -33,6 +33,9 @@
     pub(super) next_occurrence: u32,
     pub(super) finished_occurrences: u32,
     pub(super) occurrences: Vec<(u32, Vec<StageProgress>)>,
+    /// The client account of a finished job, whose submission may be removed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) account: Option<String>,
 }
 
 /// The tasks of a step whose state differs from the initial one.
@@ -102,6 +105,7 @@
             next_occurrence: u32::MAX,
             finished_occurrences: u32::MAX,
             occurrences: Vec::new(),
+            account: None,
         };
         let largest_stage = |step: &Step| StageProgress::largest(step, max_attempts);
         let stages: Vec<StageProgress> = submission.steps.iter().map(largest_stage).collect();
@@ -127,6 +131,7 @@
                     .map(|(number, occurrence)| (*number, stages(occurrence)))
                     .collect()
             },
+            account: phase.and(job.submission.account.clone()),
         }
     }
 
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -70,8 +70,8 @@
             };
             let key = self.allocate_key(id);
             self.finished_jobs.push_back((now, key));
-            self.jobs
-                .insert(key, finished_job(id, &stored.queue, phase, now));
+            let job = finished_job(id, &stored.queue, phase, stored.account, now);
+            self.jobs.insert(key, job);
         }
         self.is_recovering = true;
         self.recovered_at = now;
@@ -189,7 +189,8 @@
     ) {
         let key = self.allocate_key(id);
         if let Some(phase) = stored.as_ref().and_then(|stored| stored.phase) {
-            let job = finished_job(id, &accepted.queue, phase, now);
+            let account = accepted.submission.account;
+            let job = finished_job(id, &accepted.queue, phase, account, now);
             self.finished_submissions.insert(id.to_owned());
             self.finished_jobs.push_back((now, key));
             self.jobs.insert(key, job);
@@ -265,12 +266,21 @@
     }
 }
 
-/// Creates a finished job of which only the final phase is known.
-fn finished_job(id: &str, queue: &str, phase: Phase, now: Duration) -> Job {
+/// Creates a finished job of which only the final phase and the account are known.
+fn finished_job(
+    id: &str,
+    queue: &str,
+    phase: Phase,
+    account: Option<String>,
+    now: Duration,
+) -> Job {
     Job {
         id: id.to_owned(),
         queue: queue.to_owned(),
-        submission: Submission::default(),
+        submission: Submission {
+            account,
+            ..Submission::default()
+        },
         submitted_at: now,
         submitted_wall_ms: 0,
         phase,
