accounts: leave out invalid ones with a reason; log and count denials

Cause: of two accounts with the same name the later one took effect, a key of two accounts belonged to one of them, and a list of accounts of which one number was out of range counted as no accounts, so that no key was required. Nothing told an operator why a caller got 401.

Change: the decoder of the configuration leaves out accounts that are invalid, and both of two that share a name or a key, each with its reason, which is logged for the first ten. A list of accounts that can't be read makes the configuration unreadable. Denied requests are counted by reason and logged at most once a second for each reason, with the digest of the key. A line marks when the trust in the configuration ends and returns, and a gauge tells its age. A process whose revocation-ms is too short for its feed says so.

--- a/crates/hyssop-edge/src/daemon/configuration.rs
+++ b/crates/hyssop-edge/src/daemon/configuration.rs
@@ -1,5 +1,6 @@
 use crate::node::{Node, TrackedWave};
 use crate::store::{follow, Scope, Update};
+use hyssop_model::work::Configuration;
 use hyssop_platform::rows::Row;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -41,6 +42,25 @@
     }
 }
 
+/// Logs the accounts that a new configuration leaves out.
+fn log_exclusions(node: &Node, configuration: &Configuration) {
+    /// An operator needs one example of each mistake rather than hundreds of lines.
+    const MAX_LINES: usize = 10;
+    if configuration.version <= node.configuration.borrow().version {
+        return;
+    }
+    let count = configuration.excluded.len();
+    for exclusion in configuration.excluded.iter().take(MAX_LINES) {
+        // The name may hold any characters, so it is quoted and escaped.
+        log::warn!(
+            "event=account-left-out account={:?} reason={} version={} left_out={count}",
+            exclusion.account,
+            exclusion.reason,
+            configuration.version
+        );
+    }
+}
+
 /// Applies a row, written at `written_at_ms` on the store's clock if that is known.
 fn apply_row(node: &Node, row: &Row, written_at_ms: Option<i64>) {
     const LIST: &str = "operators";
@@ -61,6 +81,7 @@
                     0 => rejections.accept(LIST, key),
                     count => rejections.reject_parts(LIST, key, &row.value, count, now),
                 }
+                log_exclusions(node, &configuration);
                 node.configure(configuration);
             }
             // The configuration read before stays in force.
--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -39,6 +39,9 @@
 const ARRIVAL_TIME: Duration = Duration::from_millis(250);
 /// The time between the final answers and the exit, in which they reach callers and peers.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
+/// The shortest age of a configuration within which keys are accepted all the time: a feed call without
+/// changes waits 1,500 ms, and a slow store takes some hundred milliseconds more.
+const MIN_TRUSTED_AGE: Duration = Duration::from_millis(2_400);
 /// The only supported way of sending orders to workers.
 const ORDERS_BY_CALL: &str = "call";
 /// The interval between checks for open requests and connections during a stop.
@@ -166,6 +169,14 @@
             settings.orders
         );
     }
+    let max_age = node.gate.max_age();
+    if max_age.is_some_and(|max_age| max_age < MIN_TRUSTED_AGE) {
+        log::error!(
+            "event=revocation-too-short revocation_ms={} \
+             remedy=\"set revocation-ms to 4000 or more, or strict-revocation to false\"",
+            settings.bounds.revocation_ms
+        );
+    }
     let traffic = Rc::new(Traffic::default());
     spawn_local(follow_operators(node.clone()));
     spawn_local(fetch_on_demand(node.clone()));
@@ -176,6 +187,7 @@
     spawn_local(monitor_shards(node.clone()));
     spawn_local(remove_lost_members(node.clone()));
     spawn_local(confirm_with_peers(node.clone()));
+    spawn_local(front::watch_trust(node.clone()));
     spawn_local(front::serve_probes(node.clone(), ready, front::probe));
     spawn_local(front::serve(
         node.clone(),
--- a/crates/hyssop-edge/src/front/gate.rs
+++ b/crates/hyssop-edge/src/front/gate.rs
@@ -1,3 +1,4 @@
+use super::trust::{milliseconds, Trust};
 use crate::node::Node;
 use hyssop_model::work::{Configuration, Queue};
 use hyssop_policy::account::{decide, Access, Bounds, Cause, Credential, Keys};
@@ -14,6 +15,7 @@
     readable_row: Cell<u64>,
     /// The newest version of the configuration's row that could not be read.
     unreadable_row: Cell<u64>,
+    trust: Trust,
 }
 
 /// Why a request is denied; it has not run.
@@ -30,6 +32,8 @@
     pub(crate) host: String,
     pub(crate) path: String,
     credential: Credential,
+    /// The queue's name when the request arrived, for the log.
+    queue: String,
     /// Whether its route allowed anonymous calls when it arrived.
     allows_anonymous: bool,
 }
@@ -62,8 +66,8 @@
 
     /// Returns for how long a newer configuration may exist than the one in force, `None` if that is
     /// unknown or one exists that can't be read.
-    pub(crate) fn age(&self, node: &Node) -> Option<Duration> {
-        if self.unreadable_row > self.readable_row {
+    pub(crate) fn age(node: &Node) -> Option<Duration> {
+        if node.gate.unreadable_row > node.gate.readable_row {
             return None;
         }
         let (table, _) = node.dialect.configuration_row();
@@ -71,11 +75,29 @@
         Some(node.clock.now().saturating_sub(followed_at))
     }
 
+    /// Returns the age beyond which the configuration is not trusted, `None` if it always is.
+    pub(crate) fn max_age(&self) -> Option<Duration> {
+        self.bounds.max_age
+    }
+
     /// Returns whether the process can decide about all callers: it needs no keys, or trusts its
     /// configuration.
     pub(crate) fn is_ready(&self, node: &Node) -> bool {
         let needs_keys = self.bounds.requires_accounts || self.keys.borrow().is_some();
-        !needs_keys || self.bounds.trusts(self.age(node))
+        let age = Self::age(node);
+        let is_ready = !needs_keys || self.bounds.trusts(age);
+        self.trust.record(node, is_ready, age);
+        is_ready
+    }
+}
+
+impl Denial {
+    /// Returns the reason for logs and metrics.
+    fn reason(self) -> String {
+        match self {
+            Self::Unauthorized(cause) => cause.to_string(),
+            Self::Stale => "stale-configuration".to_owned(),
+        }
     }
 }
 
@@ -86,6 +108,7 @@
             host,
             path,
             credential,
+            queue: queue.name.clone(),
             allows_anonymous: queue.allows_anonymous,
         }
     }
@@ -94,7 +117,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the request must not be passed on.
+    /// Fails if the request must not be passed on, which is counted and logged.
     pub(crate) fn admit(&self, node: &Node) -> Result<Option<String>, Denial> {
         let allows_anonymous = {
             let configuration = node.configuration.borrow();
@@ -102,20 +125,39 @@
             queue.map_or(self.allows_anonymous, |queue| queue.allows_anonymous)
         };
         let keys = node.gate.keys.borrow().clone();
-        let age = node.gate.age(node);
-        let bounds = &node.gate.bounds;
+        let age = Gate::age(node);
         let access = decide(
             keys.as_deref(),
             allows_anonymous,
             &self.credential,
             age,
-            bounds,
+            &node.gate.bounds,
         );
-        match access {
-            Access::Account(account) => Ok(Some(account.to_owned())),
-            Access::Anonymous => Ok(None),
-            Access::Unauthorized(cause) => Err(Denial::Unauthorized(cause)),
-            Access::Stale => Err(Denial::Stale),
-        }
+        let denial = match access {
+            Access::Account(account) => return Ok(Some(account.to_owned())),
+            Access::Anonymous => return Ok(None),
+            Access::Unauthorized(cause) => Denial::Unauthorized(cause),
+            Access::Stale => Denial::Stale,
+        };
+        node.gate.is_ready(node);
+        self.record(node, denial, keys.as_deref(), age);
+        Err(denial)
+    }
+
+    fn record(&self, node: &Node, denial: Denial, keys: Option<&Keys>, age: Option<Duration>) {
+        let denials = &node.metrics.denials;
+        denials.record(&denial.reason(), node.clock.now(), || {
+            let digest = self.credential.digest();
+            let account = digest.and_then(|digest| keys?.account(digest));
+            format!(
+                "host={:?} queue={} key={} account={:?} version={} age_ms={}",
+                self.host,
+                self.queue,
+                digest.map_or_else(|| "none".to_owned(), ToString::to_string),
+                account.unwrap_or_default(),
+                node.configuration.borrow().version,
+                milliseconds(age)
+            )
+        });
     }
 }
--- a/crates/hyssop-edge/src/front/mod.rs
+++ b/crates/hyssop-edge/src/front/mod.rs
@@ -1,12 +1,16 @@
 //! The HTTP front for callers, the readiness probe and the metrics.
 
+mod denials;
 mod discard;
 mod gate;
 mod handler;
 mod ready;
 mod server;
+mod trust;
 
+pub(crate) use denials::Denials;
 pub(crate) use gate::Gate;
 pub(crate) use handler::handle;
 pub(crate) use ready::probe;
 pub(crate) use server::{serve, serve_probes, Traffic};
+pub(crate) use trust::watch_trust;
--- a/crates/hyssop-edge/src/metric/registry.rs
+++ b/crates/hyssop-edge/src/metric/registry.rs
@@ -1,6 +1,7 @@
 use super::Rejections;
+use crate::front::Denials;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
 };
 use std::time::Duration;
@@ -15,6 +16,9 @@
     refused_handovers: IntCounterVec,
     /// The entries of followed lists that were rejected.
     pub(crate) rejections: Rejections,
+    /// The denied requests of callers.
+    pub(crate) denials: Denials,
+    configuration_age: Gauge,
     terms: IntGaugeVec,
     links: IntGauge,
     submission_seconds: Histogram,
@@ -76,6 +80,19 @@
             "Entries of followed lists that were rejected, once for each change, by list",
             "list",
         ));
+        let denials = Denials::new(counter(
+            "hyssop_denied_requests_total",
+            "Requests that were denied for their key or the age of the configuration, by reason",
+            "reason",
+        ));
+        let configuration_age = Gauge::new(
+            "hyssop_configuration_age_seconds",
+            "Time for which a newer configuration may exist than the one in force; -1 if unknown",
+        )
+        .expect("a valid name");
+        registry
+            .register(Box::new(configuration_age.clone()))
+            .expect("a unique name");
         let submission_seconds = histogram(
             "hyssop_submission_seconds",
             "Time from a job's arrival to its answer, in seconds",
@@ -110,6 +127,8 @@
             transfers,
             refused_handovers,
             rejections,
+            denials,
+            configuration_age,
             terms,
             links,
             submission_seconds,
@@ -147,6 +166,11 @@
         }
     }
 
+    pub(crate) fn set_configuration_age(&self, age: Option<Duration>) {
+        let seconds = age.map_or(-1.0, |age| age.as_secs_f64());
+        self.configuration_age.set(seconds);
+    }
+
     pub(crate) fn set_links(&self, count: usize) {
         self.links.set(count as i64);
     }
--- a/crates/hyssop-edge/tests/access.rs
+++ b/crates/hyssop-edge/tests/access.rs
@@ -4,7 +4,7 @@
 
 use platform_standin::{Access, Platform};
 use serde_json::{json, Value};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::caller::{Connection, Outcome};
 use support::{configuration, job, platform, wait_until, Edge};
 
@@ -95,7 +95,7 @@
     configure(&platform, 2, &[account("one", &["key-1", "key-2"])]);
     let owner = start(&platform, "e1");
     wait_for(&owner, "key-1", FIRST, 200);
-    wait_for(&owner, "key-1", OPEN, 200);
+    owner.submit_until_accepted(OPEN, &job(1, 1, 50));
     let front = start(&platform, "e2");
     wait_for(&front, "key-1", SECOND, 200);
     wait_until("the front is ready", || front.probe() == 200);
@@ -119,8 +119,11 @@
     });
     wait_for(&owner, "key-1", SECOND, 401);
 
+    assert!(front.has_logged("event=configuration-trust trusted=false cause=age version=2"));
+
     platform.set_access("e2", Access::Open);
     wait_without_success(&front, "key-1", FIRST, 401);
+    assert!(front.has_logged("event=configuration-trust trusted=true version=3"));
     wait_for(&front, "key-2", FIRST, 200);
     wait_until("the front is ready", || front.probe() == 200);
 }
@@ -228,3 +231,106 @@
     });
     assert!(platform.overlapping_tasks().is_empty());
 }
+
+/// An account without keys stays: its jobs go on, and a new key gives access to them.
+#[test]
+fn last_key_of_account_is_removed_and_restored() {
+    let platform = platform();
+    configure(&platform, 2, &[account("one", &["key-1"])]);
+    let edges = ["e1", "e2"].map(|name| start(&platform, name));
+    wait_for(&edges[0], "key-1", FIRST, 200);
+    configure(&platform, 3, &[account("one", &[])]);
+    for edge in &edges {
+        wait_for(edge, "key-1", FIRST, 401);
+    }
+    configure(&platform, 4, &[account("one", &["key-1"])]);
+    for edge in &edges {
+        wait_for(edge, "key-1", FIRST, 200);
+        assert_eq!(edge.call_with_key("key-1", "GET", FIRST, "").0, 200);
+    }
+}
+
+#[test]
+fn added_key_works_beside_others() {
+    let platform = platform();
+    configure(&platform, 2, &[account("one", &["key-1"])]);
+    let edge = start(&platform, "e1");
+    wait_for(&edge, "key-1", FIRST, 200);
+    assert_eq!(edge.call_with_key("key-2", "GET", FIRST, "").0, 401);
+    assert_eq!(edge.call_with_key("key-3", "GET", FIRST, "").0, 401);
+    configure(
+        &platform,
+        3,
+        &[
+            account("one", &["key-1", "key-2"]),
+            account("two", &["key-3"]),
+        ],
+    );
+    wait_for(&edge, "key-2", FIRST, 200);
+    wait_for(&edge, "key-3", SECOND, 200);
+    assert_eq!(edge.call_with_key("key-1", "GET", FIRST, "").0, 200);
+}
+
+/// A process that starts while the store is slow to answer must not serve by an older configuration.
+#[test]
+fn process_restarted_right_after_change_accepts_no_withdrawn_key() {
+    let platform = platform();
+    configure(&platform, 2, &[account("one", &["key-1", "key-2"])]);
+    let other = start(&platform, "e1");
+    let mut edge = start(&platform, "e2");
+    wait_for(&edge, "key-1", FIRST, 200);
+    configure(&platform, 3, &[account("one", &["key-2"])]);
+    edge.kill();
+    let edge = start(&platform, "e2");
+    wait_without_success(&edge, "key-1", SECOND, 401);
+    wait_for(&edge, "key-2", SECOND, 200);
+    wait_for(&other, "key-1", SECOND, 401);
+}
+
+/// Nobody found out why callers got 401, and keys in a log let its readers call as the account.
+#[test]
+fn denials_are_logged_with_digests_and_counted() {
+    const CALLS: usize = 40;
+    let platform = platform();
+    let accounts = [
+        account("one", &["key-1"]),
+        account("two", &["key-2"]),
+        account("three", &["key-2"]),
+    ];
+    configure(&platform, 2, &accounts);
+    let edge = start(&platform, "e1");
+    wait_for(&edge, "key-1", FIRST, 200);
+    for reason in ["unknown-key", "missing-key"] {
+        let metric = format!("hyssop_denied_requests_total{{reason=\"{reason}\"}}");
+        let before = edge.metric(&metric).unwrap_or_default();
+        let is_line = |line: &String| {
+            line.contains("event=request-denied") && line.contains(&format!("reason={reason} "))
+        };
+        let lines_before = edge.lines(is_line).len();
+        let started_at = Instant::now();
+        for _ in 0..CALLS {
+            let (status, _) = match reason {
+                "unknown-key" => edge.call_with_key("key-2", "GET", FIRST, ""),
+                _ => edge.call("GET", FIRST, ""),
+            };
+            assert_eq!(status, 401);
+        }
+        // One line in each second, the first and the last of them begun.
+        let max_lines = started_at.elapsed().as_secs() as usize + 2;
+        assert_eq!(edge.metric(&metric), Some(before + CALLS as f64));
+        let lines = edge.lines(is_line).len() - lines_before;
+        assert!(lines <= max_lines, "{lines} lines");
+    }
+    for text in [
+        "event=account-left-out account=\"two\" reason=shared-key version=2 left_out=2",
+        "event=account-left-out account=\"three\" reason=shared-key version=2 left_out=2",
+        // The start of the SHA-256 digest of the presented key.
+        "reason=unknown-key host=\"127.0.0.1\" queue=ra key=7c36b0a9 ",
+        "reason=missing-key host=\"127.0.0.1\" queue=ra key=none ",
+    ] {
+        assert!(edge.has_logged(text), "{text}");
+    }
+    for key in ["key-1", "key-2"] {
+        assert!(!edge.has_logged(key), "{key} is in the log");
+    }
+}
--- a/crates/hyssop-model/src/work/configuration.rs
+++ b/crates/hyssop-model/src/work/configuration.rs
@@ -1,4 +1,4 @@
-use super::{Account, Pool, Queue};
+use super::{Account, Exclusion, Pool, Queue};
 use std::collections::BTreeMap;
 
 /// One version of the operators' configuration.
@@ -13,7 +13,9 @@
     pub pools: BTreeMap<String, Pool>,
     /// The client accounts, by name; `None` if callers need no account.
     pub accounts: Option<BTreeMap<String, Account>>,
-    /// The number of queues, pools and accounts that could not be decoded and are left out.
+    /// The accounts that are left out.
+    pub excluded: Vec<Exclusion>,
+    /// The number of queues, pools and accounts that are left out.
     pub rejected: usize,
     /// The maximum size of a request body, in bytes.
     pub max_body_bytes: Option<usize>,
--- a/crates/hyssop-model/src/work/mod.rs
+++ b/crates/hyssop-model/src/work/mod.rs
@@ -6,6 +6,7 @@
 mod account;
 mod address;
 mod configuration;
+mod exclusion;
 mod instance;
 mod outcome;
 mod phase;
@@ -24,6 +25,7 @@
 pub use account::Account;
 pub use address::Address;
 pub use configuration::Configuration;
+pub use exclusion::{Exclusion, Reason};
 pub use instance::{Condition, Instance};
 pub use outcome::Outcome;
 pub use phase::Phase;
