ledger: divide the quotas of client accounts into grants, one per pool

An account's quota holds over all pools, whose owners start tasks independently.

The owner counts what the accounts' runs hold, late orders and orphaned tasks included, asks the ledger before a task or a whole gang is assigned and again before an order is first sent, and refuses gangs that exceed the quota. Without quotas in the settings nothing changes.

--- a/crates/hyssop-policy/src/lib.rs
+++ b/crates/hyssop-policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each module is a state machine that receives the time with every call, so that tests, benchmarks
 //! and daemons can drive it, with many nodes in one thread.
 
+pub mod account;
 pub mod admission;
 pub mod assign;
 pub mod attempt;
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -125,6 +125,9 @@
             log::info!("event=job-too-large job={id} queue={queue} bytes={row_bytes}");
             return Admission::Refused(reason);
         }
+        if let Some(reason) = self.quota_refusal(&submission) {
+            return Admission::Refused(reason);
+        }
         let key = self.allocate_key(id);
         let submitted_at = now.saturating_sub(age);
         let mut occurrences = BTreeMap::new();
--- a/crates/hyssop-policy/src/owner/incarnation.rs
+++ b/crates/hyssop-policy/src/owner/incarnation.rs
@@ -320,6 +320,13 @@
         now < self.late_orders_until || starts.any(|start| now < start.until)
     }
 
+    /// Returns the names of the tasks whose starts may still be carried out.
+    pub(super) fn open_starts(&self, now: Duration) -> impl Iterator<Item = &str> {
+        let starts = self.unanswered_starts.iter();
+        let open = starts.filter(move |(_, start)| now < start.until);
+        open.map(|(task, _)| task.as_str())
+    }
+
     fn add_unanswered_start(&mut self, task: String, start: UnansweredStart) {
         let known = self.unanswered_starts.entry(task).or_insert(start);
         known.run = known.run.max(start.run);
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -31,6 +31,7 @@
 mod permit;
 mod placement;
 mod progress;
+mod quota;
 mod recall;
 mod recovery;
 mod report;
@@ -50,6 +51,7 @@
 pub use handover::Refusal;
 pub use job::{Job, Rule};
 pub use key::{JobKey, TaskKey, WorkerKey};
+pub use quota::AccountState;
 pub use recall::Recall;
 pub use recovery::Record;
 pub use settings::Settings;
@@ -78,6 +80,8 @@
     rules: rules::Rules,
     /// The client accounts of the configuration, by name.
     accounts: BTreeMap<String, Account>,
+    /// The quotas of the accounts, `None` where they aren't enforced.
+    quota: Option<Box<quota::Quota>>,
     addresses: addresses::Addresses,
     barred: recall::Barred,
     jobs: BTreeMap<JobKey, Job>,
@@ -145,6 +149,9 @@
             settings,
             rules: rules::Rules::default(),
             accounts: BTreeMap::new(),
+            quota: settings
+                .enforces_quotas
+                .then(|| Box::new(quota::Quota::new(pool, term))),
             addresses: addresses::Addresses::default(),
             barred: recall::Barred::default(),
             jobs: BTreeMap::new(),
@@ -209,6 +216,7 @@
     pub fn configure(&mut self, configuration: &Configuration) {
         self.rules.configure(configuration);
         self.accounts = configuration.accounts.clone().unwrap_or_default();
+        self.configure_quotas(configuration);
         self.addresses.configure(&self.pool, configuration);
         self.is_placement_due = true;
     }
--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -133,6 +133,10 @@
         if self.is_deposed || self.is_handing_over {
             return None;
         }
+        if !self.is_start_covered(worker, task, run, now) {
+            self.withdraw_start(worker, task, now);
+            return None;
+        }
         let lease = self.settings.lease;
         let span = self.settings.lease_span();
         let drift = self.settings.clock_drift;
--- a/crates/hyssop-policy/src/owner/placement.rs
+++ b/crates/hyssop-policy/src/owner/placement.rs
@@ -31,6 +31,7 @@
 impl Scheduler {
     /// Assigns waiting tasks to workers, job by job in ranking order.
     pub(super) fn place(&mut self, now: Duration) {
+        self.count_usage(now);
         let mut free = ResidualCapacity::new(&self.workers, now);
         for key in self.ranked(now) {
             if free.is_empty() {
@@ -92,6 +93,9 @@
         if need.cpu > free.largest_free_cpu() {
             return;
         }
+        if step.gang && !self.quota_admits(first, &step, now) {
+            return;
+        }
         let mut placed: Vec<(TaskKey, WorkerKey)> = Vec::new();
         let is_spread_limited = step.is_long_running || step.one_rack || step.max_per_worker > 0;
         let mut runs_per_worker = if is_spread_limited {
@@ -101,6 +105,9 @@
         };
         let needs_advice = self.needs_advice(first);
         for &task in tasks {
+            if !step.gang && !self.quota_admits(task, &step, now) {
+                break;
+            }
             let Some(worker) = self.choose_worker(task, &step, &runs_per_worker, free, now) else {
                 if needs_advice {
                     self.request_advice(first, now);
@@ -115,6 +122,7 @@
             free.update(&self.workers, worker);
             placed.push((task, worker));
             if !step.gang {
+                self.charge_tasks([task]);
                 self.actions.push(Action::Start {
                     worker,
                     task,
@@ -152,6 +160,7 @@
             .filter_map(|&(task, _)| self.task_mut(task).map(|entry| entry.run))
             .max()
             .unwrap_or(1);
+        self.charge_tasks(placed.iter().map(|(task, _)| *task));
         for &(task, worker) in placed {
             if let Some(entry) = self.task_mut(task) {
                 entry.run = number;
@@ -307,12 +316,14 @@
         entry.state = State::Placed(key);
         entry.run = entry.run.max(first_number) + 1;
         let number = entry.run;
+        let charge = self.charge_of(task);
         if let Some(worker) = self.workers.get_mut(&key) {
             worker.reserve(
                 task,
                 Run {
                     number,
                     reserved: need,
+                    charge,
                     ordered_at: now,
                     start_attempted_at: now,
                     may_have_started: false,
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -186,11 +186,17 @@
         if may_adopt && !running.checkpoint.is_empty() {
             job.save_checkpoint(task, &running.checkpoint);
         }
+        let charge = self.charge_of(task);
+        self.outdate_usage();
+        let Some(worker) = self.workers.get_mut(&key) else {
+            return;
+        };
         worker.reserve(
             task,
             Run {
                 number: running.run,
                 reserved: step.reserved(),
+                charge,
                 ordered_at: sent,
                 start_attempted_at: sent,
                 may_have_started: false,
--- a/crates/hyssop-policy/src/owner/roster.rs
+++ b/crates/hyssop-policy/src/owner/roster.rs
@@ -225,6 +225,7 @@
             worker.has_reported = false;
             let runs = std::mem::take(&mut worker.runs);
             worker.used = work::Resources::default();
+            worker.charges.clear();
             let is_listed = worker.is_listed;
             let row = worker.row_name();
             for (task, run) in &runs {
--- a/crates/hyssop-policy/src/owner/settings.rs
+++ b/crates/hyssop-policy/src/owner/settings.rs
@@ -40,6 +40,8 @@
     /// The maximum size of the keys and values in one batch, in bytes; the store accepts 1 MB per
     /// call, in which values are base64.
     pub max_batch_bytes: usize,
+    /// Whether the quotas of client accounts are enforced.
+    pub enforces_quotas: bool,
 }
 
 impl Default for Settings {
@@ -59,6 +61,7 @@
             max_batch_rows: 90,
             max_row_bytes: 65_536,
             max_batch_bytes: 600_000,
+            enforces_quotas: false,
         }
     }
 }
--- a/crates/hyssop-policy/src/owner/start.rs
+++ b/crates/hyssop-policy/src/owner/start.rs
@@ -240,7 +240,7 @@
 
     /// Gives up an unanswered start, and with it those of all members of a gang, which work only
     /// together.
-    fn withdraw_start(&mut self, key: WorkerKey, task: TaskKey, now: Duration) {
+    pub(super) fn withdraw_start(&mut self, key: WorkerKey, task: TaskKey, now: Duration) {
         let Some(step) = self.jobs.get(&task.job).and_then(|job| job.step(task.step)) else {
             return;
         };
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -1,4 +1,5 @@
 use super::completion::QUARANTINE_FAILED_JOBS;
+use super::quota::{AccountKey, Charge};
 use super::{JobKey, TaskKey};
 use hyssop_model::work::{self, Completion, Resources};
 use std::collections::{BTreeMap, BTreeSet};
@@ -44,6 +45,8 @@
     pub(super) has_unknown_runs: bool,
     /// The resources reserved by `runs`.
     pub(super) used: Resources,
+    /// What `runs` hold of the accounts' quotas.
+    pub(super) charges: BTreeMap<AccountKey, Resources>,
     pub(super) runs: BTreeMap<TaskKey, Run>,
     /// Completions up to this number have been applied to the jobs.
     pub(super) applied: u64,
@@ -117,6 +120,7 @@
             clock: None,
             has_unknown_runs: false,
             used: Resources::default(),
+            charges: BTreeMap::new(),
             runs: BTreeMap::new(),
             applied: 0,
             stored: 0,
@@ -333,8 +337,13 @@
 
     pub(super) fn reserve(&mut self, task: TaskKey, run: Run) {
         self.used.add(&run.reserved);
+        if let Some(charge) = run.charge {
+            let held = self.charges.entry(charge.account).or_default();
+            held.add(&charge.amount);
+        }
         if let Some(earlier) = self.runs.insert(task, run) {
             self.used.remove(&earlier.reserved);
+            self.discharge(&earlier);
         }
     }
 
@@ -359,8 +368,22 @@
     pub(super) fn unreserve(&mut self, task: TaskKey) -> Option<Run> {
         let run = self.runs.remove(&task)?;
         self.used.remove(&run.reserved);
+        self.discharge(&run);
         Some(run)
     }
+
+    /// Removes a run from what the accounts hold.
+    fn discharge(&mut self, run: &Run) {
+        let Some(charge) = run.charge else {
+            return;
+        };
+        if let Some(held) = self.charges.get_mut(&charge.account) {
+            held.remove(&charge.amount);
+            if *held == Resources::default() {
+                self.charges.remove(&charge.account);
+            }
+        }
+    }
 }
 
 /// Whether starts may be sent to a worker.
@@ -429,6 +452,8 @@
 pub(super) struct Run {
     pub(super) number: u64,
     pub(super) reserved: Resources,
+    /// What it holds of its account's quota.
+    pub(super) charge: Option<Charge>,
     pub(super) ordered_at: Duration,
     /// When the start was last sent or last went unanswered.
     pub(super) start_attempted_at: Duration,
