owner: test the quota of an account over several pools

The model's world can now be one of several pools that share a table with grants and a configuration, with late, lost and slow writes; each start is checked against what the account holds over all pools. A pool that was granted its largest task now keeps its turn until it has started one: four pools with a quota of one task passed it on among themselves and started nothing (four_pools_take_turns_with_a_quota_of_one_task, pool 1 waited 3,000 ms).

--- a/crates/hyssop-policy/src/account/ledger/decision.rs
+++ b/crates/hyssop-policy/src/account/ledger/decision.rs
@@ -97,7 +97,7 @@
         if is_short || is_exceeded || self.has_others_short() {
             let occupied = share(&usage.occupied(), &quota);
             let floor = held.max(occupied.min(current));
-            let target = self.target(pool, usage);
+            let target = self.target(pool, usage, now);
             let free = WHOLE.saturating_sub(self.others());
             if target < current {
                 grant = target.max(floor);
@@ -129,7 +129,7 @@
         };
         row.pools.insert(pool.to_owned(), entry);
         if grant < current && now >= self.settles_at {
-            let targets = self.targets(pool, usage);
+            let targets = self.targets(pool, usage, now);
             pass_on(&mut row, pool, &targets);
         }
         Some(Decision { row, urgency, held })
--- a/crates/hyssop-policy/src/account/ledger/entry.rs
+++ b/crates/hyssop-policy/src/account/ledger/entry.rs
@@ -1,11 +1,15 @@
 use super::row::{Grant, Row, Unreadable};
-use super::share::{is_limited, Share};
+use super::share::{is_limited, share, Share};
 use super::target::{targets, Claim};
 use super::{StoredRow, Usage};
 use hyssop_model::work::Resources;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// How long a pool that was granted its largest task keeps its turn without starting one; a start takes
+/// some milliseconds. Without it, the pools would pass the quota on among themselves for ever.
+const TURN_TIME: Duration = Duration::from_millis(300);
+
 /// What an owner knows of one account.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Entry {
@@ -27,6 +31,8 @@
     /// Own writes that may have taken effect or may still do so: the version on which they depend, and the
     /// pool's own grant in them.
     doubts: Vec<(u64, Grant)>,
+    /// The round in which the pool was granted its largest task last, and until when it may use that.
+    turn: Option<(u64, Duration)>,
     /// The sum of all grants, as a share of `quota`.
     sum: Share,
     /// The sum of the other pools' grants.
@@ -122,7 +128,12 @@
     }
 
     /// Applies a row of the store, unless a newer one is known; returns why it can't be read.
-    pub(super) fn apply(&mut self, stored: &StoredRow, pool: &str) -> Option<Unreadable> {
+    pub(super) fn apply(
+        &mut self,
+        stored: &StoredRow,
+        pool: &str,
+        now: Duration,
+    ) -> Option<Unreadable> {
         let is_newer = match self.provisional_base {
             Some(base) => stored.version > base,
             None => stored.version > self.version,
@@ -143,6 +154,7 @@
             }
         };
         self.update(pool);
+        self.update_turn(pool, now);
         reason
     }
 
@@ -163,7 +175,7 @@
     }
 
     /// Records that the latest write took effect. No earlier one can any more.
-    pub(super) fn end_write(&mut self, row: Row, version: u64, pool: &str) {
+    pub(super) fn end_write(&mut self, row: Row, version: u64, pool: &str, now: Duration) {
         // A newer row may be known from the feed already.
         let Some((base, _)) = self.doubts.last() else {
             return;
@@ -173,6 +185,29 @@
         self.doubts.clear();
         self.stored = Stored::Present(row);
         self.update(pool);
+        self.update_turn(pool, now);
+    }
+
+    /// Notes that the pool was granted its largest task since.
+    fn update_turn(&mut self, pool: &str, now: Duration) {
+        let served = self.row().and_then(|row| row.pools.get(pool));
+        let served = served.map_or(0, |grant| grant.served);
+        if self.turn.is_none_or(|(known, _)| known != served) {
+            self.turn = Some((served, now + TURN_TIME));
+        }
+    }
+
+    /// Ends the pool's turn if its grant has no room left for the largest task.
+    pub(super) fn use_turn(&mut self, pool: &str, usage: &Usage) {
+        let grant = self.row().and_then(|row| row.pools.get(pool));
+        let grant = grant.map_or(0, |grant| grant.lower(&self.quota));
+        let mut next = usage.occupied();
+        next.add(&usage.unit);
+        if share(&next, &self.quota) > grant {
+            if let Some((_, until)) = &mut self.turn {
+                *until = Duration::ZERO;
+            }
+        }
     }
 
     /// Records that the latest write had no effect and never will.
@@ -183,16 +218,25 @@
     /// Returns the turn of a pool that has no entry yet: before those that were granted their largest task
     /// last, and after those that wait for longer.
     pub(super) fn newcomer_turn(&self) -> u64 {
-        self.row().map_or(0, |row| row.round.saturating_sub(1))
+        self.row()
+            .map_or(1, |row| row.round.saturating_sub(1).max(1))
     }
 
     /// Returns the pool's part of the quota while its tasks use `usage`.
-    pub(super) fn target(&self, pool: &str, usage: &Usage) -> Share {
-        self.targets(pool, usage).get(pool).copied().unwrap_or(0)
+    pub(super) fn target(&self, pool: &str, usage: &Usage, now: Duration) -> Share {
+        self.targets(pool, usage, now)
+            .get(pool)
+            .copied()
+            .unwrap_or(0)
     }
 
     /// Returns the parts of all pools while the own one's tasks use `usage`.
-    pub(super) fn targets<'a>(&'a self, pool: &'a str, usage: &Usage) -> BTreeMap<&'a str, Share> {
+    pub(super) fn targets<'a>(
+        &'a self,
+        pool: &'a str,
+        usage: &Usage,
+        now: Duration,
+    ) -> BTreeMap<&'a str, Share> {
         let pools = self.row().map(|row| &row.pools);
         let mut claims: BTreeMap<&str, Claim> = BTreeMap::new();
         for (name, grant) in pools.into_iter().flatten() {
@@ -200,9 +244,11 @@
             let served = grant.served;
             claims.insert(name, Claim { need, unit, served });
         }
+        let has_turn = self.turn.is_some_and(|(_, until)| now < until);
         let served = claims
             .get(pool)
             .map_or(self.newcomer_turn(), |claim| claim.served);
+        let served = if has_turn { 0 } else { served };
         let own = Claim {
             need: usage.need(&self.quota),
             unit: usage.unit(&self.quota),
--- a/crates/hyssop-policy/src/account/ledger/mod.rs
+++ b/crates/hyssop-policy/src/account/ledger/mod.rs
@@ -224,7 +224,7 @@
     pub fn apply(&mut self, rows: Vec<StoredRow>, now: Duration) {
         for row in rows {
             let entry = self.entries.entry(row.account.clone()).or_default();
-            let reason = entry.apply(&row, &self.pool);
+            let reason = entry.apply(&row, &self.pool, now);
             let pools = entry.row().map_or(0, |row| row.pools.len());
             self.pool_count = self.pool_count.max(pools);
             if let Some(reason) = reason {
@@ -241,7 +241,7 @@
 
     /// Returns what the pool may hold of an account's quota while its tasks use `usage`, `None` if the
     /// account has no limit.
-    pub fn allowance(&self, account: &str, usage: &Usage) -> Option<Allowance> {
+    pub fn allowance(&self, account: &str, usage: &Usage, now: Duration) -> Option<Allowance> {
         let quota = self.quota(account)?;
         let entry = self.entries.get(account)?;
         let none = |wait| Allowance {
@@ -267,7 +267,7 @@
             return Some(none(Wait::Exceeded));
         }
         let soft = if entry.has_others_short() {
-            own.min(entry.target(&self.pool, usage))
+            own.min(entry.target(&self.pool, usage, now))
         } else {
             own
         };
@@ -279,6 +279,13 @@
         })
     }
 
+    /// Notes that a task of an account was assigned, after which its tasks use `usage`.
+    pub fn on_assigned(&mut self, account: &str, usage: &Usage) {
+        if let Some(entry) = self.entries.get_mut(account) {
+            entry.use_turn(&self.pool, usage);
+        }
+    }
+
     /// Returns the writes that the pool needs at present as one transaction, `None` if there are none or
     /// the latest one is too recent or still under way.
     ///
@@ -339,7 +346,7 @@
             match &outcome {
                 Outcome::Done(version) => {
                     let before = entry.grant(&self.pool);
-                    entry.end_write(row, *version, &self.pool);
+                    entry.end_write(row, *version, &self.pool, now);
                     changes.extend(entry.grant(&self.pool).map(|grant| Change {
                         account,
                         before: before.map_or(0, |before| before.lower(&grant.quota)),
--- a/crates/hyssop-policy/src/account/ledger/row.rs
+++ b/crates/hyssop-policy/src/account/ledger/row.rs
@@ -60,7 +60,7 @@
             layout: LAYOUT,
             version: 0,
             quota: Resources::default(),
-            round: 0,
+            round: 1,
             pools: BTreeMap::new(),
         }
     }
--- a/crates/hyssop-policy/src/account/ledger/target.rs
+++ b/crates/hyssop-policy/src/account/ledger/target.rs
@@ -8,7 +8,7 @@
     pub need: Share,
     /// The share that the largest task or gang takes that could start.
     pub unit: Share,
-    /// The round in which the pool was granted its largest task last.
+    /// The round in which the pool was granted its largest task last; 0 while it has not used that.
     pub served: u64,
 }
 
--- a/crates/hyssop-policy/src/owner/quota.rs
+++ b/crates/hyssop-policy/src/owner/quota.rs
@@ -110,18 +110,18 @@
         self.usage.get_mut(name)
     }
 
-    fn allowance(&mut self, key: AccountKey) -> Option<Allowance> {
+    fn allowance(&mut self, key: AccountKey, now: Duration) -> Option<Allowance> {
         if let Some(allowance) = self.allowances.get(&key) {
             return *allowance;
         }
-        let allowance = self.ledger.allowance(self.name(key), &self.usage(key));
+        let allowance = self.ledger.allowance(self.name(key), &self.usage(key), now);
         self.allowances.insert(key, allowance);
         allowance
     }
 
     /// Returns whether the tasks of one start may be assigned; `is_gang` if they start together.
     fn admits(&mut self, charge: Charge, is_gang: bool, now: Duration) -> bool {
-        let Some(allowance) = self.allowance(charge.account) else {
+        let Some(allowance) = self.allowance(charge.account, now) else {
             return true;
         };
         let occupied = self.usage(charge.account).occupied();
@@ -149,14 +149,20 @@
         if let Some(usage) = self.usage_mut(charge.account) {
             usage.held.add(&charge.amount);
             usage.waiting.remove(&charge.amount);
+            let usage = *usage;
+            let name = self.names.get(charge.account.0 as usize);
+            if let Some(name) = name {
+                self.ledger.on_assigned(name, &usage);
+            }
+            self.allowances.remove(&charge.account);
         }
     }
 
     /// Returns whether the present grant covers what an account's tasks hold.
-    fn covers(&self, charge: Charge) -> bool {
+    fn covers(&self, charge: Charge, now: Duration) -> bool {
         let usage = self.usage(charge.account);
         let name = self.name(charge.account);
-        let Some(allowance) = self.ledger.allowance(name, &usage) else {
+        let Some(allowance) = self.ledger.allowance(name, &usage, now) else {
             return true;
         };
         let occupied = usage.occupied();
@@ -179,7 +185,7 @@
             return;
         };
         let usage = self.usage(key);
-        let allowance = self.ledger.allowance(self.name(key), &usage);
+        let allowance = self.ledger.allowance(self.name(key), &usage, now);
         if let Some(allowance) = allowance {
             let occupied = usage.occupied();
             log::info!(
@@ -271,12 +277,12 @@
     }
 
     /// Returns the state of the accounts with a quota that have tasks or a grant in this pool.
-    pub fn account_states(&self) -> Vec<AccountState> {
+    pub fn account_states(&self, now: Duration) -> Vec<AccountState> {
         let Some(quota) = &self.quota else {
             return Vec::new();
         };
         let states = quota.usage.iter().filter_map(|(account, usage)| {
-            let allowance = quota.ledger.allowance(account, usage)?;
+            let allowance = quota.ledger.allowance(account, usage, now)?;
             let key = quota.keys.get(account);
             Some(AccountState {
                 account: account.clone(),
@@ -368,7 +374,7 @@
         let is_outdated = self.quota.as_ref().is_some_and(|quota| quota.is_outdated);
         let covers = |scheduler: &Self| {
             let quota = scheduler.quota.as_ref();
-            quota.is_none_or(|quota| quota.covers(charge))
+            quota.is_none_or(|quota| quota.covers(charge, now))
         };
         if !is_outdated && covers(self) {
             return true;
--- a/crates/hyssop-policy/tests/ledger.rs
+++ b/crates/hyssop-policy/tests/ledger.rs
@@ -1,5 +1,6 @@
 //! The division of quotas into grants: single scenarios, and random ones with late and lost writes.
 
+#[path = "model/grants.rs"]
 mod grants;
 
 use grants::Table;
@@ -67,11 +68,17 @@
 }
 
 fn hard(ledger: &Ledger, usage: Usage) -> u64 {
-    ledger.allowance(ACCOUNT, &usage).expect("a quota").hard
+    ledger
+        .allowance(ACCOUNT, &usage, ms(60_000))
+        .expect("a quota")
+        .hard
 }
 
 fn soft(ledger: &Ledger, usage: Usage) -> u64 {
-    ledger.allowance(ACCOUNT, &usage).expect("a quota").soft
+    ledger
+        .allowance(ACCOUNT, &usage, ms(60_000))
+        .expect("a quota")
+        .soft
 }
 
 #[test]
@@ -195,7 +202,7 @@
     let needs = usage(6, 2, 1);
     assert_eq!(hard(&new, needs), 0);
     let wait = new
-        .allowance(ACCOUNT, &needs)
+        .allowance(ACCOUNT, &needs, ms(0))
         .map(|allowance| allowance.wait);
     assert_eq!(wait, Some(Wait::NoGrant));
     assert!(write(&mut new, needs, &mut table, 130));
@@ -303,7 +310,7 @@
         let mut a = ledger("a", 1, 10, &table);
         assert_eq!(hard(&a, usage(0, 1, 1)), 0);
         let wait = a
-            .allowance(ACCOUNT, &usage(0, 1, 1))
+            .allowance(ACCOUNT, &usage(0, 1, 1), ms(0))
             .map(|known| known.wait);
         assert_eq!(wait, Some(Wait::Unreadable));
         // It is replaced, and others have the time to write what they hold before grants are raised.
@@ -458,7 +465,7 @@
                 let limits = history.iter().filter(|(version, _)| *version >= in_force);
                 let highest = limits.map(|(_, quota)| *quota).max().unwrap_or(0);
                 let owner = &mut owners[pool];
-                let allowance = owner.ledger.allowance(ACCOUNT, &owner.usage());
+                let allowance = owner.ledger.allowance(ACCOUNT, &owner.usage(), at);
                 let allowance = allowance.expect("a quota");
                 let wanted = share(&cpu(owner.held + owner.orphaned + 1), &allowance.quota);
                 if owner.waiting > 0 && wanted <= allowance.soft.min(allowance.hard) {
--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -7,7 +7,9 @@
 #![allow(dead_code, unreachable_pub, unused_imports)]
 
 mod availability;
+mod grants;
 mod invariants;
+mod pools;
 mod presence;
 mod seeds;
 mod store;
@@ -15,6 +17,8 @@
 mod worker;
 mod world;
 
+pub use grants::Table;
+pub use pools::{Pools, Shared};
 pub use seeds::play_seeds;
 pub use store::{assert_within_limits, FakeStore};
 pub use takeover::Takeover;
--- a/crates/hyssop-policy/tests/model/world/mod.rs
+++ b/crates/hyssop-policy/tests/model/world/mod.rs
@@ -1,21 +1,26 @@
 use super::availability::Availability;
 use super::configuration;
 use super::invariants::Invariants;
+use super::pools::Shared;
 use super::presence::Presence;
 use super::store::FakeStore;
 use super::takeover::Takeover;
 use super::worker::{FakeWorker, RunEvent};
-use hyssop_model::work::{self, Outcome, Phase, Report, Submission, Task};
+use hyssop_model::work::{self, Configuration, Outcome, Phase, Report, Submission, Task};
 use hyssop_platform::dialect::{Renewal, Start, StartOutcome};
+use hyssop_policy::account::ledger::{self, StoredRow, Write};
 use hyssop_policy::owner::{
     Action, Admission, Batch, Notification, Scheduler, Settings, StartResult, TaskKey, WorkerKey,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Duration;
 
 mod planned;
+mod quota;
 
 pub use planned::PlannedStop;
 
@@ -44,6 +49,11 @@
     pub late_starts_reach_next: bool,
     /// The time from sending a batch until the store commits it.
     pub commit_ms: i64,
+    pool: String,
+    configuration: Configuration,
+    settings: Settings,
+    /// What this pool shares with others, if accounts have quotas.
+    shared: Option<Rc<RefCell<Shared>>>,
     rng: ChaCha8Rng,
     store: FakeStore,
     owners: Vec<OwnerProcess>,
@@ -65,6 +75,8 @@
     authority_end_ms: Option<i64>,
     /// When it last ran and nobody had replaced it, which the store or its peers then confirm.
     confirmed_ms: i64,
+    /// The version of the table with the grants up to which it has read that or is about to.
+    grants_seen: Option<u64>,
     /// The worker that it doesn't reach, and until when.
     cut_worker: Option<(String, i64)>,
 }
@@ -102,6 +114,13 @@
     FlushChecked(u64, PlannedStop, i64),
     /// The store receives the release of a term with the row of its handover, and when it was written.
     ReleaseArrives(u64, PlannedStop, Option<Vec<u8>>, i64),
+    /// The owner of a term learns of a configuration.
+    Configured(u64, Configuration),
+    /// The owner of a term learns of rows with grants; the last field is whether they are all.
+    GrantsRead(u64, Vec<StoredRow>, bool),
+    /// The store receives a write of grants; the last field is whether the owner waits for its answer.
+    GrantsArrive(u64, Vec<Write>, bool),
+    GrantsAnswered(u64, ledger::Outcome),
 }
 
 const CALL_TIMEOUT_MS: i64 = 500;
@@ -114,7 +133,13 @@
 
 impl World {
     pub fn new(seed: u64, workers: usize, cores: u64) -> Self {
-        let mut world = Self {
+        let mut world = Self::without_owner(seed, workers, cores);
+        world.start_owner();
+        world
+    }
+
+    fn without_owner(seed: u64, workers: usize, cores: u64) -> Self {
+        Self {
             now_ms: 1_000,
             faults: Faults::default(),
             workers: (0..workers)
@@ -126,15 +151,17 @@
             is_store_up: true,
             late_starts_reach_next: false,
             commit_ms: 10,
+            pool: "pool".to_owned(),
+            configuration: configuration(false),
+            settings: Settings::default(),
+            shared: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
             store: FakeStore::default(),
             owners: Vec::new(),
             events: BTreeMap::new(),
             next_event: 0,
             accepted: BTreeSet::new(),
-        };
-        world.start_owner();
-        world
+        }
     }
 
     fn now(&self) -> Duration {
@@ -185,8 +212,8 @@
             return;
         }
         self.trace("", || format!("term {term} begins: {takeover:?}"));
-        let mut scheduler = Scheduler::new("pool", term, Settings::default());
-        scheduler.configure(&configuration(false));
+        let mut scheduler = Scheduler::new(&self.pool, term, self.settings);
+        scheduler.configure(&self.configuration);
         let counted_from_ms = if takeover.counts_from_start {
             started_ms
         } else {
@@ -213,6 +240,7 @@
             follows_registry: false,
             authority_end_ms: None,
             confirmed_ms: self.now_ms,
+            grants_seen: None,
             cut_worker,
         });
     }
@@ -410,6 +438,7 @@
                 self.handle(event);
             }
             self.advance_owners();
+            self.follow_grants();
         }
     }
 
@@ -465,6 +494,10 @@
             }
             let actions = process.scheduler.advance(now, wall_ms);
             let batch = process.scheduler.next_batch(now);
+            let grants = process.scheduler.next_grant_writes(now);
+            if let Some(writes) = grants {
+                self.send_grants(term, writes);
+            }
             for action in actions {
                 self.send(term, action);
             }
@@ -761,6 +794,24 @@
                     self.set_listed(number, false);
                 }
             }
+            Event::Configured(term, configuration) => {
+                if let Some(process) = self.process(term) {
+                    process.scheduler.configure(&configuration);
+                }
+            }
+            Event::GrantsRead(term, rows, is_complete) => {
+                if let Some(process) = self.process(term) {
+                    process.scheduler.on_grant_rows(rows, is_complete, now);
+                }
+            }
+            Event::GrantsArrive(term, writes, is_awaited) => {
+                self.commit_grants(term, writes, is_awaited);
+            }
+            Event::GrantsAnswered(term, outcome) => {
+                if let Some(process) = self.process(term) {
+                    process.scheduler.on_grant_outcome(outcome, now);
+                }
+            }
             Event::FlushChecked(term, stop, until_ms) => self.check_flush(term, stop, until_ms),
             Event::ReleaseArrives(term, stop, value, written_ms) => {
                 self.release(term, stop, value, written_ms);
@@ -802,6 +853,7 @@
                 other != number && worker.is_up && worker.running().any(|(name, _)| *name == task)
             });
             self.presence.on_start(&task, now_ms);
+            self.check_quota(&task, is_delayed);
             self.invariants
                 .on_run_start(&task, runs_elsewhere, is_delayed, now_ms);
         }
