edge: follow and write the grants of accounts' quotas

Each pool's owner follows the table account-grants once an account has a quota, and sends the ledger's writes as conditional transactions, one at a time; what became of one without an answer shows in the rows. Where the settings don't enforce quotas, nothing is followed or written.

The tests' settings files now have the key contracts, empty by default.

--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -71,6 +71,7 @@
             job_retention: Duration::from_secs_f64(settings.bounds.status_s)
                 + Duration::from_secs(10),
             max_row_bytes: settings.platform.row_bytes,
+            enforces_quotas: settings.enforces_quotas(),
             ..owner::Settings::default()
         },
         grace_period: Duration::from_secs_f64(settings.bounds.grace_period_s),
--- a/crates/hyssop-edge/src/metric/registry.rs
+++ b/crates/hyssop-edge/src/metric/registry.rs
@@ -13,6 +13,7 @@
     transactions: IntCounterVec,
     transfers: IntCounterVec,
     refused_handovers: IntCounterVec,
+    grant_writes: IntCounterVec,
     /// The entries of followed lists that were rejected.
     pub(crate) rejections: Rejections,
     terms: IntGaugeVec,
@@ -71,6 +72,11 @@
             "Handovers of pools that their next owner did not use, by reason",
             "reason",
         );
+        let grant_writes = counter(
+            "hyssop_grant_writes_total",
+            "Transactions that change the grants of accounts' quotas, by outcome",
+            "outcome",
+        );
         let rejections = Rejections::new(counter(
             "hyssop_rejected_entries_total",
             "Entries of followed lists that were rejected, once for each change, by list",
@@ -109,6 +115,7 @@
             transactions,
             transfers,
             refused_handovers,
+            grant_writes,
             rejections,
             terms,
             links,
@@ -139,6 +146,10 @@
         self.refused_handovers.with_label_values(&[reason]).inc();
     }
 
+    pub(crate) fn count_grant_write(&self, outcome: &str) {
+        self.grant_writes.with_label_values(&[outcome]).inc();
+    }
+
     /// Sets the terms of the owned shards and removes those of all others.
     pub(crate) fn set_terms(&self, owned: &[(String, u64)]) {
         self.terms.reset();
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -28,6 +28,7 @@
     pub(super) scheduler: RefCell<Scheduler>,
     pub(super) wake: Notify,
     pub(super) store_wake: Notify,
+    pub(super) grants_wake: Notify,
     pub(super) accepting: RefCell<Waiters>,
     pub(super) cancelling: RefCell<Waiters>,
     /// When the unanswered batch was sent, `None` while no batch is in flight.
@@ -59,6 +60,7 @@
             scheduler: RefCell::new(scheduler),
             wake: Notify::new(),
             store_wake: Notify::new(),
+            grants_wake: Notify::new(),
             accepting: RefCell::default(),
             cancelling: RefCell::default(),
             unanswered_since: Cell::new(None),
@@ -71,6 +73,10 @@
         driver.configure(&configuration);
         tokio::task::spawn_local(driver.clone().run());
         tokio::task::spawn_local(driver.clone().write(committer));
+        if driver.node.timing.scheduler.enforces_quotas {
+            tokio::task::spawn_local(driver.clone().follow_grants());
+            tokio::task::spawn_local(driver.clone().write_grants());
+        }
         let follower = driver.clone();
         tokio::task::spawn_local(async move { follower.follow_workers().await });
         driver
@@ -158,6 +164,7 @@
         }
         self.wake.notify_one();
         self.store_wake.notify_one();
+        self.grants_wake.notify_one();
     }
 
     /// Runs the scheduler until the term ends.
@@ -244,6 +251,7 @@
             }
         }
         self.store_wake.notify_one();
+        self.grants_wake.notify_one();
     }
 
     /// Follows the registry of workers until the term ends.
--- a/crates/hyssop-edge/src/pool/mod.rs
+++ b/crates/hyssop-edge/src/pool/mod.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod driver;
+mod grants;
 mod operations;
 mod writer;
 
--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -42,11 +42,16 @@
 
     /// As `start`, with further lines for the section `bounds` of the settings.
     pub fn start_with(platform: &Platform, name: &str, bounds: &str) -> Self {
+        Self::start_under(platform, name, bounds, &[])
+    }
+
+    /// As `start_with`, with the names of the platform's rules that are in force.
+    pub fn start_under(platform: &Platform, name: &str, bounds: &str, contracts: &[&str]) -> Self {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let number = NEXT.fetch_add(1, Ordering::SeqCst);
         let file = format!("hyssop-edge-{}-{number}.toml", std::process::id());
         let settings = std::env::temp_dir().join(file);
-        let text = settings_text(platform, name, bounds);
+        let text = settings_text(platform, name, bounds, contracts);
         std::fs::write(&settings, text).expect("settings can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_hyssop-edge"))
             .env("HYSSOPWORKS_BOOT", &settings)
@@ -254,6 +259,16 @@
 
 /// Writes a configuration with a queue for each route, a path prefix and its pool.
 pub fn configure(platform: &Platform, version: u64, routes: &[(&str, &str)]) {
+    configure_accounts(platform, version, routes, None);
+}
+
+/// As `configure`, with accounts.
+pub fn configure_accounts(
+    platform: &Platform,
+    version: u64,
+    routes: &[(&str, &str)],
+    accounts: Option<Value>,
+) {
     let route = |(prefix, pool): &(&str, &str)| {
         json!({
             "name": format!("r{}", prefix.replace('/', "")), "hostname": HOST,
@@ -262,7 +277,7 @@
         })
     };
     let routes: Vec<Value> = routes.iter().map(route).collect();
-    let value = json!({
+    let mut value = json!({
         "version": version, "routes": routes, "limits": { "max-body-bytes": 65_536 },
         "services": [
             { "name": "alpha", "rejects-overload": true },
@@ -270,6 +285,9 @@
             { "name": "spare", "rejects-overload": true, "spare": true },
         ],
     });
+    if let Some(accounts) = accounts {
+        value["tenants"] = accounts;
+    }
     platform.write_operator_row("config", &value);
 }
 
@@ -300,7 +318,7 @@
 }
 
 /// Returns the settings file of a process.
-fn settings_text(platform: &Platform, name: &str, bounds: &str) -> String {
+fn settings_text(platform: &Platform, name: &str, bounds: &str, contracts: &[&str]) -> String {
     format!(
         r#"
 node-name = "{name}"
@@ -308,6 +326,7 @@
 zone = "zone-a"
 internal-port-range = [0, 0]
 orders = "call"
+contracts = {contracts:?}
 [listen-addresses]
 front = "127.0.0.1:0"
 ready = "127.0.0.1:0"
--- a/crates/hyssop-policy/src/account/ledger/decision.rs
+++ b/crates/hyssop-policy/src/account/ledger/decision.rs
@@ -83,7 +83,8 @@
         if own.is_none() && usage.is_empty() {
             return None;
         }
-        let is_behind = self.row().is_some_and(|row| row.version > version);
+        let is_behind = self.row().is_some_and(|row| row.version > version)
+            || own.is_some_and(|own| own.term > term);
         if !self.is_limited() || self.is_newer_layout() || is_behind {
             return None;
         }
