--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -75,6 +75,7 @@
                 + Duration::from_secs(10),
             account_window: Duration::from_secs_f64(settings.bounds.quota_window_s),
             max_row_bytes: settings.platform.row_bytes,
+            enforces_quotas: settings.enforces_quotas(),
             ..owner::Settings::default()
         },
         grace_period: Duration::from_secs_f64(settings.bounds.grace_period_s),
--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -45,6 +45,16 @@
         Self::start_as(platform, name, "", bounds)
     }
 
+    /// As `start_with`, with the names of the platform's rules that are in force.
+    pub fn start_under(platform: &Platform, name: &str, bounds: &str, contracts: &[&str]) -> Self {
+        Self::start_as(
+            platform,
+            name,
+            &format!("contracts = {contracts:?}"),
+            bounds,
+        )
+    }
+
     /// As `start`, with further lines for the settings outside of sections and for `bounds`.
     pub fn start_as(platform: &Platform, name: &str, general: &str, bounds: &str) -> Self {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
@@ -299,6 +309,20 @@
     platform.write_operator_row("config", &configuration(version, routes));
 }
 
+/// As `configure`, with accounts.
+pub fn configure_accounts(
+    platform: &Platform,
+    version: u64,
+    routes: &[(&str, &str)],
+    accounts: Option<Value>,
+) {
+    let mut value = configuration(version, routes);
+    if let Some(accounts) = accounts {
+        value["tenants"] = accounts;
+    }
+    platform.write_operator_row("config", &value);
+}
+
 /// Returns a configuration with a queue for each route, a path prefix and its pool.
 pub fn configuration(version: u64, routes: &[(&str, &str)]) -> Value {
     let route = |(prefix, pool): &(&str, &str)| {
--- a/crates/hyssop-policy/src/account/mod.rs
+++ b/crates/hyssop-policy/src/account/mod.rs
@@ -1,4 +1,5 @@
-//! Access of callers by the keys of client accounts.
+//! Client accounts: access of callers by their keys, and the quota that an account's running tasks may
+//! hold over all pools.
 //!
 //! A key is known by its digest only. The decision depends on the configuration in force and on its
 //! age, so a front repeats it right before it passes a request on.
@@ -8,6 +9,7 @@
 mod credential;
 mod digest;
 mod keys;
+pub mod ledger;
 
 pub use access::{decide, Access, Cause};
 pub use bounds::Bounds;
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -132,6 +132,9 @@
             log::info!("event=job-too-large job={id} queue={queue} bytes={row_bytes}");
             return Admission::Refused(reason);
         }
+        if let Some(reason) = self.quota_refusal(&submission) {
+            return Admission::Refused(reason);
+        }
         let submitted_at = self.shares.first_request(id, now.saturating_sub(age));
         let entitlement = self.entitle(id, queue, &submission, submitted_at, now);
         if let Some(wait) = self.deferral(id, queue, &submission, entitlement, submitted_at, now) {
