--- a/crates/hyssop-policy/tests/model/pools.rs
+++ b/crates/hyssop-policy/tests/model/pools.rs
@@ -40,7 +40,8 @@
         let accounts = quotas.iter().map(|(name, cpu)| {
             let account = Account {
                 name: name.clone(),
-                weight: 1.0,
+                // High enough that only the quota holds back jobs.
+                weight: 1_000.0,
                 quota: Resources {
                     cpu: *cpu,
                     ..Resources::default()
