owner: learn durations by image, and judge workers and stalls by that

Cause: one ratio of duration to estimate per queue ranks the jobs of images with equal estimates by arrival, and takes a worker that runs the heavy image of its queue for slow. Runs that a new owner found taught their remainder only.

Change: an estimator by image, drawn towards the queue's and the caller's estimate while few runs are known, with a high quantile. Done runs teach their duration, runs that go on or were stopped a lower bound; resumed runs, runs away from their rack and runs on suspect workers teach nothing. Scheduler::expectation answers; the watch for stalled runs and the slowness of workers use it. The owner logs forecast against duration, at most one line per queue in ten seconds.

--- a/crates/hyssop-policy/src/owner/completion.rs
+++ b/crates/hyssop-policy/src/owner/completion.rs
@@ -6,8 +6,6 @@
 /// Number of different jobs that must fail on a worker without a success in between before it is
 /// quarantined. A single failing job may itself be at fault.
 pub(super) const QUARANTINE_FAILED_JOBS: usize = 2;
-/// Weight of one observation in the moving average of a worker's slowness.
-const SLOWNESS_WEIGHT: f64 = 0.3;
 
 impl Scheduler {
     /// Applies a completion reported by a worker. Repeated reports of it have no effect.
@@ -68,14 +66,15 @@
             return;
         }
         worker.unstored.insert(completion.number, job_key);
-        let mut ordered_at = None;
+        let mut ended = None;
         if worker
             .runs
             .get(&task)
             .is_some_and(|run| run.number <= completion.run)
         {
-            ordered_at = worker.unreserve(task).map(|run| run.ordered_at);
+            ended = worker.unreserve(task);
         }
+        let measured = ended.filter(|run| run.number == completion.run);
         let Some(step) = job.step(task.step).cloned() else {
             return;
         };
@@ -132,7 +131,12 @@
                     self.log_run_conflict(key, &completion.task, completion.run, state);
                     self.stop_task(assigned, task, now);
                 }
-                self.record_success(key, &queue, step.estimate_ms, ordered_at, now);
+                if let Some(run) = &measured {
+                    self.learn_from_success(key, task, run, &queue, &step, now);
+                }
+                if let Some(worker) = self.workers.get_mut(&key) {
+                    worker.failed_jobs.clear();
+                }
                 self.finish_occurrences(job_key, now);
             }
             Outcome::Failed => {
@@ -158,31 +162,9 @@
             _ if is_current => entry.state = State::Waiting,
             _ => {}
         }
-    }
-
-    /// Updates the worker's slowness and the duration estimates of the queue after a success.
-    fn record_success(
-        &mut self,
-        key: WorkerKey,
-        queue: &str,
-        estimate_ms: u64,
-        ordered_at: Option<Duration>,
-        now: Duration,
-    ) {
-        let Some(worker) = self.workers.get_mut(&key) else {
-            return;
-        };
-        worker.failed_jobs.clear();
-        let Some(ordered_at) = ordered_at else {
-            return;
-        };
-        let duration = now.saturating_sub(ordered_at);
-        let expected = estimate_ms as f64 * self.learning.factor(queue);
-        if expected > 0.0 {
-            let relative_duration = (duration.as_secs_f64() * 1_000.0 / expected).clamp(0.3, 5.0);
-            worker.slowness += (relative_duration - worker.slowness) * SLOWNESS_WEIGHT;
+        if let Some(run) = &measured {
+            self.learn_from_end(key, task, run, &queue, &step, completion.outcome);
         }
-        self.learning.observe(queue, estimate_ms, duration);
     }
 
     /// Records a failure and quarantines the worker once several jobs have failed there without a
--- a/crates/hyssop-policy/src/owner/incarnation.rs
+++ b/crates/hyssop-policy/src/owner/incarnation.rs
@@ -245,6 +245,7 @@
                 task,
                 Run {
                     is_stray: true,
+                    is_whole: false,
                     is_confirmed: false,
                     is_reported: false,
                     stopping_at: None,
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -25,7 +25,7 @@
 mod incarnation;
 mod job;
 mod key;
-mod learning;
+pub mod learning;
 mod order;
 mod pace;
 mod permit;
@@ -57,7 +57,7 @@
 pub use worker::Worker;
 
 use hyssop_model::work::{Account, Configuration};
-use learning::Learning;
+use learning::{Estimator, Scores};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -119,7 +119,8 @@
     finished_submissions: BTreeSet<String>,
     /// Row names of removed workers, to be deleted from the store.
     removed_workers: BTreeSet<String>,
-    learning: Learning,
+    learning: Estimator,
+    scores: Scores,
     /// Answers of the advice service, by step.
     permits: BTreeMap<TaskKey, permit::Permit>,
     actions: Vec<Action>,
@@ -169,7 +170,8 @@
             terminated_workers: BTreeSet::new(),
             finished_submissions: BTreeSet::new(),
             removed_workers: BTreeSet::new(),
-            learning: Learning::default(),
+            learning: Estimator::default(),
+            scores: Scores::default(),
             permits: BTreeMap::new(),
             actions: Vec::new(),
             is_deposed: false,
--- a/crates/hyssop-policy/src/owner/placement.rs
+++ b/crates/hyssop-policy/src/owner/placement.rs
@@ -1,6 +1,6 @@
 use super::job::State;
 use super::residual::ResidualCapacity;
-use super::worker::Run;
+use super::worker::{Run, SLOWNESS_THRESHOLD};
 use super::{Action, JobKey, Scheduler, TaskKey, WorkerKey};
 use hyssop_model::work::{Resources, Step};
 use std::collections::BTreeMap;
@@ -10,10 +10,6 @@
 /// term starts one task far fewer times than this.
 const RUNS_PER_TERM: u64 = 10_000;
 
-/// A worker whose runs take this many times the expected duration is chosen only when no other
-/// worker fits.
-const SLOWNESS_THRESHOLD: f64 = 2.0;
-
 /// The rank of a worker for a task; lower is better.
 #[derive(Clone, Copy, PartialEq, PartialOrd)]
 struct Fit {
@@ -301,6 +297,8 @@
     /// Reserves capacity for a task on a worker and returns the number of its run.
     fn assign(&mut self, task: TaskKey, key: WorkerKey, need: Resources, now: Duration) -> u64 {
         let first_number = (self.term - 1) * RUNS_PER_TERM;
+        let checkpoint = self.jobs.get(&task.job).and_then(|j| j.checkpoint(task));
+        let is_whole = checkpoint.is_some_and(String::is_empty);
         let Some(entry) = self.task_mut(task) else {
             return 0;
         };
@@ -326,6 +324,9 @@
                     progressed_at: now,
                     pace: 100,
                     serving_since: None,
+                    is_whole,
+                    taught_ms: None,
+                    overdue_after: Duration::ZERO,
                 },
             );
         }
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -38,7 +38,9 @@
             self.on_other_incarnation(key, incarnation, acknowledged, now);
             return;
         }
-        worker.unreachable_since = None;
+        if worker.unreachable_since.take().is_some() {
+            worker.heard_again_at = Some(now);
+        }
         worker.report_requested_at = worker.report_requested_at.max(sent_at);
         if worker.disputed_at.is_some_and(|at| at <= sent_at) {
             worker.disputed_at = None;
@@ -204,6 +206,9 @@
                 progressed_at: now,
                 pace: UNKNOWN_PACE,
                 serving_since: (running.percent >= 100.0).then_some(now),
+                is_whole: false,
+                taught_ms: None,
+                overdue_after: Duration::ZERO,
             },
         );
         if let Some(state) = conflict {
--- a/crates/hyssop-policy/src/owner/watch.rs
+++ b/crates/hyssop-policy/src/owner/watch.rs
@@ -2,9 +2,15 @@
 use super::{JobKey, Scheduler, TaskKey, WorkerKey};
 use std::time::Duration;
 
-/// A run is stalled when it makes no progress for this share of its expected duration, and for at
-/// least `MIN_STALL`; several reports arrive within that time.
+/// A run is stalled when it makes no progress for this share of its expected duration, for this
+/// share of the high quantile of its duration, and for at least `MIN_STALL`; several reports arrive
+/// within that time.
 const STALL_SHARE: f64 = 0.5;
+/// Where durations vary by more than twice, progress that is reported in quarters comes this slowly
+/// in runs at the high quantile.
+const HIGH_STALL_SHARE: f64 = 0.25;
+/// The number of runs from which the high quantile counts.
+const MIN_RUNS: u32 = 8;
 const MIN_STALL: Duration = Duration::from_millis(1_200);
 
 /// An occurrence is opened at least this long before it is due, which covers the time that a slow
@@ -111,6 +117,7 @@
     /// failed attempt of the job.
     pub(super) fn watch_runs(&mut self, now: Duration) {
         self.review_starts(now);
+        self.learn_from_overdue_runs(now);
         let mut stalled: Vec<(WorkerKey, TaskKey)> = Vec::new();
         for (key, worker) in &self.workers {
             if worker.unreachable_since.is_some() {
@@ -130,11 +137,20 @@
                 {
                     continue;
                 }
-                let expected = self.expected_ms(&job.queue, step);
-                let threshold = Duration::from_secs_f64(expected * STALL_SHARE / 1_000.0);
                 // Only reports show progress, so the time since the last report doesn't count.
-                let reported_at = worker.polled_at;
-                if reported_at.saturating_sub(run.progressed_at) >= threshold.max(MIN_STALL) {
+                let idle = worker.polled_at.saturating_sub(run.progressed_at);
+                if idle < MIN_STALL {
+                    continue;
+                }
+                let expectation = self.expectation(&job.queue, step);
+                let by_expected = expectation.expected_ms * STALL_SHARE;
+                // What is not learned yet is no reason to wait longer.
+                let by_high = if expectation.runs >= MIN_RUNS {
+                    expectation.high_ms * HIGH_STALL_SHARE
+                } else {
+                    0.0
+                };
+                if idle.as_secs_f64() * 1_000.0 >= by_expected.max(by_high) {
                     stalled.push((*key, *task));
                 }
             }
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -1,9 +1,20 @@
 use super::completion::QUARANTINE_FAILED_JOBS;
+use super::learning::Expectation;
 use super::{JobKey, TaskKey};
 use hyssop_model::work::{self, Completion, Resources};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// A worker whose runs take this many times the expected duration is chosen only when no other
+/// worker fits.
+pub(super) const SLOWNESS_THRESHOLD: f64 = 2.0;
+/// Weight of one observation in the moving average of a worker's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.3;
+/// The bounds of one observation. A single task that takes ten times as long, as a few do, leaves a
+/// worker below the threshold; two in a row don't.
+const MIN_RELATIVE: f64 = 0.3;
+const MAX_RELATIVE: f64 = 3.0;
+
 /// One incarnation of a worker, as the pool's owner knows it.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -64,6 +75,8 @@
     pub(super) report_requested_at: Duration,
     /// When the first renewal after its last report failed, `None` while it is reachable.
     pub(super) unreachable_since: Option<Duration>,
+    /// When it was last heard again after a renewal without a usable report.
+    pub(super) heard_again_at: Option<Duration>,
     /// The end of its exclusion from placement.
     pub(super) excluded_until: Duration,
     /// Jobs of which a task failed here since the last success.
@@ -128,6 +141,7 @@
             polled_at: Duration::ZERO,
             report_requested_at: Duration::ZERO,
             unreachable_since: None,
+            heard_again_at: None,
             excluded_until: Duration::ZERO,
             failed_jobs: BTreeSet::new(),
             slowness: 1.0,
@@ -331,6 +345,27 @@
                 .is_none_or(|label| self.listing.labels.contains(label))
     }
 
+    /// Compares the duration of a run here with the expected one.
+    ///
+    /// Where durations of an image vary by more than [`SLOWNESS_THRESHOLD`], the ratio is compressed so
+    /// that its high quantile counts as that threshold: a worker is not blamed for the usual variation
+    /// of what it runs.
+    pub(super) fn judge(&mut self, ms: f64, expectation: &Expectation) {
+        let Expectation {
+            expected_ms,
+            high_ms,
+            ..
+        } = *expectation;
+        if expected_ms <= 0.0 {
+            return;
+        }
+        let spread = (high_ms / expected_ms).max(SLOWNESS_THRESHOLD);
+        let exponent = SLOWNESS_THRESHOLD.ln() / spread.ln();
+        let relative = (ms / expected_ms).powf(exponent);
+        let relative = relative.clamp(MIN_RELATIVE, MAX_RELATIVE);
+        self.slowness += (relative - self.slowness) * SLOWNESS_WEIGHT;
+    }
+
     pub(super) fn reserve(&mut self, task: TaskKey, run: Run) {
         self.used.add(&run.reserved);
         if let Some(earlier) = self.runs.insert(task, run) {
@@ -455,9 +490,22 @@
     pub(super) pace: u32,
     /// When its progress reached 100 percent; a long-running task serves from then on.
     pub(super) serving_since: Option<Duration>,
+    /// Whether it was ordered in this term and without a checkpoint, so that its duration is that of
+    /// the whole task.
+    pub(super) is_whole: bool,
+    /// The lower bound of its duration that was learned, in milliseconds.
+    pub(super) taught_ms: Option<f64>,
+    /// How long after its beginning it next teaches that it takes longer, zero if that is not known
+    /// yet.
+    pub(super) overdue_after: Duration,
 }
 
 impl Run {
+    /// Returns when it began, as far as that is known.
+    pub(super) fn began_at(&self) -> Duration {
+        self.sent_at.unwrap_or(self.ordered_at)
+    }
+
     /// Returns until when its start may be on its way, `None` if it was never sent in this term.
     pub(super) fn arrives_until(&self) -> Option<Duration> {
         self.sent_at.map(|sent_at| sent_at + IN_FLIGHT)
--- a/crates/hyssop-policy/tests/model/worker.rs
+++ b/crates/hyssop-policy/tests/model/worker.rs
@@ -21,6 +21,8 @@
     pub fails_all: bool,
     /// Whether its runs make no progress.
     pub hangs: bool,
+    /// How many times as long as elsewhere its runs take.
+    pub slowness: i64,
     fence: u64,
     has_reported: bool,
     lease_end_ms: i64,
@@ -82,6 +84,7 @@
             guards_capacity: true,
             fails_all: false,
             hangs: false,
+            slowness: 1,
             fence: 0,
             has_reported: false,
             lease_end_ms: 0,
@@ -180,7 +183,7 @@
         }
         let duration_ms: i64 = match order.specification.as_str() {
             LONG_RUNNING => i64::MAX / 2,
-            specification => specification.parse().unwrap_or(100),
+            specification => specification.parse().unwrap_or(100) * self.slowness,
         };
         self.runs.insert(
             order.task.clone(),
