owner: store what was learned about durations, for a successor

Cause: a new owner started with the callers' estimates alone.

Change: one row a pool (table learning) of at most 32 KiB, added to a batch that is sent anyway, at most every ten seconds, and to the transaction that releases the pool at a planned stop. A row that is oversized, of another layout or malformed is ignored with a log line. A takeover reads one table more.

Measured: tests successor_of_a_lost_owner_knows_what_was_learned, malformed_row_is_ignored (each truncation) and changed_row_gives_finite_forecasts (500 cases) of test learning pass.

--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -311,7 +311,10 @@
             let value = driver.hand_over().await;
             released.handover = value.as_ref().map(|_| released.term);
             let (table, name) = (Scheduler::handover_table(), Scheduler::handover_key());
-            writes.extend(value.map(|value| (Key::new(table, shard, name), value)));
+            if let Some(value) = value {
+                writes.push((Key::new(table, shard, name), value));
+                writes.extend(driver.last_learning_row());
+            }
         }
         if shard == FLEET {
             writes.extend(fleet::left_row(node, released.term));
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -2,7 +2,7 @@
 use crate::peer::Answer;
 use crate::store::{follow, Committer, Scope, Update};
 use hyssop_model::work::Configuration;
-use hyssop_platform::rows::Row;
+use hyssop_platform::rows::{Key, Row};
 use hyssop_policy::owner::{Action, Scheduler};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -121,6 +121,14 @@
         scheduler.hand_over(self.node.clock.now())
     }
 
+    /// Returns the row with what was learned about durations and is not stored yet, for the transaction
+    /// that releases the pool.
+    pub(crate) fn last_learning_row(&self) -> Option<(Key, Vec<u8>)> {
+        let scheduler = self.scheduler.borrow();
+        let (table, name, value) = scheduler.last_learning_row()?;
+        Some((Key::new(table, scheduler.pool(), &name), value))
+    }
+
     /// Returns whether the term has ended.
     pub(crate) fn is_over(&self) -> bool {
         self.is_over.get()
--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -26,7 +26,7 @@
 const RULES_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A row to write: table, key and value.
-type RowWrite = (&'static str, String, Vec<u8>);
+pub(super) type RowWrite = (&'static str, String, Vec<u8>);
 
 fn row_bytes((_, key, value): &RowWrite) -> usize {
     key.len() + value.len()
@@ -150,6 +150,10 @@
             self.acknowledge(pending.applied);
             return None;
         }
+        if batch.len() < self.settings.max_batch_rows {
+            let room = self.settings.max_batch_bytes.saturating_sub(batch.bytes());
+            batch.writes.extend(self.due_learning_row(now, room));
+        }
         self.pending = Some(pending);
         Some(batch)
     }
--- a/crates/hyssop-policy/src/owner/learning/mod.rs
+++ b/crates/hyssop-policy/src/owner/learning/mod.rs
@@ -9,7 +9,9 @@
 mod estimator;
 mod moments;
 mod residuals;
+mod row;
 mod score;
+mod storing;
 mod teaching;
 mod track;
 mod tuning;
@@ -17,6 +19,7 @@
 pub use estimator::{Estimator, Expectation, Kind, Place, Verdict};
 pub use score::Accuracy;
 pub(super) use score::Scores;
+pub(super) use storing::{Stored, LEARNING};
 pub use tuning::Tuning;
 
 use super::Scheduler;
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -57,7 +57,7 @@
 pub use worker::Worker;
 
 use hyssop_model::work::{Account, Configuration};
-use learning::{Estimator, Scores};
+use learning::{Estimator, Scores, Stored};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -120,6 +120,7 @@
     /// Row names of removed workers, to be deleted from the store.
     removed_workers: BTreeSet<String>,
     learning: Estimator,
+    learning_stored: Stored,
     scores: Scores,
     /// Answers of the advice service, by step.
     permits: BTreeMap<TaskKey, permit::Permit>,
@@ -171,6 +172,7 @@
             finished_submissions: BTreeSet::new(),
             removed_workers: BTreeSet::new(),
             learning: Estimator::default(),
+            learning_stored: Stored::default(),
             scores: Scores::default(),
             permits: BTreeMap::new(),
             actions: Vec::new(),
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -1,6 +1,7 @@
 use super::addresses::ADDRESSES;
 use super::batch::{JOBS, PROGRESS, RULES, WORKERS};
 use super::job::{Job, Occurrence, Rule, State};
+use super::learning::LEARNING;
 use super::progress::{JobRow, Progress};
 use super::unreported::Unreported;
 use super::worker::Stretch;
@@ -23,8 +24,8 @@
 
 impl Scheduler {
     /// Returns the tables read during recovery, in the order in which to read them.
-    pub fn tables() -> [&'static str; 5] {
-        [RULES, ADDRESSES, JOBS, PROGRESS, WORKERS]
+    pub fn tables() -> [&'static str; 6] {
+        [RULES, ADDRESSES, JOBS, PROGRESS, WORKERS, LEARNING]
     }
 
     /// Restores the jobs of an earlier term from its rows; `now` is the time after which they were read.
@@ -49,6 +50,7 @@
         let jobs = self.read_jobs(records);
         self.recover_rules(records, &jobs);
         self.recover_addresses(records);
+        self.recover_learning(records);
         for (id, accepted) in jobs {
             let stored = progress.remove(id);
             self.recover_job(id, accepted, stored, now, wall_ms);
--- a/crates/hyssop-policy/tests/learning.rs
+++ b/crates/hyssop-policy/tests/learning.rs
@@ -1,10 +1,14 @@
 //! What the owner learns from runs, and what callers get from it.
 
 mod model;
+mod support;
 
 use hyssop_model::work::{Phase, Step, Submission};
 use hyssop_policy::owner::learning::{Estimator, Kind, Place, Tuning};
+use hyssop_policy::owner::{Record, Scheduler, Settings};
 use model::{job, Takeover, World};
+use proptest::prelude::*;
+use std::time::Duration;
 
 const ESTIMATE_MS: u64 = 1_000;
 
@@ -183,6 +187,84 @@
     assert_eq!(pool.expected_ms("image"), before_ms);
 }
 
+/// A new owner started with the callers' estimates alone.
+#[test]
+fn successor_of_a_lost_owner_knows_what_was_learned() {
+    let mut pool = Pool::new(2, 2);
+    pool.run_tasks(30, "light", 200);
+    pool.run_tasks(10, "heavy", 2_000);
+    let before = [pool.expected_ms("light"), pool.expected_ms("heavy")];
+    pool.world.kill_owner();
+    pool.world.take_over(Takeover::default());
+    pool.world.run(1_000);
+    let after = [pool.expected_ms("light"), pool.expected_ms("heavy")];
+    for (before, after) in before.into_iter().zip(after) {
+        assert!(
+            (0.8..1.25).contains(&(after / before)),
+            "{after} after {before}"
+        );
+    }
+    assert!(pool.runs("light") > 10);
+}
+
+fn recover(value: Vec<u8>) -> Scheduler {
+    let mut scheduler = Scheduler::new("pool", 2, Settings::default());
+    let record = Record {
+        table: "learning".to_owned(),
+        key: "learning".to_owned(),
+        value,
+    };
+    scheduler.recover(&[record], Duration::ZERO, Duration::ZERO, 0);
+    scheduler
+}
+
+fn learned_row() -> Vec<u8> {
+    let mut pool = Pool::new(1, 1);
+    pool.run_tasks(5, "light", 200);
+    let row = pool.world.scheduler().last_learning_row();
+    row.expect("a row").2
+}
+
+/// A row that can't be used must cost no more than what was learned.
+#[test]
+fn malformed_row_is_ignored() {
+    let row = learned_row();
+    let step = &task("light", 0).steps[0];
+    let is_ignored = |value| recover(value).expected_ms("queue", step) == ESTIMATE_MS as f64;
+    assert!(!is_ignored(row.clone()));
+    for length in 0..row.len() {
+        assert!(is_ignored(row[..length].to_vec()), "{length} bytes");
+    }
+    let longer = [row.clone(), vec![0]].concat();
+    assert!(is_ignored(longer), "a byte more");
+    let oversized = [row.clone(), vec![0; 1 << 16]].concat();
+    assert!(is_ignored(oversized), "oversized");
+    let other_layout = [vec![2], row[1..].to_vec()].concat();
+    assert!(is_ignored(other_layout), "another layout");
+}
+
+proptest! {
+    #![proptest_config(support::cases(500))]
+
+    /// A row with changed bytes must neither stop an owner nor give forecasts that aren't numbers.
+    #[test]
+    fn changed_row_gives_finite_forecasts(changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..6)) {
+        static ROW: std::sync::OnceLock<Vec<u8>> = std::sync::OnceLock::new();
+        let mut row = ROW.get_or_init(learned_row).clone();
+        for (index, byte) in changes {
+            let at = index.index(row.len());
+            row[at] = byte;
+        }
+        let scheduler = recover(row);
+        for step in [&task("light", 0).steps[0], &task("other", 0).steps[0], &Step::default()] {
+            let expectation = scheduler.expectation("queue", step);
+            prop_assert!(expectation.expected_ms.is_finite() && expectation.expected_ms >= 0.0);
+            prop_assert!(expectation.high_ms.is_finite());
+            prop_assert!(expectation.high_ms >= expectation.expected_ms);
+        }
+    }
+}
+
 /// Names of images come from callers, who may send any number of them.
 #[test]
 fn least_recently_used_images_are_forgotten() {
