metric: forecasts of durations against durations, by pool and queue

Cause: operators couldn't see whether forecasts of durations hold.

Change: gauges of the compared runs, the share within the high quantile and the median ratio, read from the schedulers of the pools that the process owns when metrics are asked for.

Measured: clippy, and the tests planned_stops, failover and graceful_stop of hyssop-edge pass.

--- a/crates/hyssop-edge/src/front/ready.rs
+++ b/crates/hyssop-edge/src/front/ready.rs
@@ -14,6 +14,10 @@
     if request.uri().path() == METRICS_PATH {
         node.metrics.set_terms(&node.status().owned);
         node.metrics.set_links(node.links.count());
+        node.metrics.forecasts.reset();
+        for (pool, driver) in node.drivers.borrow().iter() {
+            driver.report_forecasts(pool, &node.metrics.forecasts);
+        }
         return Response::new(Full::new(Bytes::from(node.metrics.text())));
     }
     let has_started = node.configuration.borrow().version > 0 && node.knows_pools();
--- a/crates/hyssop-edge/src/metric/registry.rs
+++ b/crates/hyssop-edge/src/metric/registry.rs
@@ -1,4 +1,4 @@
-use super::Rejections;
+use super::{Forecasts, Rejections};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
@@ -15,6 +15,8 @@
     refused_handovers: IntCounterVec,
     /// The entries of followed lists that were rejected.
     pub(crate) rejections: Rejections,
+    /// How forecasts of durations compare with the durations.
+    pub(crate) forecasts: Forecasts,
     terms: IntGaugeVec,
     links: IntGauge,
     submission_seconds: Histogram,
@@ -102,6 +104,7 @@
         registry
             .register(Box::new(links.clone()))
             .expect("a unique name");
+        let forecasts = Forecasts::new(&registry);
         Self {
             registry,
             submissions,
@@ -110,6 +113,7 @@
             transfers,
             refused_handovers,
             rejections,
+            forecasts,
             terms,
             links,
             submission_seconds,
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -1,3 +1,4 @@
+use crate::metric::Forecasts;
 use crate::node::Node;
 use crate::peer::Answer;
 use crate::store::{follow, Committer, Scope, Update};
@@ -129,6 +130,16 @@
         Some((Key::new(table, scheduler.pool(), &name), value))
     }
 
+    /// Sets the metrics of the pool's forecasts, unless the term has ended.
+    pub(crate) fn report_forecasts(&self, pool: &str, forecasts: &Forecasts) {
+        if self.is_over() {
+            return;
+        }
+        for (queue, accuracy) in self.scheduler.borrow().accuracies() {
+            forecasts.set(pool, queue, accuracy);
+        }
+    }
+
     /// Returns whether the term has ended.
     pub(crate) fn is_over(&self) -> bool {
         self.is_over.get()
