--- a/crates/hyssop-edge/src/front/ready.rs
+++ b/crates/hyssop-edge/src/front/ready.rs
@@ -17,6 +17,10 @@
         node.metrics.set_terms(&node.status().owned);
         node.metrics.set_links(node.links.count());
         node.metrics.set_configuration_age(Gate::age(&node));
+        node.metrics.forecasts.reset();
+        for (pool, driver) in node.drivers.borrow().iter() {
+            driver.report_forecasts(pool, &node.metrics.forecasts);
+        }
         return Response::new(Full::new(Bytes::from(node.metrics.text())));
     }
     let has_started = node.configuration.borrow().version > 0 && node.knows_pools();
--- a/crates/hyssop-edge/src/metric/registry.rs
+++ b/crates/hyssop-edge/src/metric/registry.rs
@@ -1,4 +1,4 @@
-use super::Rejections;
+use super::{Forecasts, Rejections};
 use crate::front::Denials;
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -20,6 +20,8 @@
     /// The denied requests of callers.
     pub(crate) denials: Denials,
     configuration_age: Gauge,
+    /// How forecasts of durations compare with the durations.
+    pub(crate) forecasts: Forecasts,
     terms: IntGaugeVec,
     links: IntGauge,
     submission_seconds: Histogram,
@@ -125,6 +127,7 @@
         registry
             .register(Box::new(links.clone()))
             .expect("a unique name");
+        let forecasts = Forecasts::new(&registry);
         Self {
             registry,
             submissions,
@@ -136,6 +139,7 @@
             rejections,
             denials,
             configuration_age,
+            forecasts,
             terms,
             links,
             submission_seconds,
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -1,8 +1,9 @@
+use crate::metric::Forecasts;
 use crate::node::Node;
 use crate::peer::Answer;
 use crate::store::{follow, Committer, Scope, Update};
 use hyssop_model::work::Configuration;
-use hyssop_platform::rows::Row;
+use hyssop_platform::rows::{Key, Row};
 use hyssop_policy::owner::{Action, Scheduler};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -127,6 +128,24 @@
         scheduler.hand_over(self.node.clock.now())
     }
 
+    /// Returns the row with what was learned about durations and is not stored yet, for the transaction
+    /// that releases the pool.
+    pub(crate) fn last_learning_row(&self) -> Option<(Key, Vec<u8>)> {
+        let scheduler = self.scheduler.borrow();
+        let (table, name, value) = scheduler.last_learning_row()?;
+        Some((Key::new(table, scheduler.pool(), &name), value))
+    }
+
+    /// Sets the metrics of the pool's forecasts, unless the term has ended.
+    pub(crate) fn report_forecasts(&self, pool: &str, forecasts: &Forecasts) {
+        if self.is_over() {
+            return;
+        }
+        for (queue, accuracy) in self.scheduler.borrow().accuracies() {
+            forecasts.set(pool, queue, accuracy);
+        }
+    }
+
     /// Returns whether the term has ended.
     pub(crate) fn is_over(&self) -> bool {
         self.is_over.get()
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -25,7 +25,7 @@
 mod incarnation;
 mod job;
 mod key;
-mod learning;
+pub mod learning;
 mod order;
 mod pace;
 mod permit;
@@ -60,7 +60,7 @@
 pub use worker::Worker;
 
 use hyssop_model::work::{Account, Configuration};
-use learning::Learning;
+use learning::{Estimator, Scores, Stored};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -124,11 +124,13 @@
     finished_submissions: BTreeSet<String>,
     /// Row names of removed workers, to be deleted from the store.
     removed_workers: BTreeSet<String>,
-    learning: Learning,
     shares: share::Shares,
     /// Whether recovered jobs are to be counted against the weights of their accounts, once these are
     /// known.
     is_recount_due: bool,
+    learning: Estimator,
+    learning_stored: Stored,
+    scores: Scores,
     /// Answers of the advice service, by step.
     permits: BTreeMap<TaskKey, permit::Permit>,
     actions: Vec<Action>,
@@ -181,9 +183,11 @@
             terminated_workers: BTreeSet::new(),
             finished_submissions: BTreeSet::new(),
             removed_workers: BTreeSet::new(),
-            learning: Learning::default(),
             shares: share::Shares::default(),
             is_recount_due: false,
+            learning: Estimator::default(),
+            learning_stored: Stored::default(),
+            scores: Scores::default(),
             permits: BTreeMap::new(),
             actions: Vec::new(),
             is_deposed: false,
