owner: count and bound the log of requests about other accounts' jobs

Cause: a caller with a valid key could have a line logged for each request about another account's job.

Change: these are denials too, counted as other-account and logged at most once a second.

--- a/crates/hyssop-edge/src/front/denials.rs
+++ b/crates/hyssop-edge/src/front/denials.rs
@@ -30,7 +30,7 @@
 
     /// Counts a denial, and logs it with `details` unless one was logged for `reason` within the last
     /// second. `reason` must be one of a fixed set.
-    pub(super) fn record(&self, reason: &str, now: Duration, details: impl FnOnce() -> String) {
+    pub(crate) fn record(&self, reason: &str, now: Duration, details: impl FnOnce() -> String) {
         self.counter.with_label_values(&[reason]).inc();
         let mut lines = self.lines.borrow_mut();
         let line = lines.entry(reason.to_owned()).or_default();
--- a/crates/hyssop-edge/src/metric/registry.rs
+++ b/crates/hyssop-edge/src/metric/registry.rs
@@ -82,7 +82,7 @@
         ));
         let denials = Denials::new(counter(
             "hyssop_denied_requests_total",
-            "Requests that were denied for their key or the age of the configuration, by reason",
+            "Requests that were denied for their key or account or the age of the configuration, by reason",
             "reason",
         ));
         let configuration_age = Gauge::new(
--- a/crates/hyssop-edge/src/pool/operations.rs
+++ b/crates/hyssop-edge/src/pool/operations.rs
@@ -12,6 +12,9 @@
 /// store is down, or too slow for callers to wait.
 const STORE_OUTAGE_LIMIT: Duration = Duration::from_millis(700);
 
+/// The reason of a denial for logs and metrics.
+const OTHER_ACCOUNT: &str = "other-account";
+
 /// Workers reported as due for maintenance count as such for this long, several times the interval
 /// at which the fleet's owner reports them.
 const MAINTENANCE_DUE_TTL: Duration = Duration::from_secs(5);
@@ -96,7 +99,10 @@
             Operation::Phase { id, account, .. } | Operation::Cancel { id, account, .. }
                 if !self.is_visible(&id, &account) =>
             {
-                log::info!("event=job-hidden job={id} account={account:?}");
+                let denials = &self.node.metrics.denials;
+                denials.record(OTHER_ACCOUNT, self.node.clock.now(), || {
+                    format!("job={id} account={:?}", account.unwrap_or_default())
+                });
                 self.unknown_job()
             }
             Operation::Phase { id, .. } => match self.scheduler.borrow().phase(&id) {
--- a/crates/hyssop-edge/tests/access.rs
+++ b/crates/hyssop-edge/tests/access.rs
@@ -225,6 +225,10 @@
         front.call("GET", OPEN, "").0 == 200
     });
     assert_eq!(front.call_with_key("key-3", "GET", OPEN, "").0, 200);
+    let hidden = "hyssop_denied_requests_total{reason=\"other-account\"}";
+    // An owner without a recent confirmation is asked again.
+    let count = front.metric(hidden).unwrap_or_default();
+    assert!(count >= 4.0, "two calls for each job, {count} in all");
     // A job goes on after its key was withdrawn, and other keys of its account may cancel it.
     configure(
         &platform,
