--- a/crates/hyssop-policy/src/account/ledger/decision.rs
+++ b/crates/hyssop-policy/src/account/ledger/decision.rs
@@ -120,6 +120,7 @@
         let mut row = self.row().cloned().unwrap_or_default();
         row.version = version;
         row.quota = quota;
+        row.quota_version = self.quota_version;
         let is_served = unit > 0 && current < unit && grant >= unit;
         let entry = if is_served {
             row.round += 1;
--- a/crates/hyssop-policy/src/account/ledger/entry.rs
+++ b/crates/hyssop-policy/src/account/ledger/entry.rs
@@ -16,9 +16,11 @@
     /// The account's quota: that of the configuration, or the last known one of an account that isn't in
     /// it any more.
     pub(super) quota: Resources,
+    /// The version of the configuration that the quota is from.
+    pub(super) quota_version: u64,
     pub(super) is_configured: bool,
-    /// Whether an earlier configuration of this term set no limit.
-    pub(super) was_unlimited: bool,
+    /// When it first had tasks in this pool.
+    pub(super) met_at: Option<Duration>,
     /// Whether a limit has come to apply to tasks that may run already.
     pub(super) must_settle: bool,
     /// Until when no grant is raised.
@@ -52,6 +54,11 @@
 }
 
 impl Entry {
+    /// Returns whether nothing tells the account's quota.
+    pub(super) fn is_unknown(&self) -> bool {
+        !self.is_configured && !self.is_limited() && self.row().is_none()
+    }
+
     pub(super) fn is_limited(&self) -> bool {
         is_limited(&self.quota)
     }
@@ -260,8 +267,11 @@
 
     /// Derives from the row and the quota what every decision needs.
     fn update(&mut self, pool: &str) {
-        if let (false, Some(row)) = (self.is_configured, self.row()) {
-            self.quota = row.quota;
+        let newer = self
+            .row()
+            .filter(|row| row.quota_version > self.quota_version);
+        if let (false, Some(row)) = (self.is_configured, newer) {
+            (self.quota, self.quota_version) = (row.quota, row.quota_version);
         }
         let quota = self.quota;
         let (sum, others, unit) = self.row().map_or((0, 0, None), |row| {
--- a/crates/hyssop-policy/src/account/ledger/mod.rs
+++ b/crates/hyssop-policy/src/account/ledger/mod.rs
@@ -47,6 +47,15 @@
 const MAX_ROWS: usize = 45;
 /// The maximum size of the rows of a transaction, in bytes: the store takes 1 MB per call, base64.
 const MAX_BYTES: usize = 500_000;
+/// How long a process may have an earlier configuration. A job may come from one with a newer one, whose
+/// account this process does not know yet.
+const CONFIGURATION_LAG: Duration = Duration::from_millis(3_000);
+/// The quota of an account that is not known yet, which no task fits.
+const LEAST_QUOTA: Resources = Resources {
+    cpu: 1,
+    memory: 1,
+    accelerators: 1,
+};
 /// How long no grant of an account is raised after its quota came to apply to tasks that run already, or
 /// its row was found malformed: the owners write what their pools hold meanwhile.
 const SETTLING_TIME: Duration = Duration::from_millis(1_000);
@@ -57,6 +66,8 @@
 pub enum Wait {
     /// The rows have not been read yet.
     Unread,
+    /// The account is neither in the configuration nor in a row, and the configuration may be behind.
+    UnknownAccount,
     /// The row is malformed, or a later version has written it.
     Unreadable,
     /// The row shows that there is a newer configuration.
@@ -177,6 +188,7 @@
     /// that it had, since its accepted jobs go on.
     pub fn configure(&mut self, version: u64, accounts: Option<&BTreeMap<String, Account>>) {
         let is_first = self.version == 0;
+        let had_accounts = self.has_accounts;
         self.version = version;
         self.has_accounts = accounts.is_some();
         for entry in self.entries.values_mut() {
@@ -184,22 +196,20 @@
         }
         for (name, account) in accounts.into_iter().flatten() {
             let entry = self.entries.entry(name.clone()).or_default();
-            // Tasks that started without a limit are in no grant.
-            let is_new_limit = !is_limited(&entry.quota) && is_limited(&account.quota);
-            entry.must_settle |= is_new_limit && entry.was_unlimited && !is_first;
-            entry.was_unlimited = !is_limited(&account.quota);
+            // Tasks that started without a limit are in no grant, and may run in any pool.
+            let was_limited = had_accounts && is_limited(&entry.quota);
+            let is_new_limit = !was_limited && is_limited(&account.quota);
+            entry.must_settle |= is_new_limit && !is_first;
             entry.is_configured = true;
+            entry.quota_version = version;
             entry.set_quota(account.quota, &self.pool);
         }
-        if !self.has_accounts {
-            let unlimited = |entry: &mut Entry| entry.was_unlimited = true;
-            self.entries.values_mut().for_each(unlimited);
-        }
     }
 
-    /// Returns whether any quota has to be kept.
+    /// Returns whether any quota has to be kept, or may have to be: that of an account which isn't in the
+    /// configuration any more is known from its row only.
     pub fn has_quotas(&self) -> bool {
-        self.has_accounts && self.entries.values().any(Entry::is_limited)
+        self.has_accounts && (!self.is_read || self.entries.values().any(Entry::is_limited))
     }
 
     /// Returns the quota of an account, `None` if it has no limit.
@@ -208,6 +218,16 @@
         entry.is_limited().then_some(entry.quota)
     }
 
+    /// Notes that an account has tasks here.
+    pub fn meet(&mut self, account: &str, now: Duration) {
+        if !self.entries.contains_key(account) {
+            self.entries.insert(account.to_owned(), Entry::default());
+        }
+        if let Some(entry) = self.entries.get_mut(account) {
+            entry.met_at.get_or_insert(now);
+        }
+    }
+
     /// Returns the newest version of the configuration that any row names.
     pub fn newest_version(&self) -> u64 {
         let rows = self.entries.values().filter_map(Entry::row);
@@ -242,6 +262,26 @@
     /// Returns what the pool may hold of an account's quota while its tasks use `usage`, `None` if the
     /// account has no limit.
     pub fn allowance(&self, account: &str, usage: &Usage, now: Duration) -> Option<Allowance> {
+        if !self.has_accounts {
+            return None;
+        }
+        let entry = self.entries.get(account);
+        if entry.is_none_or(Entry::is_unknown) {
+            let met_at = entry.and_then(|entry| entry.met_at).unwrap_or(now);
+            let wait = if !self.is_read {
+                Wait::Unread
+            } else if now < met_at + CONFIGURATION_LAG {
+                Wait::UnknownAccount
+            } else {
+                return None;
+            };
+            return Some(Allowance {
+                quota: LEAST_QUOTA,
+                hard: 0,
+                soft: 0,
+                wait,
+            });
+        }
         let quota = self.quota(account)?;
         let entry = self.entries.get(account)?;
         let none = |wait| Allowance {
--- a/crates/hyssop-policy/src/account/ledger/row.rs
+++ b/crates/hyssop-policy/src/account/ledger/row.rs
@@ -13,8 +13,11 @@
     layout: u32,
     /// The newest version of the configuration that a writer used.
     pub version: u64,
-    /// The account's quota in that version.
+    /// The account's quota.
     pub quota: Resources,
+    /// The version of the configuration that the quota is from, which may be older if the account is not in
+    /// the configuration any more.
+    pub quota_version: u64,
     /// The number of times that a pool was granted its largest task.
     pub round: u64,
     /// The grants, by pool.
@@ -60,6 +63,7 @@
             layout: LAYOUT,
             version: 0,
             quota: Resources::default(),
+            quota_version: 0,
             round: 1,
             pools: BTreeMap::new(),
         }
--- a/crates/hyssop-policy/src/account/ledger/share.rs
+++ b/crates/hyssop-policy/src/account/ledger/share.rs
@@ -1,7 +1,7 @@
 use hyssop_model::work::Resources;
 
 /// An amount as a share of an account's quota, in millionths: the largest of its shares of CPU,
-/// memory and accelerators. The sum of such shares is never below the share of the sum.
+/// memory and accelerators.
 pub type Share = u64;
 
 /// The whole quota.
@@ -12,11 +12,15 @@
     limits(quota).iter().any(|limit| *limit > 0)
 }
 
-/// Returns the share of `quota` that `amount` takes, rounded up.
+/// Returns the share of `quota` that `amount` takes, rounded down, but not to nothing.
+///
+/// Rounded up, three tasks of a third of a quota would not fit it if they ran in two pools. Rounded down,
+/// the tasks in 72 pools exceed a quota by less than a ten-thousandth of it.
 pub fn share(amount: &Resources, quota: &Resources) -> Share {
     let pairs = limits(amount).into_iter().zip(limits(quota));
     let limited = pairs.filter(|(_, limit)| *limit > 0);
-    let shares = limited.map(|(amount, limit)| scale(amount, WHOLE, limit, u128::div_ceil));
+    let shares =
+        limited.map(|(amount, limit)| scale(amount, WHOLE, limit, |a, b| a / b).max(amount.min(1)));
     shares.max().unwrap_or(0)
 }
 
--- a/crates/hyssop-policy/src/owner/quota.rs
+++ b/crates/hyssop-policy/src/owner/quota.rs
@@ -114,6 +114,9 @@
         if let Some(allowance) = self.allowances.get(&key) {
             return *allowance;
         }
+        if let Some(name) = self.names.get(key.0 as usize) {
+            self.ledger.meet(name, now);
+        }
         let allowance = self.ledger.allowance(self.name(key), &self.usage(key), now);
         self.allowances.insert(key, allowance);
         allowance
--- a/crates/hyssop-policy/tests/model/invariants.rs
+++ b/crates/hyssop-policy/tests/model/invariants.rs
@@ -94,6 +94,19 @@
     ) {
         if outcome == Outcome::Done {
             self.done.insert(task.to_owned());
+            // The members of a gang do one piece of work together, which is done with the first of them.
+            let named: Task = task.parse().expect("a task name");
+            let gang = self
+                .jobs
+                .get(&named.job)
+                .map(|job| &job.steps[named.step as usize]);
+            for index in 0..gang.filter(|step| step.gang).map_or(0, |step| step.count) {
+                let member = Task {
+                    index,
+                    ..named.clone()
+                };
+                self.done.insert(member.to_string());
+            }
             self.unacknowledged
                 .entry((worker.to_owned(), incarnation))
                 .or_default()
--- a/crates/hyssop-policy/tests/model/worker.rs
+++ b/crates/hyssop-policy/tests/model/worker.rs
@@ -97,6 +97,7 @@
     pub fn restart(&mut self, now_ms: i64) {
         let mut restarted = Self::new(&self.listing.id, 0, now_ms);
         restarted.listing.capacity = self.listing.capacity;
+        restarted.listing.pool.clone_from(&self.listing.pool);
         restarted.is_listed = self.is_listed;
         restarted.guards_capacity = self.guards_capacity;
         *self = restarted;
@@ -107,6 +108,7 @@
         let id = format!("{}-{now_ms}", self.listing.id);
         let mut next = Self::new(&id, 0, now_ms);
         next.listing.capacity = self.listing.capacity;
+        next.listing.pool.clone_from(&self.listing.pool);
         next.listing.instance.clone_from(&self.listing.instance);
         next.guards_capacity = self.guards_capacity;
         *self = next;
--- a/crates/hyssop-policy/tests/model/world/quota.rs
+++ b/crates/hyssop-policy/tests/model/world/quota.rs
@@ -1,7 +1,7 @@
 use super::{Event, World, CALL_TIMEOUT_MS, HOP_MS};
 use crate::model::pools::Shared;
 use hyssop_model::work::{Configuration, Task};
-use hyssop_policy::account::ledger::{Outcome, Write};
+use hyssop_policy::account::ledger::{Outcome, Row, Write};
 use hyssop_policy::owner::Settings;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -81,6 +81,14 @@
             return;
         }
         let outcome = shared.borrow_mut().table.commit(&writes);
+        self.trace("", || {
+            let rows = writes.iter().map(|write| {
+                let row = Row::read(&write.value).expect("a readable row");
+                format!("{}: {:?}", write.account, row.pools)
+            });
+            let rows: Vec<String> = rows.collect();
+            format!("term {term} writes {rows:?}: {outcome:?}")
+        });
         if !is_awaited {
             return;
         }
