quota: metrics by account, and the first task after a takeover waits no longer for the count of waiting tasks

An owner whose count of waiting tasks was older than a task took its part of the quota for none and held the task back for up to 100 ms (account_quota, event=quota-wait reason=share share=0 with a grant of 500000). It counts again at once.

Gauges of the grants, of what is held and of the pools that wait, by account; the accounts beyond the first 620 count as one. The model of several pools has planned stops too.

--- a/crates/hyssop-edge/src/front/ready.rs
+++ b/crates/hyssop-edge/src/front/ready.rs
@@ -14,6 +14,7 @@
     if request.uri().path() == METRICS_PATH {
         node.metrics.set_terms(&node.status().owned);
         node.metrics.set_links(node.links.count());
+        node.metrics.set_accounts(&node.account_states());
         return Response::new(Full::new(Bytes::from(node.metrics.text())));
     }
     let has_started = node.configuration.borrow().version > 0 && node.knows_pools();
--- a/crates/hyssop-edge/src/metric/registry.rs
+++ b/crates/hyssop-edge/src/metric/registry.rs
@@ -1,8 +1,10 @@
 use super::Rejections;
+use hyssop_policy::owner::AccountState;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
 };
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// The process's metrics.
@@ -14,6 +16,9 @@
     transfers: IntCounterVec,
     refused_handovers: IntCounterVec,
     grant_writes: IntCounterVec,
+    account_grants: IntGaugeVec,
+    account_holdings: IntGaugeVec,
+    account_waits: IntGaugeVec,
     /// The entries of followed lists that were rejected.
     pub(crate) rejections: Rejections,
     terms: IntGaugeVec,
@@ -77,6 +82,27 @@
             "Transactions that change the grants of accounts' quotas, by outcome",
             "outcome",
         );
+        let gauge = |name: &str, help: &str, label: &str| {
+            let gauge = IntGaugeVec::new(Opts::new(name, help), &[label]).expect("a valid name");
+            let boxed = Box::new(gauge.clone());
+            registry.register(boxed).expect("a unique name");
+            gauge
+        };
+        let account_grants = gauge(
+            "hyssop_account_grant_millionths",
+            "Share of an account's quota granted to the pools of this process",
+            "account",
+        );
+        let account_holdings = gauge(
+            "hyssop_account_held_millionths",
+            "Share of an account's quota that its tasks hold in the pools of this process",
+            "account",
+        );
+        let account_waits = gauge(
+            "hyssop_account_waiting_pools",
+            "Pools of this process in which tasks wait for the account's quota",
+            "account",
+        );
         let rejections = Rejections::new(counter(
             "hyssop_rejected_entries_total",
             "Entries of followed lists that were rejected, once for each change, by list",
@@ -116,6 +142,9 @@
             transfers,
             refused_handovers,
             grant_writes,
+            account_grants,
+            account_holdings,
+            account_waits,
             rejections,
             terms,
             links,
@@ -150,6 +179,29 @@
         self.grant_writes.with_label_values(&[outcome]).inc();
     }
 
+    /// Sets the state of the accounts in each pool of this process, and removes that of all others.
+    pub(crate) fn set_accounts(&self, states: &[AccountState]) {
+        /// Bounds the time series: the accounts beyond the first ones in the order of their names count
+        /// as one. 620 accounts are expected within two years.
+        const MAX_ACCOUNTS: usize = 620;
+        const OTHERS: &str = "other";
+        self.account_grants.reset();
+        self.account_holdings.reset();
+        self.account_waits.reset();
+        let names: BTreeSet<&str> = states.iter().map(|state| state.account.as_str()).collect();
+        let named: BTreeSet<&str> = names.into_iter().take(MAX_ACCOUNTS).collect();
+        for state in states {
+            let name = named.get(state.account.as_str()).unwrap_or(&OTHERS);
+            let add = |gauge: &IntGaugeVec, value: u64| {
+                let value = i64::try_from(value).unwrap_or(i64::MAX);
+                gauge.with_label_values(&[*name]).add(value);
+            };
+            add(&self.account_grants, state.grant);
+            add(&self.account_holdings, state.held);
+            add(&self.account_waits, u64::from(state.is_waiting));
+        }
+    }
+
     /// Sets the terms of the owned shards and removes those of all others.
     pub(crate) fn set_terms(&self, owned: &[(String, u64)]) {
         self.terms.reset();
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -10,7 +10,7 @@
 use hyssop_policy::directory::Directory;
 use hyssop_policy::failover::Series;
 use hyssop_policy::fleet::RecentOrders;
-use hyssop_policy::owner::{Scheduler, Settings};
+use hyssop_policy::owner::{AccountState, Scheduler, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -288,6 +288,15 @@
         }
     }
 
+    /// Returns the state of the accounts with a quota in each pool that this process owns.
+    pub(crate) fn account_states(&self) -> Vec<AccountState> {
+        let now = self.clock.now();
+        let drivers = self.drivers.borrow();
+        let owned = drivers.values().filter(|driver| !driver.is_over());
+        let states = owned.flat_map(|driver| driver.scheduler.borrow().account_states(now));
+        states.collect()
+    }
+
     /// Returns the driver of a pool that this process owns.
     pub(crate) fn driver(&self, shard: &str) -> Option<Rc<Driver>> {
         self.drivers.borrow().get(shard).cloned()
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -25,7 +25,7 @@
 /// The driver of one pool's scheduler during one term.
 pub(crate) struct Driver {
     pub(super) node: Rc<Node>,
-    pub(super) scheduler: RefCell<Scheduler>,
+    pub(crate) scheduler: RefCell<Scheduler>,
     pub(super) wake: Notify,
     pub(super) store_wake: Notify,
     pub(super) grants_wake: Notify,
--- a/crates/hyssop-edge/tests/account_quota.rs
+++ b/crates/hyssop-edge/tests/account_quota.rs
@@ -98,4 +98,8 @@
     assert!(most > ADMITTED / 2, "{most} tasks at once");
     let logged = edges.iter().any(|edge| edge.has_logged("event=grant "));
     assert!(logged, "changes of grants are logged");
+    let measured = edges
+        .iter()
+        .filter_map(|edge| edge.metric("hyssop_grant_writes_total"));
+    assert!(measured.sum::<f64>() > 0.0, "writes of grants are counted");
 }
--- a/crates/hyssop-policy/src/owner/quota.rs
+++ b/crates/hyssop-policy/src/owner/quota.rs
@@ -343,8 +343,21 @@
         };
         let is_gang = step.gang && step.count > 1;
         let charge = Charge { amount, ..charge };
-        let quota = self.quota.as_mut();
-        quota.is_none_or(|quota| quota.admits(charge, is_gang, now))
+        let Some(quota) = &mut self.quota else {
+            return true;
+        };
+        if quota.admits(charge, is_gang, now) {
+            return true;
+        }
+        // The pool's part is none as long as no task was counted that waits for it.
+        let is_uncounted = quota.usage(charge.account).waiting == Resources::default()
+            && quota.waiting_counted_at != Some(now);
+        if is_uncounted {
+            quota.waiting_counted_at = Some(now);
+            self.count_waiting(now);
+        }
+        let quota = self.quota.as_mut().filter(|_| is_uncounted);
+        quota.is_some_and(|quota| quota.admits(charge, is_gang, now))
     }
 
     /// Counts assigned tasks as held.
--- a/crates/hyssop-policy/tests/quota_model.rs
+++ b/crates/hyssop-policy/tests/quota_model.rs
@@ -3,7 +3,7 @@
 
 mod model;
 
-use model::{job, play_seeds, Faults, Pools, Takeover};
+use model::{job, play_seeds, Faults, PlannedStop, Pools, Takeover};
 
 const SEEDS: u64 = 60;
 const ACCOUNTS: [&str; 3] = ["acme", "bolt", "corp"];
@@ -69,6 +69,16 @@
             let quotas = quotas(pools);
             pools.configure(&quotas, lag_ms);
         }
+        16 => {
+            let stop = PlannedStop {
+                release_ms: world.pick(2..100) as i64,
+                pause_ms: world.pick(0..200) as i64,
+                late_ms: world.pick(0..300),
+                takeover,
+                ..PlannedStop::default()
+            };
+            world.stop_owner(stop);
+        }
         _ => {}
     }
 }
