--- a/crates/hyssop-edge/src/front/ready.rs
+++ b/crates/hyssop-edge/src/front/ready.rs
@@ -21,6 +21,7 @@
         for (pool, driver) in node.drivers.borrow().iter() {
             driver.report_forecasts(pool, &node.metrics.forecasts);
         }
+        node.metrics.set_accounts(&node.account_states());
         return Response::new(Full::new(Bytes::from(node.metrics.text())));
     }
     let has_started = node.configuration.borrow().version > 0 && node.knows_pools();
