edge tests: crowds of callers that exceed the limits

A trial showed that callers outside the limits end a process: it keeps their heads, bodies and connections without a bound.

The tests start one process with 40 MB and 400 descriptors in its settings and a body limit of 64 KiB, and send each form on 500 connections. They check that peak memory and descriptors stay within these limits, that an ordinary request is served afterwards, and that the descriptors are free again. A further one checks that an owner keeps its term, and one that a slow request within the limits is served.

--- a/crates/hyssop-edge/tests/support/caller.rs
+++ b/crates/hyssop-edge/tests/support/caller.rs
@@ -39,12 +39,22 @@
     pub fn open(address: &str) -> Option<Self> {
         let stream = TcpStream::connect(address).ok()?;
         stream.set_nodelay(true).ok()?;
-        stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
-        Some(Self {
+        Some(Self::of(stream))
+    }
+
+    /// Returns the connection of an open socket.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the socket can't be set up.
+    pub fn of(stream: TcpStream) -> Self {
+        let timeout = stream.set_read_timeout(Some(READ_TIMEOUT));
+        timeout.expect("a valid timeout");
+        Self {
             stream,
             is_open: true,
             is_new: true,
-        })
+        }
     }
 
     /// Returns whether the peer has neither closed the connection nor announced its end.
--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod caller;
+pub mod crowd;
 
 use platform_standin::{Platform, Shape};
 use serde_json::{json, Value};
@@ -88,6 +89,11 @@
         log.iter().any(|line| line.contains(text))
     }
 
+    /// Returns the process's identifier.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process with SIGKILL, which leaves it no time to release its shards.
     pub fn kill(&mut self) {
         self.child.kill().expect("the process can be killed");
