--- a/crates/hyssop-policy/src/lib.rs
+++ b/crates/hyssop-policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod failover;
 pub mod fleet;
 pub mod health;
+pub mod intake;
 pub mod job;
 pub mod membership;
 pub mod owner;
