edge tests: connections with any bytes give back all permits

Sends 200 connections with parts of requests, some of them changed at random (fixed seed), to all three listeners. The gauges of bytes and connections return to zero and the next request is served.

--- a/crates/hyssop-edge/tests/untrusted_callers.rs
+++ b/crates/hyssop-edge/tests/untrusted_callers.rs
@@ -4,6 +4,8 @@
 mod support;
 
 use platform_standin::Platform;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::{Mutex, PoisonError};
@@ -279,6 +281,52 @@
     assert_eq!(standby.metric(TERM), None);
 }
 
+/// Bytes that are no requests, or parts of some, left permits behind.
+#[test]
+fn connections_with_any_bytes_give_back_all_permits() {
+    const CONNECTIONS: usize = 200;
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let platform = platform();
+    let edge = start(&platform);
+    let mut random = ChaCha8Rng::seed_from_u64(11);
+    let body = job(1, 1, 10).to_string();
+    let length = format!("Content-Length: {}\r\n\r\n{body}", body.len());
+    let parts = [
+        head("POST", &length),
+        head("GET", "\r\n"),
+        head("POST", "Expect: 100-continue\r\nContent-Length: 9\r\n\r\n"),
+        chunked(1, 300),
+        b"0\r\nX: y\r\n\r\n".to_vec(),
+        b"\r\n\r\n".to_vec(),
+        handshake(),
+        b"7;ext=1\r\n".to_vec(),
+        vec![b'a'; 20_000],
+    ];
+    for _ in 0..CONNECTIONS {
+        let address = [&edge.front, &edge.ready, &edge.peers][random.random_range(0..3)];
+        let mut bytes: Vec<u8> = (0..random.random_range(1..5))
+            .flat_map(|_| parts[random.random_range(0..parts.len())].clone())
+            .collect();
+        for _ in 0..random.random_range(0..3) {
+            let index = random.random_range(0..bytes.len());
+            bytes[index] = random.random();
+        }
+        bytes.truncate(random.random_range(1..=bytes.len()));
+        let mut stream = TcpStream::connect(address).expect("a connection");
+        // The process may close the connection before all is written.
+        let _ = stream.write_all(&bytes);
+    }
+    let held = [
+        "hyssop_intake_bytes ",
+        "hyssop_intake_connections{listener=\"callers\"}",
+        "hyssop_intake_connections{listener=\"peers\"}",
+    ];
+    wait_until("all permits are back", || {
+        held.iter().all(|name| edge.metric(name) == Some(0.0))
+    });
+    edge.submit_until_accepted("/a/00000000000000f2", &job(1, 1, 10));
+}
+
 /// Under calm conditions a slow request within the limits is served.
 #[test]
 fn slow_request_within_the_limits_is_served() {
