front: allocate a connection's state with its first byte

A silent connection held the library's state and buffers, and a crowd that closed its silent connections at once made the process allocate them for all.

The task now waits for the first byte, which it only looks at, and ends if there is none.

By hand, release build, 160 MB and 4,100 descriptors in the settings, 3,000 silent connections: peak 46 MiB before, 11 MiB after; 100 of 100 ordinary requests were served meanwhile in both.

--- a/crates/hyssop-edge/src/front/server.rs
+++ b/crates/hyssop-edge/src/front/server.rs
@@ -124,13 +124,28 @@
     R: Future<Output = Response<Full<Bytes>>> + 'static,
 {
     let _counted = Counted::new(traffic.clone(), |traffic| &traffic.connections);
-    // The library's buffers are created once there is something to read.
+    // The state and the buffers for requests are allocated once there is something to read.
+    let mut first = [0];
     tokio::select! {
         biased;
-        readable = stream.readable() => if readable.is_err() { return },
+        count = stream.peek(&mut first) => if !matches!(count, Ok(1)) { return },
         reason = permit.revoked() => return log_revoked(reason),
         () = node.reached(Stage::Final) => return,
     }
+    Box::pin(serve_requests(node, stream, permit, traffic, handle)).await;
+}
+
+/// Serves the requests of a caller's connection.
+async fn serve_requests<F, R>(
+    node: Rc<Node>,
+    stream: TcpStream,
+    permit: Rc<Permit>,
+    traffic: Rc<Traffic>,
+    handle: F,
+) where
+    F: Fn(Rc<Node>, Request<Inbound>) -> R + Copy + 'static,
+    R: Future<Output = Response<Full<Bytes>>> + 'static,
+{
     let answering = node.clone();
     let answer = move |request| {
         let node = answering.clone();
