--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -3,6 +3,7 @@
 use super::error::{Error, ListenSnafu, LogSnafu, RuntimeSnafu};
 use crate::front::{self, Gate, Traffic};
 use crate::http::Client;
+use crate::intake::{self, Guard};
 use crate::metric::Metrics;
 use crate::node::{Clock, Node, Stage, Timing};
 use crate::ownership::{
@@ -12,6 +13,7 @@
 use crate::peer::{self, Links};
 use crate::store::Store;
 use hyssop_platform::dialect::Dialect;
+use hyssop_policy::intake::Capacity;
 use hyssop_policy::{account, owner};
 use platform::settings::Settings;
 use snafu::ResultExt;
@@ -88,6 +90,13 @@
     let clock = Clock::new();
     let client = Client::default();
     let metrics = Metrics::new();
+    let limits = &settings.limits;
+    let guard = Guard::new(
+        Capacity::new(limits.memory_mb, limits.file_descriptors),
+        limits.share(),
+        clock.clone(),
+        metrics.intake.clone(),
+    );
     let store = Store::new(
         settings.platform.address,
         dialect.clone(),
@@ -109,6 +118,7 @@
         client,
         store,
         metrics,
+        guard,
         configuration: RefCell::default(),
         gate: Gate::new(account::Bounds::new(
             settings.requires_accounts(),
@@ -190,6 +200,7 @@
     spawn_local(remove_lost_members(node.clone()));
     spawn_local(confirm_with_peers(node.clone()));
     spawn_local(front::watch_trust(node.clone()));
+    spawn_local(intake::sweep(node.clone()));
     spawn_local(front::serve_probes(node.clone(), ready, front::probe));
     spawn_local(front::serve(
         node.clone(),
--- a/crates/hyssop-edge/src/front/discard.rs
+++ b/crates/hyssop-edge/src/front/discard.rs
@@ -1,5 +1,4 @@
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use crate::intake::Inbound;
 use hyper::header::EXPECT;
 use hyper::Request;
 use std::time::Duration;
@@ -10,21 +9,11 @@
 /// Reads and drops up to `limit` bytes of the body of a request that is refused.
 ///
 /// The kernel resets a connection that is closed with unread bytes, and the response may be lost.
-pub(crate) async fn discard(request: Request<Incoming>, limit: usize) {
+pub(crate) async fn discard(request: Request<Inbound>, limit: usize) {
     // The caller waits for permission to send its body.
     if request.headers().contains_key(EXPECT) {
         return;
     }
-    let mut body = request.into_body();
-    let mut left = limit;
-    let read = async {
-        while let Some(Ok(frame)) = body.frame().await {
-            let Some(rest) = left.checked_sub(frame.data_ref().map_or(0, bytes::Bytes::len)) else {
-                return;
-            };
-            left = rest;
-        }
-    };
     // What arrives later is lost with the connection.
-    let _ = tokio::time::timeout(DISCARD_TIME, read).await;
+    let _ = tokio::time::timeout(DISCARD_TIME, request.into_body().discard(limit)).await;
 }
--- a/crates/hyssop-edge/src/front/ready.rs
+++ b/crates/hyssop-edge/src/front/ready.rs
@@ -1,8 +1,8 @@
 use super::Gate;
+use crate::intake::Inbound;
 use crate::node::Node;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use std::rc::Rc;
 
@@ -12,7 +12,7 @@
 ///
 /// The process is ready once it knows a configuration and the pools with jobs, until it starts to stop,
 /// and while it can decide about callers' keys.
-pub(crate) async fn probe(node: Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+pub(crate) async fn probe(node: Rc<Node>, request: Request<Inbound>) -> Response<Full<Bytes>> {
     if request.uri().path() == METRICS_PATH {
         node.metrics.set_terms(&node.status().owned);
         node.metrics.set_links(node.links.count());
@@ -22,6 +22,7 @@
             driver.report_forecasts(pool, &node.metrics.forecasts);
         }
         node.metrics.set_accounts(&node.account_states());
+        node.guard.measure();
         return Response::new(Full::new(Bytes::from(node.metrics.text())));
     }
     let has_started = node.configuration.borrow().version > 0 && node.knows_pools();
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -1,6 +1,7 @@
 use super::{Clock, Member, Ownership, Route, Stage, TrackedWave};
 use crate::front::Gate;
 use crate::http::Client;
+use crate::intake::Guard;
 use crate::metric::Metrics;
 use crate::ownership::{Suspects, OWNERS_TABLE};
 use crate::peer::{self, Answer, Inquiry, Link, Links, Operation, Status};
@@ -59,6 +60,8 @@
     pub(crate) client: Client,
     pub(crate) store: Store,
     pub(crate) metrics: Metrics,
+    /// What callers that are not trusted may hold.
+    pub(crate) guard: Rc<Guard>,
     pub(crate) configuration: RefCell<Rc<Configuration>>,
     /// The admission of callers.
     pub(crate) gate: Gate,
--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod caller;
+pub mod crowd;
 
 use platform_standin::{Platform, Shape};
 use serde_json::{json, Value};
@@ -63,11 +64,13 @@
         let settings = std::env::temp_dir().join(file);
         let text = settings_text(platform, name, general, bounds);
         std::fs::write(&settings, text).expect("settings can be written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_hyssop-edge"))
-            .env("HYSSOPWORKS_BOOT", &settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the process starts");
+        let mut child = Command::new(
+            std::env::var("EDGE_BIN").unwrap_or(env!("CARGO_BIN_EXE_hyssop-edge").to_owned()),
+        )
+        .env("HYSSOPWORKS_BOOT", &settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the process starts");
         let output = child.stdout.take().expect("a piped output");
         let mut lines = BufReader::new(output).lines();
         let line = lines
@@ -103,6 +106,11 @@
         log.iter().any(|line| line.contains(text))
     }
 
+    /// Returns the process's identifier.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process with SIGKILL, which leaves it no time to release its shards.
     pub fn kill(&mut self) {
         self.child.kill().expect("the process can be killed");
@@ -323,6 +331,13 @@
     platform.write_operator_row("config", &value);
 }
 
+/// Writes a configuration with one queue and this limit on bodies.
+pub fn configure_body_limit(platform: &Platform, version: u64, max_body_bytes: usize) {
+    let mut value = configuration(version, &[("/a/", "alpha")]);
+    value["limits"]["max-body-bytes"] = json!(max_body_bytes);
+    platform.write_operator_row("config", &value);
+}
+
 /// Returns a configuration with a queue for each route, a path prefix and its pool.
 pub fn configuration(version: u64, routes: &[(&str, &str)]) -> Value {
     let route = |(prefix, pool): &(&str, &str)| {
