owner: count the backlog at most every 50 ms, and bound the wait of accounts with a tiny weight

A review by reading found that each submission beyond a weight walked all open jobs and workers, and that a weight under 5e-20 gave a wait that no duration holds, which ended the owner (the test fails so before).

--- a/crates/hyssop-model/src/work/resources.rs
+++ b/crates/hyssop-model/src/work/resources.rs
@@ -29,6 +29,16 @@
         self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 
+    /// Returns `count` times these resources, stopping at the largest amount.
+    pub fn times(&self, count: u32) -> Self {
+        let count = u64::from(count);
+        Self {
+            cpu: self.cpu.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
     /// Subtracts `other`, stopping at zero.
     pub fn remove(&mut self, other: &Self) {
         self.cpu = self.cpu.saturating_sub(other.cpu);
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -176,8 +176,12 @@
             is_oversized: false,
             finished_at: None,
         };
-        if entitlement == Entitlement::Within && !self.accounts.is_empty() {
-            self.shares.record_owed_work(self.remaining_work(&job), now);
+        if !self.accounts.is_empty() && !job.submission.is_long_running() {
+            let work = self.remaining_work(&job);
+            self.shares.add_to_backlog(work);
+            if entitlement == Entitlement::Within {
+                self.shares.record_owed_work(work, now);
+            }
         }
         self.jobs.insert(key, job);
         self.open_jobs.insert(key);
--- a/crates/hyssop-policy/src/owner/share.rs
+++ b/crates/hyssop-policy/src/owner/share.rs
@@ -12,7 +12,8 @@
 /// How long a deferred caller is remembered; those that come back at all do so within this time.
 const RETURN_TIME: Duration = Duration::from_secs(15);
 
-/// The longest wait that a deferred caller is told; the load may be over long before.
+/// The longest wait that a deferred caller is told; the load may be over long before. It also bounds the
+/// wait of an account with a tiny weight, which a duration could not hold.
 const MAX_WAIT: Duration = Duration::from_secs(4);
 
 /// The maximum number of deferred jobs that are remembered, at about 80 bytes each.
@@ -39,6 +40,17 @@
     /// The work of the jobs that were owed lately, in thousandths of a core x milliseconds, by the
     /// time of their submission.
     owed_work: VecDeque<(Duration, f64)>,
+    backlog: Option<Backlog>,
+}
+
+/// The work of the open jobs and the capacity of the pool, as of a time.
+#[derive(Clone, Copy, Debug)]
+struct Backlog {
+    /// In thousandths of a core x milliseconds.
+    work: f64,
+    /// In thousandths of a core.
+    capacity: f64,
+    counted_at: Duration,
 }
 
 /// A deferred job.
@@ -94,7 +106,8 @@
             balance.jobs -= 1.0;
             return Entitlement::Within;
         }
-        let wait = Duration::from_secs_f64((1.0 - balance.jobs) / account.weight);
+        let seconds = (1.0 - balance.jobs) / account.weight;
+        let wait = Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()));
         Entitlement::Beyond((balance.at + wait).saturating_sub(now))
     }
 
@@ -135,6 +148,13 @@
         self.deferred.remove(id);
     }
 
+    /// Adds the work of an accepted job to the counted backlog.
+    pub(super) fn add_to_backlog(&mut self, work: f64) {
+        if let Some(backlog) = &mut self.backlog {
+            backlog.work += work;
+        }
+    }
+
     /// Records the work of a job that is owed.
     pub(super) fn record_owed_work(&mut self, work: f64, now: Duration) {
         /// Jobs that come within this time are added up.
@@ -250,22 +270,33 @@
 
     /// Returns how long a job beyond its account's weight has to wait for the tasks before it, with
     /// the capacity that the jobs which are owed leave free.
-    fn backlog_wait(&self, now: Duration) -> Duration {
+    fn backlog_wait(&mut self, now: Duration) -> Duration {
+        /// How long a count of the backlog is reused; counting takes time for every open job.
+        const MAX_AGE: Duration = Duration::from_millis(50);
         /// Some capacity is always free for a while, as tasks are not all of one size.
         const MIN_FREE_SHARE: f64 = 0.02;
-        let backlog: f64 = self
-            .open_jobs
-            .iter()
-            .filter_map(|key| self.jobs.get(key))
-            .filter(|job| !job.phase.is_final() && !job.submission.is_long_running())
-            .map(|job| self.remaining_work(job))
-            .sum();
-        let capacity = self.capacity().cpu as f64;
+        let is_recent = |backlog: &Backlog| now.saturating_sub(backlog.counted_at) < MAX_AGE;
+        let backlog = match self.shares.backlog.filter(is_recent) {
+            Some(backlog) => backlog,
+            None => self.count_backlog(now),
+        };
+        self.shares.backlog = Some(backlog);
+        let Backlog { work, capacity, .. } = backlog;
         let free = (capacity - self.shares.owed_cpu(now)).max(capacity * MIN_FREE_SHARE);
         if free <= 0.0 {
             return MAX_WAIT;
         }
-        Duration::from_secs_f64((backlog / free / 1_000.0).min(MAX_WAIT.as_secs_f64()))
+        Duration::from_secs_f64((work / free / 1_000.0).min(MAX_WAIT.as_secs_f64()))
+    }
+
+    fn count_backlog(&self, now: Duration) -> Backlog {
+        let open = self.open_jobs.iter().filter_map(|key| self.jobs.get(key));
+        let counted = open.filter(|job| !job.phase.is_final() && !job.submission.is_long_running());
+        Backlog {
+            work: counted.map(|job| self.remaining_work(job)).sum(),
+            capacity: self.capacity().cpu as f64,
+            counted_at: now,
+        }
     }
 
     /// Returns the work left in the tasks of a job, in thousandths of a core x milliseconds.
@@ -308,10 +339,7 @@
             let weight = self.accounts.get(account).map_or(1.0, |a| a.weight);
             let used = held.entry(account).or_default();
             for step in &job.submission.steps {
-                let need = step.reserved();
-                for _ in 0..step.count {
-                    used.add(&need);
-                }
+                used.add(&step.reserved().times(step.count));
             }
             shares.insert(*key, Size::from(*used).dominant_share(&whole) / weight);
         }
--- a/crates/hyssop-policy/tests/account_shares.rs
+++ b/crates/hyssop-policy/tests/account_shares.rs
@@ -208,3 +208,26 @@
     let returned = submit(&mut world, first);
     assert_eq!(returned, Admission::Pending, "its place has come");
 }
+
+/// The wait of an account with a tiny weight did not fit into a duration, which ended the process.
+#[test]
+fn any_positive_weight_is_counted_without_a_panic() {
+    for weight in [f64::MIN_POSITIVE, 1e-20, 1e300] {
+        let mut world = World::new(1, 1, 8);
+        world.run(500);
+        let account = Account {
+            name: LOUD.to_owned(),
+            weight,
+            ..Account::default()
+        };
+        world.scheduler().configure(&Configuration {
+            accounts: Some(BTreeMap::from([(LOUD.to_owned(), account)])),
+            ..configuration(false)
+        });
+        for number in 0..4 {
+            let mut submission = job(1, 8, 2_000);
+            submission.account = Some(LOUD.to_owned());
+            world.submit(&format!("{number:016x}"), submission);
+        }
+    }
+}
