owner: name observations of durations as such

Cause: teach, taught, lesson and judge are not the usual terms of an estimator.

Change: observe, observe_bound, observations, record_duration; the module is learning::observation. No change of behaviour.

--- a/crates/hyssop-policy/examples/learning_cost.rs
+++ b/crates/hyssop-policy/examples/learning_cost.rs
@@ -22,9 +22,9 @@
         let started = Instant::now();
         for round in 0..ROUNDS {
             let number = round as usize * 7 % images;
-            estimator.teach(kind(number), 500.0 + f64::from(round % 100), None, place);
+            estimator.observe(kind(number), 500.0 + f64::from(round % 100), None, place);
         }
-        let teach_ns = started.elapsed().as_nanos() / u128::from(ROUNDS);
+        let observe_ns = started.elapsed().as_nanos() / u128::from(ROUNDS);
         let started = Instant::now();
         let mut sum = 0.0;
         for round in 0..ROUNDS {
@@ -32,7 +32,9 @@
         }
         let ask_ns = started.elapsed().as_nanos() / u128::from(ROUNDS);
         let mean_ms = sum / f64::from(ROUNDS);
-        println!("{images} images: {teach_ns} ns a run, {ask_ns} ns a question ({mean_ms:.0} ms)");
+        println!(
+            "{images} images: {observe_ns} ns a run, {ask_ns} ns a question ({mean_ms:.0} ms)"
+        );
     }
     for digits in [1, 2] {
         let histogram = Histogram::<u16>::new_with_bounds(1, 3_600_000, digits);
--- a/crates/hyssop-policy/src/owner/learning/estimator.rs
+++ b/crates/hyssop-policy/src/owner/learning/estimator.rs
@@ -51,7 +51,7 @@
 /// What a run has shown beside its duration.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Verdict {
-    /// What was expected before the run was taught.
+    /// What was expected before the run was observed.
     pub expectation: Expectation,
     /// Whether runs of the image were long on several workers in a row, so that the image is the cause
     /// and not the worker.
@@ -71,7 +71,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Image {
     pub(super) track: Track,
-    /// The number of the latest lesson about it.
+    /// The number of the latest observation of it.
     pub(super) used: u64,
 }
 
@@ -107,8 +107,8 @@
     tuning: Tuning,
     pub(super) images: BTreeMap<u64, Image>,
     pub(super) queues: BTreeMap<String, Queue>,
-    /// The number of runs that were taught.
-    pub(in crate::owner) lessons: u64,
+    /// The number of runs that were observed.
+    pub(in crate::owner) observations: u64,
     /// Kept for the search for the least recently used images.
     ages: Vec<u64>,
 }
@@ -227,9 +227,9 @@
         })
     }
 
-    /// Learns from a run that took `ms` milliseconds, of which `bound_ms` had been taught as a lower
+    /// Learns from a run that took `ms` milliseconds, of which `bound_ms` had been observed as a lower
     /// bound.
-    pub fn teach(
+    pub fn observe(
         &mut self,
         kind: Kind<'_>,
         ms: f64,
@@ -254,8 +254,8 @@
         } else {
             queue.track.note(y - forecast.queue, place.worker)
         };
-        let is_taught = !place.is_suspect || noted;
-        if is_taught {
+        let is_observed = !place.is_suspect || noted;
+        if is_observed {
             let bound = bound_ms.map(log_ms);
             if key.is_some() {
                 if track.moments.runs > 0.0 {
@@ -279,9 +279,9 @@
         } else if self.queues.len() < MAX_QUEUES {
             self.queues.insert(kind.queue.to_owned(), queue);
         }
-        self.lessons += 1;
+        self.observations += 1;
         if let Some(key) = key {
-            let used = self.lessons;
+            let used = self.observations;
             self.images.insert(key, Image { track, used });
             self.evict();
         }
@@ -291,10 +291,10 @@
         }
     }
 
-    /// Learns that a run takes at least `ms` milliseconds, of which `bound_ms` had been taught before.
+    /// Learns that a run takes at least `ms` milliseconds, of which `bound_ms` had been observed before.
     ///
     /// Returns whether that was more than expected; a lower bound below tells nothing.
-    pub fn teach_bound(
+    pub fn observe_bound(
         &mut self,
         kind: Kind<'_>,
         ms: f64,
@@ -304,7 +304,7 @@
         let expected_ms = self.expected_ms(kind);
         let is_longer = expected_ms > 0.0 && ms > expected_ms && bound_ms.is_none_or(|b| ms > b);
         if is_longer {
-            self.teach(kind, ms, bound_ms, place);
+            self.observe(kind, ms, bound_ms, place);
         }
         is_longer
     }
@@ -327,7 +327,7 @@
     fn learn(&mut self, y: f32, bound: Option<f32>, x: f32, forecast: f32, window: f32) {
         match bound {
             Some(bound) if self.moments.runs > 0.0 => self.replace(bound, y, forecast),
-            _ => self.teach(x, y, forecast, window),
+            _ => self.observe(x, y, forecast, window),
         }
     }
 }
--- a/crates/hyssop-policy/src/owner/learning/mod.rs
+++ b/crates/hyssop-policy/src/owner/learning/mod.rs
@@ -8,11 +8,11 @@
 
 mod estimator;
 mod moments;
+mod observation;
 mod residuals;
 mod row;
 mod score;
 mod storing;
-mod teaching;
 mod track;
 mod tuning;
 
--- a/crates/hyssop-policy/src/owner/learning/teaching.rs
+++ b/crates/hyssop-policy/src/owner/learning/observation.rs
@@ -20,7 +20,7 @@
         self.scores.accuracies()
     }
 
-    /// Learns from a run that was done, and judges its worker by what was expected of the image.
+    /// Learns from a run that was done, and compares its worker with what was expected of the image.
     pub(in crate::owner) fn learn_from_success(
         &mut self,
         key: WorkerKey,
@@ -40,9 +40,9 @@
         let place = place(key, worker);
         let verdict = self
             .learning
-            .teach(kind(queue, step), ms, run.taught_ms, place);
+            .observe(kind(queue, step), ms, run.observed_ms, place);
         if !verdict.is_image_long {
-            worker.judge(ms, &verdict.expectation);
+            worker.record_duration(ms, &verdict.expectation);
         }
         let line = self.scores.compare(queue, &verdict.expectation, ms, now);
         if let Some(accuracy) = line {
@@ -97,7 +97,7 @@
                 };
                 let expected_ms = self.learning.expected_ms(kind(&job.queue, step));
                 let elapsed = now.saturating_sub(run.began_at());
-                // Each further lesson waits until the time has doubled, so there are few per run.
+                // Each further observation waits until the time has doubled, so there are few per run.
                 run.overdue_after = Duration::from_secs_f64(OVERDUE * expected_ms / 1_000.0)
                     .max(elapsed * 2)
                     .max(MIN_OVERDUE);
@@ -113,15 +113,15 @@
             let Some((run, queue, step)) = found else {
                 continue;
             };
-            let taught_ms = self.learn_bound(key, task, &run, &queue, &step);
+            let observed_ms = self.learn_bound(key, task, &run, &queue, &step);
             let worker = self.workers.get_mut(&key);
             if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&task)) {
-                run.taught_ms = taught_ms.or(run.taught_ms);
+                run.observed_ms = observed_ms.or(run.observed_ms);
             }
         }
     }
 
-    /// Teaches how long a run has made progress, as the least that it takes; returns what was taught.
+    /// Observes how long a run has made progress, as the least that it takes; returns what was learned.
     fn learn_bound(
         &mut self,
         key: WorkerKey,
@@ -136,10 +136,10 @@
         }
         let place = place(key, self.workers.get(&key)?);
         let ms = milliseconds(seen_until.saturating_sub(run.began_at()));
-        let is_taught = self
-            .learning
-            .teach_bound(kind(queue, step), ms, run.taught_ms, place);
-        is_taught.then_some(ms)
+        let is_observed =
+            self.learning
+                .observe_bound(kind(queue, step), ms, run.observed_ms, place);
+        is_observed.then_some(ms)
     }
 
     /// Returns whether the time that a run took until `end` doesn't show how long such tasks take.
--- a/crates/hyssop-policy/src/owner/learning/row.rs
+++ b/crates/hyssop-policy/src/owner/learning/row.rs
@@ -69,7 +69,7 @@
         let restored = reader.estimator().ok_or(Refusal::Malformed)?;
         self.queues = restored.queues;
         self.images = restored.images;
-        self.lessons = restored.lessons;
+        self.observations = restored.observations;
         Ok(())
     }
 }
@@ -166,7 +166,7 @@
             let used = (images - number) as u64;
             estimator.images.insert(key, Image { track, used });
         }
-        estimator.lessons = images as u64;
+        estimator.observations = images as u64;
         self.0.is_empty().then_some(estimator)
     }
 }
--- a/crates/hyssop-policy/src/owner/learning/storing.rs
+++ b/crates/hyssop-policy/src/owner/learning/storing.rs
@@ -13,8 +13,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(in crate::owner) struct Stored {
     at: Duration,
-    /// The number of lessons that the row covers.
-    lessons: u64,
+    /// The number of observations that the row covers.
+    observations: u64,
 }
 
 impl Scheduler {
@@ -31,7 +31,7 @@
         let row = self.learning_row(room)?;
         self.learning_stored = Stored {
             at: now,
-            lessons: self.learning.lessons,
+            observations: self.learning.observations,
         };
         Some(row)
     }
@@ -43,7 +43,7 @@
     }
 
     fn learning_row(&self, room: usize) -> Option<RowWrite> {
-        if self.learning.lessons == self.learning_stored.lessons {
+        if self.learning.observations == self.learning_stored.observations {
             return None;
         }
         let limit = self.settings.row_limit();
@@ -74,6 +74,6 @@
                 row.value.len()
             ),
         }
-        self.learning_stored.lessons = self.learning.lessons;
+        self.learning_stored.observations = self.learning.observations;
     }
 }
--- a/crates/hyssop-policy/src/owner/learning/track.rs
+++ b/crates/hyssop-policy/src/owner/learning/track.rs
@@ -67,9 +67,9 @@
         is_long
     }
 
-    /// Teaches a run with the logarithms `x` of its estimate, `y` of its duration and `forecast` of
+    /// Adds a run with the logarithms `x` of its estimate, `y` of its duration and `forecast` of
     /// the duration that was expected. `window` is the number of runs that determine the mean.
-    pub(super) fn teach(&mut self, x: f32, y: f32, forecast: f32, window: f32) {
+    pub(super) fn observe(&mut self, x: f32, y: f32, forecast: f32, window: f32) {
         let residual = y - forecast;
         let limited = forecast + self.limited(residual);
         let limited = limited.clamp(0.0, MAX_LOGARITHM);
@@ -78,7 +78,7 @@
         self.residuals.add(residual);
     }
 
-    /// Replaces a lower bound of a run's duration that was taught by what is known now.
+    /// Replaces a lower bound of a run's duration that was observed by what is known now.
     pub(super) fn replace(&mut self, bound: f32, y: f32, forecast: f32) {
         let (before, after) = (bound - forecast, y - forecast);
         self.moments
--- a/crates/hyssop-policy/src/owner/placement.rs
+++ b/crates/hyssop-policy/src/owner/placement.rs
@@ -325,7 +325,7 @@
                     pace: 100,
                     serving_since: None,
                     is_whole,
-                    taught_ms: None,
+                    observed_ms: None,
                     overdue_after: Duration::ZERO,
                 },
             );
--- a/crates/hyssop-policy/src/owner/report.rs
+++ b/crates/hyssop-policy/src/owner/report.rs
@@ -207,7 +207,7 @@
                 pace: UNKNOWN_PACE,
                 serving_since: (running.percent >= 100.0).then_some(now),
                 is_whole: false,
-                taught_ms: None,
+                observed_ms: None,
                 overdue_after: Duration::ZERO,
             },
         );
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -350,7 +350,7 @@
     /// Where durations of an image vary by more than [`SLOWNESS_THRESHOLD`], the ratio is compressed so
     /// that its high quantile counts as that threshold: a worker is not blamed for the usual variation
     /// of what it runs.
-    pub(super) fn judge(&mut self, ms: f64, expectation: &Expectation) {
+    pub(super) fn record_duration(&mut self, ms: f64, expectation: &Expectation) {
         let Expectation {
             expected_ms,
             high_ms,
@@ -494,7 +494,7 @@
     /// the whole task.
     pub(super) is_whole: bool,
     /// The lower bound of its duration that was learned, in milliseconds.
-    pub(super) taught_ms: Option<f64>,
+    pub(super) observed_ms: Option<f64>,
     /// How long after its beginning it next teaches that it takes longer, zero if that is not known
     /// yet.
     pub(super) overdue_after: Duration,
--- a/crates/hyssop-policy/tests/learning.rs
+++ b/crates/hyssop-policy/tests/learning.rs
@@ -296,7 +296,7 @@
 #[test]
 fn least_recently_used_images_are_forgotten() {
     let mut estimator = Estimator::new(Tuning::default());
-    let teach = |estimator: &mut Estimator, image: &str| {
+    let observe = |estimator: &mut Estimator, image: &str| {
         let kind = Kind {
             queue: "queue",
             image,
@@ -306,11 +306,11 @@
             worker: 0,
             is_suspect: false,
         };
-        estimator.teach(kind, 200.0, None, place);
+        estimator.observe(kind, 200.0, None, place);
     };
     for number in 0..20_000 {
-        teach(&mut estimator, &format!("image-{number}"));
-        teach(&mut estimator, "used");
+        observe(&mut estimator, &format!("image-{number}"));
+        observe(&mut estimator, "used");
         assert!(estimator.image_count() <= 1_024);
     }
     let kind = |image| Kind {
--- a/crates/hyssop-policy/tests/replay/alternatives.rs
+++ b/crates/hyssop-policy/tests/replay/alternatives.rs
@@ -7,9 +7,9 @@
 pub trait Alternative {
     /// Returns the expected duration and a high quantile of it.
     fn forecast(&self, task: &Task) -> (f64, f64);
-    fn teach(&mut self, task: &Task, bound_ms: Option<f64>, place: Place);
+    fn observe(&mut self, task: &Task, bound_ms: Option<f64>, place: Place);
     /// Teaches that a run takes at least `ms`; returns whether that was learned.
-    fn teach_bound(&mut self, _: &Task, _: f64, _: Option<f64>, _: Place) -> bool {
+    fn observe_bound(&mut self, _: &Task, _: f64, _: Option<f64>, _: Place) -> bool {
         false
     }
 }
@@ -22,7 +22,7 @@
         (task.estimate_ms as f64, task.estimate_ms as f64)
     }
 
-    fn teach(&mut self, _: &Task, _: Option<f64>, _: Place) {}
+    fn observe(&mut self, _: &Task, _: Option<f64>, _: Place) {}
 }
 
 /// The median of the durations from which the task's was drawn, which no estimator can know better.
@@ -33,7 +33,7 @@
         (task.typical_ms, task.typical_ms)
     }
 
-    fn teach(&mut self, _: &Task, _: Option<f64>, _: Place) {}
+    fn observe(&mut self, _: &Task, _: Option<f64>, _: Place) {}
 }
 
 /// What is averaged.
@@ -86,7 +86,7 @@
         (expected, expected)
     }
 
-    fn teach(&mut self, task: &Task, _: Option<f64>, _: Place) {
+    fn observe(&mut self, task: &Task, _: Option<f64>, _: Place) {
         let value = match self.measure {
             Measure::Ratio => {
                 (task.ms / task.estimate_ms as f64).clamp(self.bounds.0, self.bounds.1)
@@ -122,7 +122,7 @@
         })
     }
 
-    fn teach(&mut self, task: &Task, _: Option<f64>, _: Place) {
+    fn observe(&mut self, task: &Task, _: Option<f64>, _: Place) {
         let histogram = self
             .known
             .entry(task.image.clone())
@@ -137,12 +137,12 @@
         (expectation.expected_ms, expectation.high_ms)
     }
 
-    fn teach(&mut self, task: &Task, bound_ms: Option<f64>, place: Place) {
-        Self::teach(self, task.kind(), task.ms, bound_ms, place);
+    fn observe(&mut self, task: &Task, bound_ms: Option<f64>, place: Place) {
+        Self::observe(self, task.kind(), task.ms, bound_ms, place);
     }
 
-    fn teach_bound(&mut self, task: &Task, ms: f64, bound: Option<f64>, place: Place) -> bool {
-        Self::teach_bound(self, task.kind(), ms, bound, place)
+    fn observe_bound(&mut self, task: &Task, ms: f64, bound: Option<f64>, place: Place) -> bool {
+        Self::observe_bound(self, task.kind(), ms, bound, place)
     }
 }
 
@@ -154,8 +154,8 @@
         self.0.forecast(task)
     }
 
-    fn teach(&mut self, task: &Task, _: Option<f64>, place: Place) {
-        Alternative::teach(&mut self.0, task, None, place);
+    fn observe(&mut self, task: &Task, _: Option<f64>, place: Place) {
+        Alternative::observe(&mut self.0, task, None, place);
     }
 }
 
--- a/crates/hyssop-policy/tests/replay/mod.rs
+++ b/crates/hyssop-policy/tests/replay/mod.rs
@@ -41,12 +41,12 @@
 /// doubled.
 const OVERDUE: f64 = 3.0;
 
-/// A run whose end, or whose next lesson before, is due.
+/// A run whose end, or whose next observation before, is due.
 struct Due<'a> {
     task: &'a Task,
     /// The time that it has taken.
     ms: f64,
-    taught_ms: Option<f64>,
+    observed_ms: Option<f64>,
 }
 
 /// Forecasts each task when it arrives and teaches its duration when it ends.
@@ -70,13 +70,13 @@
             };
             if run.ms >= run.task.ms {
                 *slow += u32::from(run.task.is_worker_slow);
-                alternative.teach(run.task, run.taught_ms, place);
+                alternative.observe(run.task, run.observed_ms, place);
                 continue;
             }
-            let is_taught = alternative.teach_bound(run.task, run.ms, run.taught_ms, place);
+            let is_observed = alternative.observe_bound(run.task, run.ms, run.observed_ms, place);
             let next = Due {
                 ms: (run.ms * 2.0).min(run.task.ms),
-                taught_ms: is_taught.then_some(run.ms).or(run.taught_ms),
+                observed_ms: is_observed.then_some(run.ms).or(run.observed_ms),
                 ..run
             };
             due.insert((at(next.task, next.ms), number), next);
@@ -90,7 +90,7 @@
         let run = Due {
             task,
             ms: (OVERDUE * expected_ms).max(1.0).min(task.ms),
-            taught_ms: None,
+            observed_ms: None,
         };
         due.insert((at(task, run.ms), number), run);
     }
