--- a/crates/hyssop-edge/src/pool/grants.rs
+++ b/crates/hyssop-edge/src/pool/grants.rs
@@ -9,6 +9,8 @@
 
 /// Batches changes of the grants: the owners of several pools react to the same change.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(15);
+/// Changes within this window share a transaction, and a check, which takes time for every account.
+const BATCH_WINDOW: Duration = Duration::from_millis(5);
 /// How often it is checked whether a write is due that had to wait.
 const WRITE_INTERVAL: Duration = Duration::from_millis(50);
 /// How often a pool without accounts that have a quota checks whether there is one.
@@ -66,6 +68,7 @@
             if self.is_leaving.get() || !self.has_authority() {
                 continue;
             }
+            tokio::time::sleep(BATCH_WINDOW).await;
             let now = self.node.clock.now();
             let writes = self.scheduler.borrow_mut().next_grant_writes(now);
             let Some(writes) = writes else {
--- a/crates/hyssop-policy/src/owner/quota.rs
+++ b/crates/hyssop-policy/src/owner/quota.rs
@@ -440,11 +440,15 @@
             usage.held = Resources::default();
             usage.orphaned = Resources::default();
         }
+        let mut held: BTreeMap<AccountKey, Resources> = BTreeMap::new();
         for worker in self.workers.values() {
             for (account, amount) in &worker.charges {
-                if let Some(usage) = quota.usage_mut(*account) {
-                    usage.held.add(amount);
-                }
+                held.entry(*account).or_default().add(amount);
+            }
+        }
+        for (account, amount) in held {
+            if let Some(usage) = quota.usage_mut(account) {
+                usage.held = amount;
             }
         }
         if self.is_recovering {
