--- a/crates/hyssop-policy/src/account/ledger/mod.rs
+++ b/crates/hyssop-policy/src/account/ledger/mod.rs
@@ -244,7 +244,22 @@
     pub fn apply(&mut self, rows: Vec<StoredRow>, now: Duration) {
         for row in rows {
             let entry = self.entries.entry(row.account.clone()).or_default();
+            let before = entry.grant(&self.pool);
             let reason = entry.apply(&row, &self.pool, now);
+            let after = entry.grant(&self.pool);
+            if let (Some(before), Some(after)) = (before, after) {
+                if before.grant != after.grant {
+                    log::info!(
+                        "event=grant-changed pool={} term={} account={} before={} grant={} by_term={}",
+                        self.pool,
+                        self.term,
+                        row.account,
+                        before.grant,
+                        after.grant,
+                        after.term
+                    );
+                }
+            }
             let pools = entry.row().map_or(0, |row| row.pools.len());
             self.pool_count = self.pool_count.max(pools);
             if let Some(reason) = reason {
