edge tests: the status says which limit a request has exceeded

A head of 16,384 bytes is served and one of 16,385 gets 431; a declared body over the limit gets 413 at once, one that doesn't arrive by the deadline 408, a malformed one 400.

--- a/crates/hyssop-edge/tests/untrusted_callers.rs
+++ b/crates/hyssop-edge/tests/untrusted_callers.rs
@@ -305,6 +305,36 @@
     edge.submit_until_accepted("/a/00000000000000f2", &job(1, 1, 10));
 }
 
+/// The status says which limit a request has exceeded.
+#[test]
+fn requests_beyond_a_limit_are_refused_with_its_status() {
+    /// `max-header-bytes` if the configuration names none.
+    const HEADER_BYTES: usize = 16_384;
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let platform = platform();
+    let edge = start(&platform);
+    let with_length = |bytes: usize| {
+        let mut head = head("GET", "X-Filler: ");
+        head.resize(bytes - 4, b'a');
+        head.extend_from_slice(b"\r\n\r\n");
+        head
+    };
+    let body = |length: usize| head("POST", &format!("Content-Length: {length}\r\n\r\n "));
+    let requests = [
+        (with_length(HEADER_BYTES), 410),
+        (with_length(HEADER_BYTES + 1), 431),
+        (body(BODY_BYTES + 1), 413),
+        (body(2), 408),
+        (head("POST", "Transfer-Encoding: chunked\r\n\r\nx\r\n"), 400),
+    ];
+    for (bytes, status) in requests {
+        let mut stream = TcpStream::connect(&edge.front).expect("a connection");
+        stream.write_all(&bytes).expect("the connection is open");
+        let answer = Connection::of(stream).read_answer();
+        assert!(answer.has_status(status), "{answer:?}, wanted {status}");
+    }
+}
+
 /// Bytes that are no requests, or parts of some, left permits behind.
 #[test]
 fn connections_with_any_bytes_give_back_all_permits() {
