--- a/crates/hyssop-edge/tests/untrusted_callers.rs
+++ b/crates/hyssop-edge/tests/untrusted_callers.rs
@@ -17,14 +17,14 @@
 /// The connections of a crowd: more than the process may have open, and with their heads or bodies
 /// more than its memory.
 const CROWD: usize = 500;
-/// The limits in the process's settings. A process of the debug build holds some 15 MB when idle. What
+/// The limits in the process's settings. A process of the debug build holds some 9 MB when idle. What
 /// the crowd sends is 500 x 64 KiB = 32.8 MB or more, so that a process that keeps all of it exceeds
 /// the bound, as one that accepts all connections exceeds the descriptors.
 const MEMORY_MB: usize = 40;
 const DESCRIPTORS: usize = 400;
 /// `max-body-bytes` in the configuration.
 const BODY_BYTES: usize = 65_536;
-/// Over the limit of heads, 16,384 bytes, and under the kernel's buffers plus what was once kept.
+/// Far over the limit of heads, 16,384 bytes, and under what the library once kept, 409,600 bytes.
 const ENDLESS_BYTES: usize = 380_000;
 const FIRST: &str = "/a/00000000000000f1";
 
