policy: count usage before a grant is written for a quota that became known

Tasks of an account are counted only once its quota is known. A row that made it known left the counts as they were, so that a write before the next placement pass lowered the grant to nothing while tasks held all of it.

The counts are outdated by rows and by the outcome of a transaction. The new test failed before with a write of grant 0. Tests quota (13), quota_model (1) and owner (23) pass.

--- a/crates/hyssop-policy/src/owner/quota.rs
+++ b/crates/hyssop-policy/src/owner/quota.rs
@@ -244,6 +244,8 @@
                 quota.ledger.apply(rows, now);
             }
             quota.allowances.clear();
+            // Tasks of an account are counted only once its quota is known.
+            quota.is_outdated = true;
             self.is_placement_due = true;
         }
     }
@@ -275,6 +277,7 @@
                 log_change(pool, term, &change);
             }
             quota.allowances.clear();
+            quota.is_outdated = true;
             self.is_placement_due = true;
         }
     }
--- a/crates/hyssop-policy/tests/quota.rs
+++ b/crates/hyssop-policy/tests/quota.rs
@@ -2,9 +2,11 @@
 
 mod model;
 
-use hyssop_model::work::{Phase, Report, Submission};
+use hyssop_model::work::{Account, Phase, Report, Resources, Submission};
+use hyssop_policy::account::ledger::{Ledger, Outcome, Row, Usage, WHOLE};
 use hyssop_policy::owner::{Action, Admission, Scheduler, Settings, TaskKey, WorkerKey};
 use model::{job, Faults, Pools, Shared, Table};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 const ACCOUNT: &str = "acme";
@@ -304,6 +306,88 @@
     assert_eq!(stops.count(), 1, "the member that was sent is stopped");
 }
 
+/// The tasks of an account whose quota was unknown were not counted, so that the write that followed a row
+/// with its quota lowered the grant below what they hold.
+#[test]
+fn row_that_makes_a_quota_known_lowers_no_grant_before_tasks_are_counted() {
+    for is_conflict in [false, true] {
+        let at = Duration::from_millis(1_000);
+        let mut scheduler = scheduler_with_tasks_of_unknown_account(at);
+        let at = Duration::from_millis(5_000);
+        let report = Report {
+            clock_ms: 5_000,
+            ..Report::default()
+        };
+        scheduler.receive(WorkerKey(0), report, at, 0, at);
+        assert_eq!(starts_of(scheduler.advance(at, 5_000)).len(), 4);
+        let mut table = Table::default();
+        for pool in ["pool", "other"] {
+            grant_to(pool, &mut table, at);
+        }
+        if is_conflict {
+            scheduler.on_grant_outcome(Outcome::Conflict(table.rows()), at);
+        } else {
+            scheduler.on_grant_rows(table.rows(), false, at);
+        }
+        let at = Duration::from_millis(6_000);
+        assert_eq!(scheduler.next_grant_writes(at), None, "not counted yet");
+        scheduler.advance(at, 6_000);
+        let writes = scheduler.next_grant_writes(at).expect("the new term");
+        let row = Row::read(&writes[0].value).expect("a row");
+        assert_eq!(row.pools["pool"].grant, WHOLE);
+    }
+}
+
+/// Returns a scheduler with a job of four tasks whose account is neither in the configuration nor in a row.
+fn scheduler_with_tasks_of_unknown_account(at: Duration) -> Scheduler {
+    let settings = Settings {
+        enforces_quotas: true,
+        ..Settings::default()
+    };
+    let mut scheduler = Scheduler::new("pool", 2, settings);
+    scheduler.configure(&Shared::with_quota("configured", 4_000).configuration());
+    scheduler.register_worker(model::worker("w0"), at);
+    let report = Report {
+        clock_ms: 1_000,
+        ..Report::default()
+    };
+    scheduler.receive(WorkerKey(0), report, at, 0, at);
+    scheduler.on_grant_rows(Vec::new(), true, at);
+    let mut submission = tasks(4, 60_000);
+    submission.account = Some(ACCOUNT.to_owned());
+    scheduler.submit(&id(0), "queue", submission, Duration::ZERO, at, 1_000);
+    while scheduler.next_batch(at).is_some() {
+        scheduler.on_commit(at);
+    }
+    assert!(starts_of(scheduler.advance(at, 1_000)).is_empty());
+    scheduler
+}
+
+/// Writes a pool's need of four cores and what it gets of a quota of as many.
+fn grant_to(pool: &str, table: &mut Table, at: Duration) {
+    let cpu = |cpu| Resources {
+        cpu,
+        ..Resources::default()
+    };
+    let account = Account {
+        name: ACCOUNT.to_owned(),
+        weight: 1.0,
+        quota: cpu(4_000),
+        ..Account::default()
+    };
+    let mut ledger = Ledger::new(pool, 1);
+    ledger.configure(1, Some(&BTreeMap::from([(ACCOUNT.to_owned(), account)])));
+    ledger.apply_all(table.rows(), at);
+    let usage = Usage {
+        waiting: cpu(4_000),
+        unit: cpu(1_000),
+        ..Usage::default()
+    };
+    let usage = BTreeMap::from([(ACCOUNT.to_owned(), usage)]);
+    let writes = ledger.next_writes(&usage, at).expect("a write");
+    assert!(matches!(table.commit(&writes), Outcome::Done(_)));
+}
+
 fn starts_of(actions: Vec<Action>) -> Vec<(WorkerKey, TaskKey, u64)> {
     let starts = actions.into_iter().filter_map(|action| match action {
         Action::Start { worker, task, run } => Some((worker, task, run)),
