policy: make no write depend on the version that an answer names

The answer to a write names the store's latest version, which may be that of another owner's later write to the same row. A write that depended on it overwrote that owner's raise, and the grants could exceed the quota.

An account is left out of the next transactions until the feed or a conflict has returned its row. After 1 s a write depends on the version before the own write instead, so that the conflict returns the row.

The test unreadable_rows_grant_nothing wrote twice without a feed between; its feed now returns the row.

--- a/crates/hyssop-policy/src/account/ledger/entry.rs
+++ b/crates/hyssop-policy/src/account/ledger/entry.rs
@@ -9,6 +9,9 @@
 /// How long a pool that was granted its largest task keeps its turn without starting one; a start takes
 /// some milliseconds. Without it, the pools would pass the quota on among themselves for ever.
 const TURN_TIME: Duration = Duration::from_millis(300);
+/// How long an owner waits for the store's feed to return a row that it wrote. It bounds how long an
+/// interrupted feed keeps the owner from writing again.
+const ROW_WAIT: Duration = Duration::from_millis(1_000);
 
 /// What an owner knows of one account.
 #[derive(Clone, Debug, Default)]
@@ -29,6 +32,8 @@
     /// The version on which the own write depended whose result is `row`, until the store returns the row.
     /// The version that the answer to a write names may be newer than that of the row.
     provisional_base: Option<u64>,
+    /// When that write's answer came.
+    answered_at: Duration,
     stored: Stored,
     /// Own writes that may have taken effect or may still do so: the version on which they depend, and the
     /// pool's own grant in them.
@@ -70,8 +75,18 @@
         }
     }
 
-    pub(super) fn version(&self) -> u64 {
-        self.version
+    /// Returns the version on which a write has to depend.
+    ///
+    /// The version that an answer names may be that of another owner's later write, which a write with this
+    /// condition would overwrite. Until the row's version is known, the condition is the one of the write
+    /// before, which can't hold again while the row exists, so that the store returns the row.
+    pub(super) fn condition(&self) -> u64 {
+        self.provisional_base.unwrap_or(self.version)
+    }
+
+    /// Returns whether the store is still to return the row of the latest own write.
+    pub(super) fn awaits_row(&self, now: Duration) -> bool {
+        self.provisional_base.is_some() && now < self.answered_at + ROW_WAIT
     }
 
     pub(super) fn row(&self) -> Option<&Row> {
@@ -178,7 +193,7 @@
     /// Records a write of `row` that is about to be sent.
     pub(super) fn begin_write(&mut self, row: &Row, pool: &str) {
         let own = row.pools.get(pool).cloned().unwrap_or_default();
-        self.doubts.push((self.version, own));
+        self.doubts.push((self.condition(), own));
     }
 
     /// Records that the latest write took effect. No earlier one can any more.
@@ -188,6 +203,7 @@
             return;
         };
         self.provisional_base = Some(*base);
+        self.answered_at = now;
         self.version = version;
         self.doubts.clear();
         self.stored = Stored::Present(row);
--- a/crates/hyssop-policy/src/account/ledger/mod.rs
+++ b/crates/hyssop-policy/src/account/ledger/mod.rs
@@ -351,6 +351,9 @@
         let mut writes = Vec::new();
         let mut bytes = 0;
         for (name, entry) in &mut self.entries {
+            if entry.awaits_row(now) {
+                continue;
+            }
             let usage = usage.get(name).unwrap_or(&none);
             let decision = entry.decide(&self.pool, self.term, self.version, usage, now);
             let Some(Decision { row, urgency, held }) = decision else {
@@ -367,7 +370,7 @@
             entry.begin_write(&row, &self.pool);
             writes.push(Write {
                 account: name.clone(),
-                expected: entry.version(),
+                expected: entry.condition(),
                 value,
             });
             self.in_flight.push((name.clone(), row, held));
--- a/crates/hyssop-policy/tests/ledger.rs
+++ b/crates/hyssop-policy/tests/ledger.rs
@@ -158,6 +158,45 @@
     );
 }
 
+/// The answer to a write named the version of another owner's later write, and the next write, which
+/// depended on it, overwrote that owner's raise.
+#[test]
+fn version_of_an_answer_is_no_condition_of_the_next_write() {
+    let mut table = Table::default();
+    let mut a = ledger("a", 1, 10, &table);
+    let mut b = ledger("b", 1, 10, &table);
+    assert!(write(&mut a, usage(0, 5, 1), &mut table, 0));
+    b.apply(table.rows(), ms(5));
+    assert!(write(&mut b, usage(0, 5, 1), &mut table, 5));
+    a.apply(table.rows(), ms(10));
+    assert!(write(&mut a, usage(0, 5, 1), &mut table, 110));
+    for ledger in [&mut a, &mut b] {
+        ledger.apply(table.rows(), ms(115));
+        ledger.configure(2, Some(&accounts(20)));
+    }
+    // Each has a quarter of the raised quota.
+    let writes = next(&mut a, usage(0, 6, 1), 300).expect("a write");
+    let outcome = table.commit(&writes);
+    b.apply(table.rows(), ms(302));
+    assert!(write(&mut b, usage(0, 6, 1), &mut table, 302));
+    let raised = table.read(ACCOUNT).pools["b"].grant;
+    assert!(raised > 250_000);
+    a.on_outcome(table.late_answer(outcome), ms(306));
+    assert!(hard(&a, usage(0, 6, 1)) > 250_000, "usable at once");
+    let needs = usage(0, 16, 1);
+    let has_written = write(&mut a, needs, &mut table, 1_200);
+    assert_eq!(table.read(ACCOUNT).pools["b"].grant, raised);
+    assert!(!has_written, "the row has not come back");
+    // Without the feed, a write that can't take effect brings the row.
+    assert!(write(&mut a, needs, &mut table, 1_310));
+    assert_eq!(table.read(ACCOUNT).pools["b"].grant, raised);
+    assert!(write(&mut a, needs, &mut table, 1_500));
+    let row = table.read(ACCOUNT);
+    assert_eq!(row.pools["b"].grant, raised);
+    assert_eq!(row.pools["a"].need, 800_000);
+    assert!(row.sum(&cpu(20)) <= WHOLE);
+}
+
 /// An owner that lowered its grant without an answer went on starting up to the former one, while others
 /// had taken what it gave up.
 #[test]
@@ -331,6 +370,7 @@
         // It is replaced, and others have the time to write what they hold before grants are raised.
         assert!(write(&mut a, usage(0, 1, 1), &mut table, 0));
         assert_eq!(hard(&a, usage(0, 1, 1)), 0);
+        a.apply(table.rows(), ms(10));
         assert!(write(&mut a, usage(0, 1, 1), &mut table, 2_000));
         assert_eq!(hard(&a, usage(0, 1, 1)), WHOLE);
     }
@@ -536,6 +576,11 @@
             } else {
                 outcome
             };
+            let outcome = if rng.random_bool(0.5) {
+                table.late_answer(outcome)
+            } else {
+                outcome
+            };
             owner.ledger.on_outcome(outcome, at);
         }
     }
--- a/crates/hyssop-policy/tests/model/grants.rs
+++ b/crates/hyssop-policy/tests/model/grants.rs
@@ -34,6 +34,14 @@
         Outcome::Done(self.version)
     }
 
+    /// Returns an outcome as an answer after later transactions, which names the latest version.
+    pub fn late_answer(&self, outcome: Outcome) -> Outcome {
+        match outcome {
+            Outcome::Done(_) => Outcome::Done(self.version),
+            other => other,
+        }
+    }
+
     /// Replaces a row, whatever its version.
     pub fn put(&mut self, account: &str, value: &[u8]) {
         self.version += 1;
