policy: keep tasks waiting whose account has an unreadable row

An account outside the configuration is taken to have no limit 3 s after its first task, unless a row has its quota. A row that could not be read counted as none, so that its tasks started without a limit.

They now wait until the row is replaced or the account is configured, and the rows are followed as long as such a one exists. The new test failed before: there was no limit after 60 s. Tests ledger (16), quota (13) and quota_model (1) pass.

--- a/crates/hyssop-policy/src/account/ledger/mod.rs
+++ b/crates/hyssop-policy/src/account/ledger/mod.rs
@@ -207,9 +207,11 @@
     }
 
     /// Returns whether any quota has to be kept, or may have to be: that of an account which isn't in the
-    /// configuration any more is known from its row only.
+    /// configuration any more is known from its row only, which may be unreadable.
     pub fn has_quotas(&self) -> bool {
-        self.has_accounts && (!self.is_read || self.entries.values().any(Entry::is_limited))
+        let may_limit =
+            |entry: &Entry| entry.is_limited() || entry.is_unknown() && entry.is_unreadable();
+        self.has_accounts && (!self.is_read || self.entries.values().any(may_limit))
     }
 
     /// Returns the quota of an account, `None` if it has no limit.
@@ -270,6 +272,9 @@
             let met_at = entry.and_then(|entry| entry.met_at).unwrap_or(now);
             let wait = if !self.is_read {
                 Wait::Unread
+            } else if entry.is_some_and(Entry::is_unreadable) {
+                // The row may hold a quota.
+                Wait::Unreadable
             } else if now < met_at + CONFIGURATION_LAG {
                 Wait::UnknownAccount
             } else {
--- a/crates/hyssop-policy/tests/ledger.rs
+++ b/crates/hyssop-policy/tests/ledger.rs
@@ -376,6 +376,30 @@
     }
 }
 
+/// An account that had left the configuration became unlimited when its row could not be read.
+#[test]
+fn unreadable_row_of_account_outside_the_configuration_keeps_its_tasks_waiting() {
+    let mut table = Table::default();
+    table.put(ACCOUNT, b"\xff\x00");
+    let mut a = Ledger::new("a", 1);
+    a.configure(1, Some(&BTreeMap::new()));
+    a.apply_all(table.rows(), ms(0));
+    a.meet(ACCOUNT, ms(0));
+    let needs = usage(0, 1, 1);
+    let allowance = a.allowance(ACCOUNT, &needs, ms(60_000));
+    let known = allowance.map(|known| (known.hard, known.soft, known.wait));
+    assert_eq!(known, Some((0, 0, Wait::Unreadable)));
+    assert!(a.has_quotas(), "the row is still followed");
+    let mut writer = ledger("b", 1, 10, &table);
+    assert!(write(&mut writer, needs, &mut table, 0));
+    a.apply(table.rows(), ms(60_010));
+    assert_eq!(
+        a.quota(ACCOUNT),
+        Some(cpu(10)),
+        "known once the row is replaced"
+    );
+}
+
 #[test]
 fn row_of_later_version_is_left_alone() {
     let mut table = Table::default();
