policy: claim no quota for tasks that no worker could run

Waiting tasks whose label or size no worker of the pool has were counted, so that the pool was granted a part of the quota that it could not use.

Such steps are skipped; the answer is kept for each label and size within a count. An account with such tasks is not counted again outside the regular counts, which would happen in each placement pass while it waits for nothing. The new test failed before for a label and asked for a grant.

--- a/crates/hyssop-policy/src/owner/quota.rs
+++ b/crates/hyssop-policy/src/owner/quota.rs
@@ -5,7 +5,7 @@
     share, Allowance, Change, Ledger, Outcome, Share, StoredRow, Usage, Wait, Write, WHOLE,
 };
 use hyssop_model::work::{Configuration, Resources, Step, Submission, Task};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// How long the count of waiting tasks is reused, which takes time for every waiting task.
@@ -47,6 +47,8 @@
     /// What the accounts' tasks use, by account.
     usage: BTreeMap<String, Usage>,
     waiting_counted_at: Option<Duration>,
+    /// The accounts with waiting tasks that no worker could run when they were counted.
+    unrunnable: BTreeSet<AccountKey>,
     /// The allowances computed in this placement pass.
     allowances: BTreeMap<AccountKey, Option<Allowance>>,
     /// Whether runs may have been added since the usage was counted.
@@ -76,6 +78,7 @@
             names: Vec::new(),
             usage: BTreeMap::new(),
             waiting_counted_at: None,
+            unrunnable: BTreeSet::new(),
             allowances: BTreeMap::new(),
             is_outdated: true,
             blocked: BTreeMap::new(),
@@ -354,7 +357,8 @@
         }
         // The pool's part is none as long as no task was counted that waits for it.
         let is_uncounted = quota.usage(charge.account).waiting == Resources::default()
-            && quota.waiting_counted_at != Some(now);
+            && quota.waiting_counted_at != Some(now)
+            && !quota.unrunnable.contains(&charge.account);
         if is_uncounted {
             quota.waiting_counted_at = Some(now);
             self.count_waiting(now);
@@ -503,7 +507,7 @@
 
     /// Counts the waiting tasks that could start if the quota allowed it: as far as workers are free, and
     /// one task more, so that a grant is there when a worker becomes free. More would keep from other pools
-    /// what can't be used here.
+    /// what can't be used here. Tasks that no worker could run don't count.
     fn count_waiting(&mut self, now: Duration) {
         let Some(mut quota) = self.quota.take() else {
             return;
@@ -516,6 +520,9 @@
         }
         let mut counts: BTreeMap<AccountKey, Waiting> = BTreeMap::new();
         let mut last: Option<(super::JobKey, Option<AccountKey>)> = None;
+        quota.unrunnable.clear();
+        let mut runnable: BTreeMap<(Option<&str>, [u64; 3]), bool> = BTreeMap::new();
+        let mut last_step: Option<(&Step, bool)> = None;
         for (task, step) in self.waiting_tasks() {
             let account = match last {
                 Some((job, account)) if job == task.job => account,
@@ -530,6 +537,23 @@
             let Some(account) = account else {
                 continue;
             };
+            let is_runnable = match last_step {
+                Some((last, is_runnable)) if std::ptr::eq(last, step) => is_runnable,
+                _ => {
+                    let need = step.reserved();
+                    let key = (
+                        step.label.as_deref(),
+                        [need.cpu, need.memory, need.accelerators],
+                    );
+                    let could_any = || self.workers.values().any(|w| w.could_run(step));
+                    *runnable.entry(key).or_insert_with(could_any)
+                }
+            };
+            last_step = Some((step, is_runnable));
+            if !is_runnable {
+                quota.unrunnable.insert(account);
+                continue;
+            }
             let count = counts.entry(account).or_default();
             if !step.gang {
                 count.single.add(&step.need);
--- a/crates/hyssop-policy/tests/quota.rs
+++ b/crates/hyssop-policy/tests/quota.rs
@@ -338,6 +338,42 @@
     }
 }
 
+/// Tasks that no worker of the pool could run kept a part of the quota from the other pools.
+#[test]
+fn tasks_that_no_worker_could_run_claim_no_quota() {
+    let at = Duration::from_millis(1_000);
+    for (label, cpu, is_claim) in [
+        (None, 1_000, true),
+        (Some("gpu"), 1_000, false),
+        (None, 9_000, false),
+    ] {
+        let settings = Settings {
+            enforces_quotas: true,
+            ..Settings::default()
+        };
+        let mut scheduler = Scheduler::new("pool", 1, settings);
+        scheduler.configure(&Shared::with_quota(ACCOUNT, 20_000).configuration());
+        scheduler.register_worker(model::worker("w0"), at);
+        let report = Report {
+            clock_ms: 1_000,
+            ..Report::default()
+        };
+        scheduler.receive(WorkerKey(0), report, at, 0, at);
+        scheduler.on_grant_rows(Vec::new(), true, at);
+        let mut submission = tasks(2, 500);
+        submission.account = Some(ACCOUNT.to_owned());
+        submission.steps[0].label = label.map(str::to_owned);
+        submission.steps[0].need.cpu = cpu;
+        scheduler.submit(&id(0), "queue", submission, Duration::ZERO, at, 1_000);
+        while scheduler.next_batch(at).is_some() {
+            scheduler.on_commit(at);
+        }
+        scheduler.advance(at, 1_000);
+        let has_claim = scheduler.next_grant_writes(at).is_some();
+        assert_eq!(has_claim, is_claim, "label {label:?}, {cpu}");
+    }
+}
+
 /// Returns a scheduler with a job of four tasks whose account is neither in the configuration nor in a row.
 fn scheduler_with_tasks_of_unknown_account(at: Duration) -> Scheduler {
     let settings = Settings {
