--- a/crates/hyssop-policy/src/account/ledger/mod.rs
+++ b/crates/hyssop-policy/src/account/ledger/mod.rs
@@ -207,9 +207,11 @@
     }
 
     /// Returns whether any quota has to be kept, or may have to be: that of an account which isn't in the
-    /// configuration any more is known from its row only.
+    /// configuration any more is known from its row only, which may be unreadable.
     pub fn has_quotas(&self) -> bool {
-        self.has_accounts && (!self.is_read || self.entries.values().any(Entry::is_limited))
+        let may_limit =
+            |entry: &Entry| entry.is_limited() || entry.is_unknown() && entry.is_unreadable();
+        self.has_accounts && (!self.is_read || self.entries.values().any(may_limit))
     }
 
     /// Returns the quota of an account, `None` if it has no limit.
@@ -285,6 +287,9 @@
             let met_at = entry.and_then(|entry| entry.met_at).unwrap_or(now);
             let wait = if !self.is_read {
                 Wait::Unread
+            } else if entry.is_some_and(Entry::is_unreadable) {
+                // The row may hold a quota.
+                Wait::Unreadable
             } else if now < met_at + CONFIGURATION_LAG {
                 Wait::UnknownAccount
             } else {
@@ -366,6 +371,9 @@
         let mut writes = Vec::new();
         let mut bytes = 0;
         for (name, entry) in &mut self.entries {
+            if entry.awaits_row(now) {
+                continue;
+            }
             let usage = usage.get(name).unwrap_or(&none);
             let decision = entry.decide(&self.pool, self.term, self.version, usage, now);
             let Some(Decision { row, urgency, held }) = decision else {
@@ -382,7 +390,7 @@
             entry.begin_write(&row, &self.pool);
             writes.push(Write {
                 account: name.clone(),
-                expected: entry.version(),
+                expected: entry.condition(),
                 value,
             });
             self.in_flight.push((name.clone(), row, held));
