intake: a chunked body under a limit below 4 KiB is read

The first part of a buffer, 4,096 bytes, was the lower end of a clamp whose upper end is the limit of bodies. With max-body-bytes below 4,096 the clamp panicked, and the caller's connection ended without an answer.

The size is now raised to 4,096 first and then lowered to the limit.

chunked_request_under_a_small_limit_is_served (limit 1,024): failed before (no answer), passes now.

--- a/crates/hyssop-edge/src/intake/body.rs
+++ b/crates/hyssop-edge/src/intake/body.rs
@@ -109,7 +109,8 @@
         if length > self.hold.bytes() {
             let wanted = length
                 .next_power_of_two()
-                .clamp(FIRST_BYTES, limit.max(length));
+                .max(FIRST_BYTES)
+                .min(limit.max(length));
             self.hold.extend(wanted - self.hold.bytes())?;
             self.bytes.reserve_exact(wanted - self.bytes.len());
         }
--- a/crates/hyssop-edge/tests/untrusted_callers.rs
+++ b/crates/hyssop-edge/tests/untrusted_callers.rs
@@ -370,3 +370,20 @@
     let answer = Connection::of(stream).read_answer();
     assert!(answer.has_status(200), "{answer:?}");
 }
+
+/// A chunked body ended its connection without an answer where the limit of bodies is below the first
+/// part of a buffer, 4 KiB.
+#[test]
+fn chunked_request_under_a_small_limit_is_served() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let platform = platform();
+    configure_body_limit(&platform, 2, 1_024);
+    let edge = start(&platform);
+    let body = job(1, 1, 10).to_string();
+    let mut bytes = head("POST", "Transfer-Encoding: chunked\r\n\r\n");
+    bytes.extend_from_slice(format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len()).as_bytes());
+    let mut stream = TcpStream::connect(&edge.front).expect("a connection");
+    stream.write_all(&bytes).expect("the connection is open");
+    let answer = Connection::of(stream).read_answer();
+    assert!(answer.has_status(200), "{answer:?}");
+}
