intake: peers' frames have a byte budget of their own

Frames of peers were checked against the bytes that callers use up. Once callers held half of them, every inbound link of a peer was closed at its next frame, and in a shortage links with requests in flight were named as slow, since they are idle between frames. Leases and failover depend on these links.

Peers' bytes are now counted apart, an eighth of the memory (a peer could hold as much before), half of it for links without a valid frame so far. A shortage of callers' bytes closes no peers, and one of peers' bytes no link with a valid frame. New gauges hyssop_intake_peer_bytes and hyssop_intake_peer_bytes_left; a shortage of peers' bytes is logged as resource=peer-bytes.

peers_keep_their_bytes_and_links_while_callers_use_up_theirs: failed before (NoBytes), passes now.

--- a/crates/hyssop-edge/src/intake/guard.rs
+++ b/crates/hyssop-edge/src/intake/guard.rs
@@ -55,8 +55,9 @@
         let burst = Duration::from_millis(BURST_FRAMES * 1_000 / rate);
         let rate = u32::try_from(rate).unwrap_or(u32::MAX);
         log::info!(
-            "event=intake bytes={} callers={} probes={} peers={} frames_per_s={rate}",
+            "event=intake bytes={} peer_bytes={} callers={} probes={} peers={} frames_per_s={rate}",
             capacity.bytes,
+            capacity.peer_bytes,
             capacity.callers,
             capacity.probes,
             capacity.peers
@@ -157,6 +158,8 @@
         let gate = self.gate.borrow();
         let capacity = gate.capacity();
         self.metrics.set_bytes(gate.bytes(), capacity.bytes);
+        self.metrics
+            .set_peer_bytes(gate.peer_bytes(), capacity.peer_bytes);
         for which in Listener::VARIANTS {
             let (held, limit) = (gate.connections(*which), capacity.connections(*which));
             self.metrics.set_connections(which.into(), held, limit);
--- a/crates/hyssop-edge/src/metric/intake.rs
+++ b/crates/hyssop-edge/src/metric/intake.rs
@@ -5,6 +5,8 @@
 pub(crate) struct Intake {
     pub(super) bytes: IntGauge,
     pub(super) bytes_left: IntGauge,
+    pub(super) peer_bytes: IntGauge,
+    pub(super) peer_bytes_left: IntGauge,
     pub(super) connections: IntGaugeVec,
     pub(super) connections_left: IntGaugeVec,
     pub(super) refusals: IntCounterVec,
@@ -20,6 +22,12 @@
         self.bytes_left.set(capacity.saturating_sub(held) as i64);
     }
 
+    pub(crate) fn set_peer_bytes(&self, held: usize, capacity: usize) {
+        self.peer_bytes.set(held as i64);
+        self.peer_bytes_left
+            .set(capacity.saturating_sub(held) as i64);
+    }
+
     pub(crate) fn set_connections(&self, listener: &str, held: usize, capacity: usize) {
         let left = capacity.saturating_sub(held);
         let gauges = [(&self.connections, held), (&self.connections_left, left)];
--- a/crates/hyssop-edge/src/metric/registry.rs
+++ b/crates/hyssop-edge/src/metric/registry.rs
@@ -160,12 +160,20 @@
         let intake = Intake {
             bytes: gauge(
                 "hyssop_intake_bytes",
-                "Bytes of requests and frames that callers and peers hold",
+                "Bytes of requests that callers and probes hold",
             ),
             bytes_left: gauge(
                 "hyssop_intake_bytes_left",
                 "Bytes that they may hold beyond",
             ),
+            peer_bytes: gauge(
+                "hyssop_intake_peer_bytes",
+                "Bytes of frames and answers that peers hold",
+            ),
+            peer_bytes_left: gauge(
+                "hyssop_intake_peer_bytes_left",
+                "Bytes that peers may hold beyond",
+            ),
             connections: gauges(
                 "hyssop_intake_connections",
                 "Open connections that were accepted, by listener",
--- a/crates/hyssop-edge/tests/untrusted_callers.rs
+++ b/crates/hyssop-edge/tests/untrusted_callers.rs
@@ -342,6 +342,7 @@
     }
     let held = [
         "hyssop_intake_bytes ",
+        "hyssop_intake_peer_bytes ",
         "hyssop_intake_connections{listener=\"callers\"}",
         "hyssop_intake_connections{listener=\"peers\"}",
     ];
--- a/crates/hyssop-policy/src/intake/capacity.rs
+++ b/crates/hyssop-policy/src/intake/capacity.rs
@@ -7,6 +7,9 @@
 /// One part in this many of the memory is for bytes of requests, and as much for connections; the other
 /// half is for jobs, links and the program.
 const MEMORY_PART: u64 = 4;
+/// One part in this many of the memory is for frames of peers. It is apart from the bytes of callers, so
+/// that a crowd of them can't cut off the links that carry leases and failover.
+const PEERS_MEMORY_PART: u64 = 8;
 /// What one connection holds at most besides its body: a read buffer with a head of 16 KiB, the head's
 /// parsed fields, the state of its task.
 pub(super) const CONNECTION_BYTES: u64 = 24 * 1_024;
@@ -23,8 +26,10 @@
 /// How much callers that are not trusted may hold at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Capacity {
-    /// The bytes of heads over 16 KiB, bodies, decoded jobs and frames.
+    /// The bytes of heads over 16 KiB, bodies and decoded jobs.
     pub bytes: usize,
+    /// The bytes of peers' frames and their answers.
+    pub peer_bytes: usize,
     /// The connections of callers.
     pub callers: usize,
     /// The connections for probes and metrics.
@@ -44,6 +49,7 @@
         let size = |count: u64| usize::try_from(count).unwrap_or(usize::MAX);
         Self {
             bytes: size(bytes),
+            peer_bytes: size(memory.saturating_mul(BYTES_PER_MB) / PEERS_MEMORY_PART),
             callers: size(callers),
             probes: size(PROBES.min(callers)),
             peers: size((descriptors / PEERS_PART).max(MIN_PEERS)),
--- a/crates/hyssop-policy/src/intake/gate.rs
+++ b/crates/hyssop-policy/src/intake/gate.rs
@@ -42,8 +42,9 @@
     connections: BTreeMap<Key, Connection>,
     counts: BTreeMap<Listener, usize>,
     bytes: usize,
-    /// Since when a resource is short; the bytes are under `None`.
-    short_since: BTreeMap<Option<Listener>, Duration>,
+    peer_bytes: usize,
+    /// Since when a resource is short.
+    short_since: BTreeMap<&'static str, Duration>,
 }
 
 impl Gate {
@@ -55,6 +56,7 @@
             connections: BTreeMap::new(),
             counts: BTreeMap::new(),
             bytes: 0,
+            peer_bytes: 0,
             short_since: BTreeMap::new(),
         }
     }
@@ -64,11 +66,16 @@
         self.capacity
     }
 
-    /// Returns the bytes for which permits are held.
+    /// Returns the bytes for which callers and probes hold permits.
     pub fn bytes(&self) -> usize {
         self.bytes
     }
 
+    /// Returns the bytes for which peers hold permits.
+    pub fn peer_bytes(&self) -> usize {
+        self.peer_bytes
+    }
+
     /// Returns the number of a listener's connections.
     pub fn connections(&self, listener: Listener) -> usize {
         self.counts.get(&listener).copied().unwrap_or(0)
@@ -96,7 +103,7 @@
         let Some(connection) = self.connections.remove(&key) else {
             return;
         };
-        self.bytes -= connection.held;
+        *self.bytes_mut(connection.listener) -= connection.held;
         if let Some(count) = self.counts.get_mut(&connection.listener) {
             *count -= 1;
         }
@@ -139,16 +146,20 @@
         };
         let held = connection.held.saturating_add(bytes);
         let limit = match connection.listener {
-            Listener::Peers if connection.is_proven => self.capacity.bytes / 2,
-            Listener::Peers => self.capacity.bytes / 4,
+            Listener::Peers if connection.is_proven => self.capacity.peer_bytes,
+            Listener::Peers => self.capacity.peer_bytes / 2,
             _ if held <= ORDINARY_BYTES => self.capacity.bytes,
             _ => self.capacity.bytes / 4 * 3,
         };
-        if self.bytes.saturating_add(bytes) > limit {
+        let total = match connection.listener {
+            Listener::Peers => &mut self.peer_bytes,
+            _ => &mut self.bytes,
+        };
+        if total.saturating_add(bytes) > limit {
             return Err(Reason::NoBytes);
         }
         connection.held = held;
-        self.bytes += bytes;
+        *total += bytes;
         Ok(())
     }
 
@@ -157,7 +168,8 @@
         if let Some(connection) = self.connections.get_mut(&key) {
             let released = bytes.min(connection.held);
             connection.held -= released;
-            self.bytes -= released;
+            let listener = connection.listener;
+            *self.bytes_mut(listener) -= released;
         }
     }
 
@@ -231,16 +243,27 @@
                 }
             }
         }
-        if self.bytes >= part(self.capacity.bytes, SHORT_BYTES) {
+        for (is_peers, held, capacity) in [
+            (false, self.bytes, self.capacity.bytes),
+            (true, self.peer_bytes, self.capacity.peer_bytes),
+        ] {
+            if held < part(capacity, SHORT_BYTES) {
+                continue;
+            }
+            let is_of = |connection: &Connection| {
+                connection.held > 0 && (connection.listener == Listener::Peers) == is_peers
+            };
             let known: BTreeSet<Key> = closed.iter().map(|(key, _)| *key).collect();
             let mut left: usize = self
                 .connections
                 .iter()
-                .filter(|(key, _)| !known.contains(key))
+                .filter(|(key, connection)| is_of(connection) && !known.contains(key))
                 .map(|(_, connection)| connection.held)
                 .sum();
             for (key, connection) in self.slow(now, &known) {
-                if connection.held > 0 && left > part(self.capacity.bytes, CALM_BYTES) {
+                // A link waits for its next frame while its requests hold bytes.
+                let is_link = is_peers && connection.is_proven;
+                if is_of(connection) && !is_link && left > part(capacity, CALM_BYTES) {
                     left -= connection.held;
                     closed.push((key, Reason::SlowWhileBytesShort));
                 }
@@ -261,31 +284,37 @@
     pub fn shortages(&mut self, now: Duration) -> Vec<Shortage> {
         let listeners = Listener::VARIANTS.iter().map(|&listener| {
             let capacity = self.capacity.connections(listener);
-            (Some(listener), self.connections(listener), capacity)
+            let parts = (SHORT_CONNECTIONS, CALM_CONNECTIONS);
+            let name = <&str>::from(listener);
+            (name, self.connections(listener), capacity, parts)
         });
-        let resources: Vec<_> = listeners
-            .chain([(None, self.bytes, self.capacity.bytes)])
-            .collect();
+        let parts = (SHORT_BYTES, CALM_BYTES);
+        let bytes = [
+            ("bytes", self.bytes, self.capacity.bytes, parts),
+            (
+                "peer-bytes",
+                self.peer_bytes,
+                self.capacity.peer_bytes,
+                parts,
+            ),
+        ];
+        let resources: Vec<_> = listeners.chain(bytes).collect();
         let mut changes = Vec::new();
-        for (resource, held, capacity) in resources {
-            let (short, calm) = match resource {
-                Some(_) => (SHORT_CONNECTIONS, CALM_CONNECTIONS),
-                None => (SHORT_BYTES, CALM_BYTES),
-            };
-            let duration = match self.short_since.get(&resource) {
+        for (resource, held, capacity, (short, calm)) in resources {
+            let duration = match self.short_since.get(resource) {
                 None if held >= part(capacity, short) => {
                     self.short_since.insert(resource, now);
                     None
                 }
                 Some(since) if held <= part(capacity, calm) => {
                     let duration = now.saturating_sub(*since);
-                    self.short_since.remove(&resource);
+                    self.short_since.remove(resource);
                     Some(duration)
                 }
                 _ => continue,
             };
             changes.push(Shortage {
-                resource: resource.map_or("bytes", Into::into),
+                resource,
                 held,
                 capacity,
                 duration,
@@ -309,6 +338,13 @@
             .collect()
     }
 
+    fn bytes_mut(&mut self, listener: Listener) -> &mut usize {
+        match listener {
+            Listener::Peers => &mut self.peer_bytes,
+            Listener::Callers | Listener::Probes => &mut self.bytes,
+        }
+    }
+
     fn end_head(&mut self, key: Key) {
         if let Some(connection) = self.connections.get_mut(&key) {
             let bytes = connection.end_head();
--- a/crates/hyssop-policy/tests/intake.rs
+++ b/crates/hyssop-policy/tests/intake.rs
@@ -10,6 +10,7 @@
 
 const CAPACITY: Capacity = Capacity {
     bytes: 400_000,
+    peer_bytes: 200_000,
     callers: 40,
     probes: 8,
     peers: 8,
@@ -78,10 +79,11 @@
             }
             gate.shortages(now);
             prop_assert!(gate.bytes() <= CAPACITY.bytes);
+            prop_assert!(gate.peer_bytes() <= CAPACITY.peer_bytes);
             prop_assert!(gate.connections(Listener::Callers) <= CAPACITY.callers);
         }
         keys.into_iter().for_each(|key| gate.close(key));
-        prop_assert_eq!(gate.bytes(), 0);
+        prop_assert_eq!((gate.bytes(), gate.peer_bytes()), (0, 0));
         for listener in [Listener::Callers, Listener::Probes, Listener::Peers] {
             prop_assert_eq!(gate.connections(listener), 0);
         }
@@ -179,6 +181,27 @@
     }
 }
 
+/// Callers that used up all bytes cut off every link from a peer, and with it leases and failover.
+#[test]
+fn peers_keep_their_bytes_and_links_while_callers_use_up_theirs() {
+    let mut gate = Gate::new(CAPACITY);
+    let peer = gate.open(Listener::Peers, at(0)).expect("room");
+    gate.finish(peer, at(0));
+    assert_eq!(gate.hold(peer, 4_000), Ok(()));
+    for size in [BODY, 1_000] {
+        while gate.has_room(Listener::Callers) {
+            let key = begun(&mut gate, at(0));
+            if gate.hold(key, size).is_err() {
+                break;
+            }
+        }
+    }
+    assert_eq!(gate.hold(peer, 4_000), Ok(()));
+    let closed = gate.sweep(at(600), TIMEOUTS);
+    assert!(!closed.is_empty());
+    assert_eq!(reason_of(&closed, peer), None);
+}
+
 /// A connection that is due must not be closed once its request may run.
 #[test]
 fn connection_whose_request_has_arrived_is_not_due_any_more() {
