intake: without a shortage a body may stop until its caller's deadline

A body without 16 bytes in 5 s was closed without a response, although its caller's deadline was later and nothing was short.

The rule now applies while bytes or the listener's connections run short. Otherwise a body is refused with 408 at the request's deadline, at most 60 s after its head; the gate closes it 5 s after that.

--- a/crates/hyssop-edge/src/intake/body.rs
+++ b/crates/hyssop-edge/src/intake/body.rs
@@ -2,7 +2,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyssop_model::work::Submission;
-use hyssop_policy::intake::{decoded_bytes, Reason};
+use hyssop_policy::intake::{decoded_bytes, Reason, BODY_TIMEOUT};
 use std::ops::Deref;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,7 +43,8 @@
     pub(crate) async fn read(self, limit: usize, deadline: Duration) -> Result<Body, Reason> {
         let permit = self.permit.clone();
         let guard = permit.guard().clone();
-        let time = deadline.saturating_sub(guard.now()).max(MIN_TIME);
+        let time = deadline.saturating_sub(guard.now());
+        let time = time.clamp(MIN_TIME, BODY_TIMEOUT);
         let read = tokio::time::timeout(time, self.collect(limit)).await;
         let body = read.unwrap_or(Err(Reason::BodyTimeout));
         match &body {
--- a/crates/hyssop-policy/src/intake/connection.rs
+++ b/crates/hyssop-policy/src/intake/connection.rs
@@ -7,10 +7,14 @@
 /// limits sends a request in a few packets.
 const SHORT_BYTES: usize = 512;
 pub(super) const SHORT_WINDOW: Duration = Duration::from_millis(500);
-/// Otherwise a body must bring this much in [`CALM_WINDOW`], which is longer than a caller waits by
-/// default, 3 s.
-const CALM_BYTES: usize = 16;
-const CALM_WINDOW: Duration = Duration::from_secs(5);
+/// While permits run short, also a body that holds none must bring this much in [`BODY_WINDOW`], which is
+/// longer than a caller waits by default, 3 s.
+const BODY_BYTES: usize = 16;
+const BODY_WINDOW: Duration = Duration::from_secs(5);
+/// The longest time for a body, whatever its caller's deadline. Without a shortage a body may stop for as
+/// long, and some time more, in which it is refused with the status for its deadline.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+const CALM_WINDOW: Duration = BODY_TIMEOUT.saturating_add(BODY_WINDOW);
 /// The time for a frame of a peer, which waits 1.2 s for the answer.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(5);
 /// The time in which a caller must take some of its responses; they fit into the system's buffers unless
@@ -72,7 +76,7 @@
     /// Whether one of its requests has been served.
     pub(super) is_proven: bool,
     short: Progress,
-    calm: Progress,
+    body: Progress,
     blocked_since: Option<Duration>,
 }
 
@@ -88,7 +92,7 @@
             head_held: 0,
             is_proven: false,
             short: progress,
-            calm: progress,
+            body: progress,
             blocked_since: None,
         }
     }
@@ -97,7 +101,7 @@
         self.phase = phase;
         self.since = now;
         self.short = Progress { at: now, bytes: 0 };
-        self.calm = self.short;
+        self.body = self.short;
     }
 
     /// Records bytes from the caller and returns for how many more of them a permit is needed.
@@ -106,7 +110,7 @@
             self.enter(Phase::Head, now);
         }
         self.short.record(count, SHORT_BYTES, now);
-        self.calm.record(count, CALM_BYTES, now);
+        self.body.record(count, BODY_BYTES, now);
         if self.phase != Phase::Head {
             return 0;
         }
@@ -139,8 +143,14 @@
         (now.saturating_sub(since) >= SHORT_WINDOW).then_some(since)
     }
 
-    /// Returns why the connection must be closed, if it must also without a shortage.
-    pub(super) fn expiry(&self, now: Duration, timeouts: Timeouts) -> Option<Reason> {
+    /// Returns why the connection must be closed, if it must whatever else is open; `is_short` says
+    /// whether permits run short.
+    pub(super) fn expiry(
+        &self,
+        now: Duration,
+        timeouts: Timeouts,
+        is_short: bool,
+    ) -> Option<Reason> {
         let is_over = |since: Duration, limit: Duration| now.saturating_sub(since) >= limit;
         if self
             .blocked_since
@@ -160,7 +170,10 @@
                 (!is_peer && is_over(self.since, timeouts.idle)).then_some(Reason::IdleTimeout)
             }
             Phase::Head => is_over(self.since, header).then_some(Reason::HeadTimeout),
-            Phase::Body => is_over(self.calm.at, CALM_WINDOW).then_some(Reason::SlowBody),
+            Phase::Body => {
+                let window = if is_short { BODY_WINDOW } else { CALM_WINDOW };
+                is_over(self.body.at, window).then_some(Reason::SlowBody)
+            }
             Phase::Serving | Phase::Answering => None,
         }
     }
--- a/crates/hyssop-policy/src/intake/gate.rs
+++ b/crates/hyssop-policy/src/intake/gate.rs
@@ -216,7 +216,8 @@
     pub fn sweep(&mut self, now: Duration, timeouts: Timeouts) -> Vec<(Key, Reason)> {
         let mut closed: Vec<(Key, Reason)> = Vec::new();
         for (key, connection) in &self.connections {
-            if let Some(reason) = connection.expiry(now, timeouts) {
+            let is_short = self.is_short(connection.listener);
+            if let Some(reason) = connection.expiry(now, timeouts, is_short) {
                 closed.push((*key, reason));
             }
         }
@@ -276,7 +277,9 @@
     /// have arrived since, and may run.
     pub fn is_due(&self, key: Key, now: Duration, timeouts: Timeouts) -> bool {
         self.connections.get(&key).is_some_and(|connection| {
-            connection.expiry(now, timeouts).is_some() || connection.slow_since(now).is_some()
+            let is_short = self.is_short(connection.listener);
+            let expiry = connection.expiry(now, timeouts, is_short);
+            expiry.is_some() || connection.slow_since(now).is_some()
         })
     }
 
@@ -338,6 +341,16 @@
             .collect()
     }
 
+    /// Returns whether a listener's connections, or its bytes, run short.
+    fn is_short(&self, listener: Listener) -> bool {
+        let (bytes, capacity) = match listener {
+            Listener::Peers => (self.peer_bytes, self.capacity.peer_bytes),
+            _ => (self.bytes, self.capacity.bytes),
+        };
+        let connections = part(self.capacity.connections(listener), SHORT_CONNECTIONS);
+        bytes >= part(capacity, SHORT_BYTES) || self.connections(listener) >= connections
+    }
+
     fn bytes_mut(&mut self, listener: Listener) -> &mut usize {
         match listener {
             Listener::Peers => &mut self.peer_bytes,
--- a/crates/hyssop-policy/src/intake/mod.rs
+++ b/crates/hyssop-policy/src/intake/mod.rs
@@ -13,7 +13,7 @@
 mod weight;
 
 pub use capacity::Capacity;
-pub use connection::Timeouts;
+pub use connection::{Timeouts, BODY_TIMEOUT};
 pub use gate::{Gate, Key, Shortage};
 pub use listener::Listener;
 pub use pace::Pace;
