intake: the wait for a turn is bounded and doesn't count as slowness

A body that was given up while it waited for its turn left its units behind, so that the debt grew without bound and others waited ever longer. The wait also counted as the caller's lack of progress. Dropping the body of a denied request took turns too.

A wait of more than 0.5 s in a shortage may still end the connection while it lasts.

pace_makes_nobody_wait_for_longer_than_a_second: failed before, passes now. pause_that_the_caller_has_not_caused_is_no_lack_of_progress covers the new call and passes.

--- a/crates/hyssop-edge/src/intake/body.rs
+++ b/crates/hyssop-edge/src/intake/body.rs
@@ -56,19 +56,18 @@
         body
     }
 
-    /// Reads and drops up to `limit` bytes of the body, which takes no permit.
+    /// Reads and drops up to `limit` bytes of the body in up to [`FREE_FRAMES`] frames, which takes
+    /// neither a permit nor a turn.
     pub(crate) async fn discard(mut self, limit: usize) {
         let mut left = limit;
-        let mut frames = 0;
-        while let Some(Ok(frame)) = self.incoming.frame().await {
+        for _ in 0..FREE_FRAMES {
+            let Some(Ok(frame)) = self.incoming.frame().await else {
+                return;
+            };
             let Some(rest) = left.checked_sub(frame.data_ref().map_or(0, bytes::Bytes::len)) else {
                 return;
             };
             left = rest;
-            frames += 1;
-            if frames % FRAMES_PER_TURN == 0 {
-                self.permit.guard().turn(FRAMES_PER_TURN).await;
-            }
         }
     }
 
@@ -94,7 +93,7 @@
             body.append(&data, limit)?;
             frames += 1;
             if frames > FREE_FRAMES && frames % FRAMES_PER_TURN == 0 {
-                self.permit.guard().turn(FRAMES_PER_TURN).await;
+                self.permit.turn(FRAMES_PER_TURN).await;
             }
         }
         body.bytes.shrink_to_fit();
--- a/crates/hyssop-edge/src/intake/permit.rs
+++ b/crates/hyssop-edge/src/intake/permit.rs
@@ -68,6 +68,12 @@
         self.guard.gate().begin(self.key, self.guard.now());
     }
 
+    /// Waits until some frames of the body may be parsed.
+    pub(super) async fn turn(&self, frames: u32) {
+        self.guard.turn(frames).await;
+        self.guard.gate().resume(self.key, self.guard.now());
+    }
+
     /// Records that a request is complete.
     pub(crate) fn serve(&self) {
         self.guard.gate().serve(self.key, self.guard.now());
--- a/crates/hyssop-policy/src/intake/connection.rs
+++ b/crates/hyssop-policy/src/intake/connection.rs
@@ -100,6 +100,11 @@
     pub(super) fn enter(&mut self, phase: Phase, now: Duration) {
         self.phase = phase;
         self.since = now;
+        self.resume(now);
+    }
+
+    /// Measures progress from now on, after a pause that the caller has not caused.
+    pub(super) fn resume(&mut self, now: Duration) {
         self.short = Progress { at: now, bytes: 0 };
         self.body = self.short;
     }
--- a/crates/hyssop-policy/src/intake/gate.rs
+++ b/crates/hyssop-policy/src/intake/gate.rs
@@ -135,6 +135,13 @@
         self.enter(key, Phase::Body, now);
     }
 
+    /// Records the end of a pause in which nothing was read from a connection.
+    pub fn resume(&mut self, key: Key, now: Duration) {
+        if let Some(connection) = self.connections.get_mut(&key) {
+            connection.resume(now);
+        }
+    }
+
     /// Takes a permit for bytes of a request.
     ///
     /// # Errors
--- a/crates/hyssop-policy/src/intake/pace.rs
+++ b/crates/hyssop-policy/src/intake/pace.rs
@@ -1,5 +1,9 @@
 use std::time::Duration;
 
+/// The longest wait. Units stay taken when a wait is given up, so that without a bound all others would
+/// wait for work that is never done.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
 /// Bounds the rate of work that callers cause, by the time at which each piece of it may go on.
 #[derive(Clone, Debug)]
 pub struct Pace {
@@ -21,7 +25,8 @@
     /// Takes `units` and returns how long to wait before they may be used.
     pub fn take(&mut self, units: u32, now: Duration) -> Duration {
         let earliest = now.saturating_sub(self.burst);
-        self.next_at = self.next_at.max(earliest) + self.interval * units;
+        let next_at = self.next_at.max(earliest) + self.interval * units;
+        self.next_at = next_at.min(now + MAX_WAIT);
         self.next_at.saturating_sub(now)
     }
 }
--- a/crates/hyssop-policy/tests/intake.rs
+++ b/crates/hyssop-policy/tests/intake.rs
@@ -278,3 +278,27 @@
     assert_eq!(pace.take(50, at(1_000)), at(50));
     assert_eq!(pace.take(50, at(1_100)), Duration::ZERO);
 }
+
+/// A body that waited for its turn was taken for one whose caller is slow.
+#[test]
+fn pause_that_the_caller_has_not_caused_is_no_lack_of_progress() {
+    let mut gate = Gate::new(CAPACITY);
+    let keys: Vec<Key> = (0..4).map(|_| begun(&mut gate, at(0))).collect();
+    for key in &keys {
+        gate.hold(*key, BODY).expect("a permit");
+    }
+    gate.resume(keys[0], at(600));
+    let closed = gate.sweep(at(700), TIMEOUTS);
+    assert_eq!(reason_of(&closed, keys[0]), None);
+    assert!(!closed.is_empty());
+}
+
+/// Bodies that were given up left their units behind, so that others waited ever longer.
+#[test]
+fn pace_makes_nobody_wait_for_longer_than_a_second() {
+    let mut pace = Pace::new(1_000, at(100));
+    for _ in 0..100 {
+        assert!(pace.take(100, at(1_000)) <= at(1_000));
+    }
+    assert_eq!(pace.take(100, at(2_100)), Duration::ZERO);
+}
