intake: a shortage also closes the requests that held bytes for longest

Callers that trickled just above the minimum progress held all bytes for as long as they liked, and a response of any status made a connection one of those that are closed last.

In a shortage of bytes, once the slow connections are named and too much is still held, incomplete requests are named by bytes x time, from 3 s on, with the reason long-while-bytes-short. A connection counts as proven only after a complete request that was answered with success.

shortage_of_bytes_closes_the_requests_that_held_them_for_longest and connection_is_kept_in_a_shortage_only_after_a_request_with_success pass.

--- a/crates/hyssop-edge/src/front/server.rs
+++ b/crates/hyssop-edge/src/front/server.rs
@@ -200,7 +200,7 @@
         let answered = handle(request.map(|body| Inbound::new(body, permit.clone())));
         async move {
             let response = answered.await;
-            permit.answer();
+            permit.answer(response.status().is_success());
             Ok::<_, Infallible>(response)
         }
     });
--- a/crates/hyssop-edge/src/intake/permit.rs
+++ b/crates/hyssop-edge/src/intake/permit.rs
@@ -79,10 +79,11 @@
         self.guard.gate().serve(self.key, self.guard.now());
     }
 
-    /// Records that a response is ready.
-    pub(crate) fn answer(&self) {
+    /// Records that a response is ready, and whether it tells of success.
+    pub(crate) fn answer(&self, is_success: bool) {
         self.is_answering.set(true);
-        self.guard.gate().answer(self.key, self.guard.now());
+        let now = self.guard.now();
+        self.guard.gate().answer(self.key, is_success, now);
     }
 
     /// Records that all that was ready is written.
--- a/crates/hyssop-policy/src/intake/connection.rs
+++ b/crates/hyssop-policy/src/intake/connection.rs
@@ -7,6 +7,9 @@
 /// limits sends a request in a few packets.
 const SHORT_BYTES: usize = 512;
 pub(super) const SHORT_WINDOW: Duration = Duration::from_millis(500);
+/// How long an incomplete request may hold bytes while they run short, whatever its progress: as long as
+/// a caller waits by default.
+const HOLD_GRACE: Duration = Duration::from_secs(3);
 /// While permits run short, also a body that holds none must bring this much in [`BODY_WINDOW`], which is
 /// longer than a caller waits by default, 3 s.
 const BODY_BYTES: usize = 16;
@@ -73,8 +76,10 @@
     pub(super) held: usize,
     /// Those of them that are for the head or frame.
     head_held: usize,
-    /// Whether one of its requests has been served.
+    /// Whether one of its requests was answered with success, or one of its frames was valid.
     pub(super) is_proven: bool,
+    /// Whether the response that is written tells of success.
+    is_success: bool,
     short: Progress,
     body: Progress,
     blocked_since: Option<Duration>,
@@ -91,6 +96,7 @@
             held: 0,
             head_held: 0,
             is_proven: false,
+            is_success: false,
             short: progress,
             body: progress,
             blocked_since: None,
@@ -148,6 +154,27 @@
         (now.saturating_sub(since) >= SHORT_WINDOW).then_some(since)
     }
 
+    /// Records that a response is ready. A probe has no body that is read.
+    pub(super) fn answer(&mut self, is_success: bool, now: Duration) {
+        let is_complete = self.phase == Phase::Serving || self.listener == Listener::Probes;
+        self.is_success = is_success && is_complete;
+        self.enter(Phase::Answering, now);
+    }
+
+    /// Ends a response, once it is written.
+    pub(super) fn end_answer(&mut self) {
+        self.is_proven |= std::mem::take(&mut self.is_success);
+    }
+
+    /// Returns the bytes that an incomplete request holds, in byte-milliseconds; `None` if the request
+    /// is complete, or within the time that each may take.
+    pub(super) fn occupancy(&self, now: Duration) -> Option<u128> {
+        let age = now.saturating_sub(self.since);
+        let is_incomplete = matches!(self.phase, Phase::Head | Phase::Body);
+        (is_incomplete && self.held > 0 && age >= HOLD_GRACE)
+            .then(|| self.held as u128 * age.as_millis())
+    }
+
     /// Returns why the connection must be closed, if it must whatever else is open; `is_short` says
     /// whether permits run short.
     pub(super) fn expiry(
--- a/crates/hyssop-policy/src/intake/gate.rs
+++ b/crates/hyssop-policy/src/intake/gate.rs
@@ -1,5 +1,6 @@
 use super::connection::{Connection, Phase};
 use super::{Capacity, Listener, Reason, Timeouts};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use strum::VariantArray;
@@ -185,20 +186,23 @@
         self.enter(key, Phase::Serving, now);
     }
 
-    /// Records that a response is ready to be written.
-    pub fn answer(&mut self, key: Key, now: Duration) {
-        self.enter(key, Phase::Answering, now);
+    /// Records that a response is ready to be written, and whether it tells of success.
+    pub fn answer(&mut self, key: Key, is_success: bool, now: Duration) {
+        if let Some(connection) = self.connections.get_mut(&key) {
+            connection.answer(is_success, now);
+        }
     }
 
     /// Records that all that was ready is written.
     pub fn flush(&mut self, key: Key, now: Duration) {
-        let connection = self.connections.get(&key);
-        if connection.is_some_and(|connection| connection.phase == Phase::Answering) {
-            self.finish(key, now);
+        let connection = self.connections.get_mut(&key);
+        if let Some(connection) = connection.filter(|found| found.phase == Phase::Answering) {
+            connection.end_answer();
+            self.rest(key, now);
         }
     }
 
-    /// Records the end of a request, or of a peer's frame.
+    /// Records the end of a valid frame of a peer.
     pub fn finish(&mut self, key: Key, now: Duration) {
         self.rest(key, now);
         if let Some(connection) = self.connections.get_mut(&key) {
@@ -276,6 +280,22 @@
                     closed.push((key, Reason::SlowWhileBytesShort));
                 }
             }
+            let known: BTreeSet<Key> = closed.iter().map(|(key, _)| *key).collect();
+            let mut longest: Vec<_> = self
+                .connections
+                .iter()
+                .filter(|(key, connection)| is_of(connection) && !known.contains(key))
+                .filter_map(|(key, connection)| {
+                    Some((connection.occupancy(now)?, *key, connection))
+                })
+                .collect();
+            longest.sort_by_key(|(occupancy, key, _)| (Reverse(*occupancy), *key));
+            for (_, key, connection) in longest {
+                if left > part(capacity, CALM_BYTES) {
+                    left -= connection.held;
+                    closed.push((key, Reason::LongWhileBytesShort));
+                }
+            }
         }
         closed
     }
@@ -286,7 +306,8 @@
         self.connections.get(&key).is_some_and(|connection| {
             let is_short = self.is_short(connection.listener);
             let expiry = connection.expiry(now, timeouts, is_short);
-            expiry.is_some() || connection.slow_since(now).is_some()
+            let is_long = is_short && connection.occupancy(now).is_some();
+            expiry.is_some() || is_long || connection.slow_since(now).is_some()
         })
     }
 
--- a/crates/hyssop-policy/src/intake/reason.rs
+++ b/crates/hyssop-policy/src/intake/reason.rs
@@ -10,6 +10,8 @@
     SlowWhileConnectionsShort,
     /// The connection made too little progress while bytes ran short.
     SlowWhileBytesShort,
+    /// An incomplete request held bytes for longest while bytes ran short.
+    LongWhileBytesShort,
     /// The head, or a frame of a peer, did not end in time.
     HeadTimeout,
     /// No request came for too long.
--- a/crates/hyssop-policy/tests/intake.rs
+++ b/crates/hyssop-policy/tests/intake.rs
@@ -70,7 +70,7 @@
                 3 => gate.begin(key, now),
                 4 => { let _ = gate.hold(key, amount); }
                 5 => gate.release(key, amount),
-                6 => { gate.serve(key, now); gate.answer(key, now); gate.flush(key, now); }
+                6 => { gate.serve(key, now); gate.answer(key, amount % 2 == 0, now); gate.flush(key, now); }
                 7 => gate.set_blocked(key, amount % 2 == 0, now),
                 _ => for (key, _) in gate.sweep(now, TIMEOUTS) {
                     gate.close(key);
@@ -131,7 +131,7 @@
     let mut gate = Gate::new(CAPACITY);
     let kept = begun(&mut gate, at(0));
     gate.serve(kept, at(0));
-    gate.answer(kept, at(0));
+    gate.answer(kept, true, at(0));
     gate.flush(kept, at(0));
     while gate.has_room(Listener::Callers) {
         open(&mut gate, at(100));
@@ -201,6 +201,47 @@
     }
 }
 
+/// Callers that trickled just above the minimum progress held all bytes for as long as they liked.
+#[test]
+fn shortage_of_bytes_closes_the_requests_that_held_them_for_longest() {
+    let mut gate = Gate::new(CAPACITY);
+    let trickling: Vec<Key> = (0..4)
+        .map(|second| begun(&mut gate, at(second * 1_000)))
+        .collect();
+    for key in &trickling {
+        gate.hold(*key, BODY).expect("a permit");
+    }
+    let mut sweep = |ms| {
+        for key in &trickling {
+            gate.receive(*key, 512, at(ms)).expect("a permit");
+        }
+        let closed = gate.sweep(at(ms), TIMEOUTS);
+        closed.into_iter().map(|(key, _)| key).collect::<Vec<_>>()
+    };
+    assert_eq!(sweep(2_900), []);
+    assert_eq!(sweep(3_100), trickling[..1]);
+    assert_eq!(sweep(6_000), trickling[..2]);
+}
+
+/// A refused request made its connection one that is closed last.
+#[test]
+fn connection_is_kept_in_a_shortage_only_after_a_request_with_success() {
+    for (is_served, is_success) in [(true, false), (false, true), (true, true)] {
+        let mut gate = Gate::new(CAPACITY);
+        let first = begun(&mut gate, at(0));
+        if is_served {
+            gate.serve(first, at(0));
+        }
+        gate.answer(first, is_success, at(0));
+        gate.flush(first, at(0));
+        while gate.has_room(Listener::Callers) {
+            open(&mut gate, at(100));
+        }
+        let is_closed = reason_of(&gate.sweep(at(700), TIMEOUTS), first).is_some();
+        assert_eq!(is_closed, !(is_served && is_success));
+    }
+}
+
 /// Callers that used up all bytes cut off every link from a peer, and with it leases and failover.
 #[test]
 fn peers_keep_their_bytes_and_links_while_callers_use_up_theirs() {
