front: a refusal for too many bytes is sent after the body was dropped

A body that was refused for its size, or for lack of a permit, stayed unread. The kernel then reset the connection when it was closed, and the response could be lost.

A caller that waits for 100-continue is answered at once.

The loss depends on timing, so that there is no test that fails before.

--- a/crates/hyssop-edge/src/front/discard.rs
+++ b/crates/hyssop-edge/src/front/discard.rs
@@ -14,6 +14,11 @@
     if request.headers().contains_key(EXPECT) {
         return;
     }
+    discard_body(request.into_body(), limit).await;
+}
+
+/// Reads and drops up to `limit` bytes of the rest of a body that its caller sends without waiting.
+pub(super) async fn discard_body(body: Inbound, limit: usize) {
     // What arrives later is lost with the connection.
-    let _ = tokio::time::timeout(DISCARD_TIME, request.into_body().discard(limit)).await;
+    let _ = tokio::time::timeout(DISCARD_TIME, body.discard(limit)).await;
 }
--- a/crates/hyssop-edge/src/front/handler.rs
+++ b/crates/hyssop-edge/src/front/handler.rs
@@ -1,4 +1,4 @@
-use super::discard::discard;
+use super::discard::{discard, discard_body};
 use super::gate::{Caller, Denial};
 use crate::intake::{Body, Inbound};
 use crate::node::{Endpoint, Node, Route, Stage};
@@ -6,7 +6,7 @@
 use crate::peer::{Answer, Operation};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{HeaderValue, CONTENT_TYPE, HOST, RETRY_AFTER, WWW_AUTHENTICATE};
+use hyper::header::{HeaderValue, CONTENT_TYPE, EXPECT, HOST, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Method, Request, Response, StatusCode};
 use hyssop_model::work::{Address, Queue, Submission};
 use hyssop_policy::account::Credential;
@@ -84,10 +84,20 @@
         return error_response(&node, StatusCode::BAD_REQUEST, reason, 0);
     }
     let method = request.method().clone();
+    let is_awaited = request.headers().contains_key(EXPECT);
+    let mut inbound = request.into_body();
     // A connection that is closed before the body is read may lose the answer.
     let body = tokio::select! {
         biased;
-        body = request.into_body().read(limit, deadline) => body,
+        body = async {
+            let body = inbound.read(limit, deadline).await;
+            let is_unread = matches!(body, Err(Reason::NoBytes | Reason::BodyTooLarge));
+            // A body that is refused as too large exceeds the limit by itself.
+            if is_unread && !is_awaited {
+                discard_body(inbound, limit.saturating_mul(2)).await;
+            }
+            body
+        } => body,
         () = node.reached(Stage::Final) => return refuse_while_stopping(&node, &method, &caller.path),
     };
     // The configuration may have changed while the body was read.
--- a/crates/hyssop-edge/src/intake/body.rs
+++ b/crates/hyssop-edge/src/intake/body.rs
@@ -40,7 +40,7 @@
     /// # Errors
     ///
     /// Returns the reason of the refusal; the request has not run then.
-    pub(crate) async fn read(self, limit: usize, deadline: Duration) -> Result<Body, Reason> {
+    pub(crate) async fn read(&mut self, limit: usize, deadline: Duration) -> Result<Body, Reason> {
         let permit = self.permit.clone();
         let guard = permit.guard().clone();
         let time = deadline.saturating_sub(guard.now());
@@ -71,7 +71,7 @@
         }
     }
 
-    async fn collect(mut self, limit: usize) -> Result<Body, Reason> {
+    async fn collect(&mut self, limit: usize) -> Result<Body, Reason> {
         let declared = self.incoming.size_hint().exact();
         let declared = declared.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
         if declared.is_some_and(|bytes| bytes > limit) {
