--- a/crates/hyssop-edge/src/intake/body.rs
+++ b/crates/hyssop-edge/src/intake/body.rs
@@ -2,7 +2,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyssop_model::work::Submission;
-use hyssop_policy::intake::{decoded_bytes, Reason};
+use hyssop_policy::intake::{decoded_bytes, Reason, BODY_TIMEOUT};
 use std::ops::Deref;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,10 +40,11 @@
     /// # Errors
     ///
     /// Returns the reason of the refusal; the request has not run then.
-    pub(crate) async fn read(self, limit: usize, deadline: Duration) -> Result<Body, Reason> {
+    pub(crate) async fn read(&mut self, limit: usize, deadline: Duration) -> Result<Body, Reason> {
         let permit = self.permit.clone();
         let guard = permit.guard().clone();
-        let time = deadline.saturating_sub(guard.now()).max(MIN_TIME);
+        let time = deadline.saturating_sub(guard.now());
+        let time = time.clamp(MIN_TIME, BODY_TIMEOUT);
         let read = tokio::time::timeout(time, self.collect(limit)).await;
         let body = read.unwrap_or(Err(Reason::BodyTimeout));
         match &body {
@@ -55,23 +56,22 @@
         body
     }
 
-    /// Reads and drops up to `limit` bytes of the body, which takes no permit.
+    /// Reads and drops up to `limit` bytes of the body in up to [`FREE_FRAMES`] frames, which takes
+    /// neither a permit nor a turn.
     pub(crate) async fn discard(mut self, limit: usize) {
         let mut left = limit;
-        let mut frames = 0;
-        while let Some(Ok(frame)) = self.incoming.frame().await {
+        for _ in 0..FREE_FRAMES {
+            let Some(Ok(frame)) = self.incoming.frame().await else {
+                return;
+            };
             let Some(rest) = left.checked_sub(frame.data_ref().map_or(0, bytes::Bytes::len)) else {
                 return;
             };
             left = rest;
-            frames += 1;
-            if frames % FRAMES_PER_TURN == 0 {
-                self.permit.guard().turn(FRAMES_PER_TURN).await;
-            }
         }
     }
 
-    async fn collect(mut self, limit: usize) -> Result<Body, Reason> {
+    async fn collect(&mut self, limit: usize) -> Result<Body, Reason> {
         let declared = self.incoming.size_hint().exact();
         let declared = declared.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
         if declared.is_some_and(|bytes| bytes > limit) {
@@ -93,7 +93,7 @@
             body.append(&data, limit)?;
             frames += 1;
             if frames > FREE_FRAMES && frames % FRAMES_PER_TURN == 0 {
-                self.permit.guard().turn(FRAMES_PER_TURN).await;
+                self.permit.turn(FRAMES_PER_TURN).await;
             }
         }
         body.bytes.shrink_to_fit();
@@ -109,7 +109,8 @@
         if length > self.hold.bytes() {
             let wanted = length
                 .next_power_of_two()
-                .clamp(FIRST_BYTES, limit.max(length));
+                .max(FIRST_BYTES)
+                .min(limit.max(length));
             self.hold.extend(wanted - self.hold.bytes())?;
             self.bytes.reserve_exact(wanted - self.bytes.len());
         }
--- a/crates/hyssop-edge/src/intake/permit.rs
+++ b/crates/hyssop-edge/src/intake/permit.rs
@@ -68,15 +68,22 @@
         self.guard.gate().begin(self.key, self.guard.now());
     }
 
+    /// Waits until some frames of the body may be parsed.
+    pub(super) async fn turn(&self, frames: u32) {
+        self.guard.turn(frames).await;
+        self.guard.gate().resume(self.key, self.guard.now());
+    }
+
     /// Records that a request is complete.
     pub(crate) fn serve(&self) {
         self.guard.gate().serve(self.key, self.guard.now());
     }
 
-    /// Records that a response is ready.
-    pub(crate) fn answer(&self) {
+    /// Records that a response is ready, and whether it tells of success.
+    pub(crate) fn answer(&self, is_success: bool) {
         self.is_answering.set(true);
-        self.guard.gate().answer(self.key, self.guard.now());
+        let now = self.guard.now();
+        self.guard.gate().answer(self.key, is_success, now);
     }
 
     /// Records that all that was ready is written.
--- a/crates/hyssop-policy/src/intake/connection.rs
+++ b/crates/hyssop-policy/src/intake/connection.rs
@@ -7,10 +7,17 @@
 /// limits sends a request in a few packets.
 const SHORT_BYTES: usize = 512;
 pub(super) const SHORT_WINDOW: Duration = Duration::from_millis(500);
-/// Otherwise a body must bring this much in [`CALM_WINDOW`], which is longer than a caller waits by
-/// default, 3 s.
-const CALM_BYTES: usize = 16;
-const CALM_WINDOW: Duration = Duration::from_secs(5);
+/// How long an incomplete request may hold bytes while they run short, whatever its progress: as long as
+/// a caller waits by default.
+const HOLD_GRACE: Duration = Duration::from_secs(3);
+/// While permits run short, also a body that holds none must bring this much in [`BODY_WINDOW`], which is
+/// longer than a caller waits by default, 3 s.
+const BODY_BYTES: usize = 16;
+const BODY_WINDOW: Duration = Duration::from_secs(5);
+/// The longest time for a body, whatever its caller's deadline. Without a shortage a body may stop for as
+/// long, and some time more, in which it is refused with the status for its deadline.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+const CALM_WINDOW: Duration = BODY_TIMEOUT.saturating_add(BODY_WINDOW);
 /// The time for a frame of a peer, which waits 1.2 s for the answer.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(5);
 /// The time in which a caller must take some of its responses; they fit into the system's buffers unless
@@ -69,10 +76,12 @@
     pub(super) held: usize,
     /// Those of them that are for the head or frame.
     head_held: usize,
-    /// Whether one of its requests has been served.
+    /// Whether one of its requests was answered with success, or one of its frames was valid.
     pub(super) is_proven: bool,
+    /// Whether the response that is written tells of success.
+    is_success: bool,
     short: Progress,
-    calm: Progress,
+    body: Progress,
     blocked_since: Option<Duration>,
 }
 
@@ -87,8 +96,9 @@
             held: 0,
             head_held: 0,
             is_proven: false,
+            is_success: false,
             short: progress,
-            calm: progress,
+            body: progress,
             blocked_since: None,
         }
     }
@@ -96,8 +106,13 @@
     pub(super) fn enter(&mut self, phase: Phase, now: Duration) {
         self.phase = phase;
         self.since = now;
+        self.resume(now);
+    }
+
+    /// Measures progress from now on, after a pause that the caller has not caused.
+    pub(super) fn resume(&mut self, now: Duration) {
         self.short = Progress { at: now, bytes: 0 };
-        self.calm = self.short;
+        self.body = self.short;
     }
 
     /// Records bytes from the caller and returns for how many more of them a permit is needed.
@@ -106,7 +121,7 @@
             self.enter(Phase::Head, now);
         }
         self.short.record(count, SHORT_BYTES, now);
-        self.calm.record(count, CALM_BYTES, now);
+        self.body.record(count, BODY_BYTES, now);
         if self.phase != Phase::Head {
             return 0;
         }
@@ -139,8 +154,35 @@
         (now.saturating_sub(since) >= SHORT_WINDOW).then_some(since)
     }
 
-    /// Returns why the connection must be closed, if it must also without a shortage.
-    pub(super) fn expiry(&self, now: Duration, timeouts: Timeouts) -> Option<Reason> {
+    /// Records that a response is ready. A probe has no body that is read.
+    pub(super) fn answer(&mut self, is_success: bool, now: Duration) {
+        let is_complete = self.phase == Phase::Serving || self.listener == Listener::Probes;
+        self.is_success = is_success && is_complete;
+        self.enter(Phase::Answering, now);
+    }
+
+    /// Ends a response, once it is written.
+    pub(super) fn end_answer(&mut self) {
+        self.is_proven |= std::mem::take(&mut self.is_success);
+    }
+
+    /// Returns the bytes that an incomplete request holds, in byte-milliseconds; `None` if the request
+    /// is complete, or within the time that each may take.
+    pub(super) fn occupancy(&self, now: Duration) -> Option<u128> {
+        let age = now.saturating_sub(self.since);
+        let is_incomplete = matches!(self.phase, Phase::Head | Phase::Body);
+        (is_incomplete && self.held > 0 && age >= HOLD_GRACE)
+            .then(|| self.held as u128 * age.as_millis())
+    }
+
+    /// Returns why the connection must be closed, if it must whatever else is open; `is_short` says
+    /// whether permits run short.
+    pub(super) fn expiry(
+        &self,
+        now: Duration,
+        timeouts: Timeouts,
+        is_short: bool,
+    ) -> Option<Reason> {
         let is_over = |since: Duration, limit: Duration| now.saturating_sub(since) >= limit;
         if self
             .blocked_since
@@ -160,7 +202,10 @@
                 (!is_peer && is_over(self.since, timeouts.idle)).then_some(Reason::IdleTimeout)
             }
             Phase::Head => is_over(self.since, header).then_some(Reason::HeadTimeout),
-            Phase::Body => is_over(self.calm.at, CALM_WINDOW).then_some(Reason::SlowBody),
+            Phase::Body => {
+                let window = if is_short { BODY_WINDOW } else { CALM_WINDOW };
+                is_over(self.body.at, window).then_some(Reason::SlowBody)
+            }
             Phase::Serving | Phase::Answering => None,
         }
     }
--- a/crates/hyssop-policy/src/intake/gate.rs
+++ b/crates/hyssop-policy/src/intake/gate.rs
@@ -1,5 +1,6 @@
 use super::connection::{Connection, Phase};
 use super::{Capacity, Listener, Reason, Timeouts};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use strum::VariantArray;
@@ -42,8 +43,9 @@
     connections: BTreeMap<Key, Connection>,
     counts: BTreeMap<Listener, usize>,
     bytes: usize,
-    /// Since when a resource is short; the bytes are under `None`.
-    short_since: BTreeMap<Option<Listener>, Duration>,
+    peer_bytes: usize,
+    /// Since when a resource is short.
+    short_since: BTreeMap<&'static str, Duration>,
 }
 
 impl Gate {
@@ -55,6 +57,7 @@
             connections: BTreeMap::new(),
             counts: BTreeMap::new(),
             bytes: 0,
+            peer_bytes: 0,
             short_since: BTreeMap::new(),
         }
     }
@@ -64,11 +67,16 @@
         self.capacity
     }
 
-    /// Returns the bytes for which permits are held.
+    /// Returns the bytes for which callers and probes hold permits.
     pub fn bytes(&self) -> usize {
         self.bytes
     }
 
+    /// Returns the bytes for which peers hold permits.
+    pub fn peer_bytes(&self) -> usize {
+        self.peer_bytes
+    }
+
     /// Returns the number of a listener's connections.
     pub fn connections(&self, listener: Listener) -> usize {
         self.counts.get(&listener).copied().unwrap_or(0)
@@ -96,7 +104,7 @@
         let Some(connection) = self.connections.remove(&key) else {
             return;
         };
-        self.bytes -= connection.held;
+        *self.bytes_mut(connection.listener) -= connection.held;
         if let Some(count) = self.counts.get_mut(&connection.listener) {
             *count -= 1;
         }
@@ -128,6 +136,13 @@
         self.enter(key, Phase::Body, now);
     }
 
+    /// Records the end of a pause in which nothing was read from a connection.
+    pub fn resume(&mut self, key: Key, now: Duration) {
+        if let Some(connection) = self.connections.get_mut(&key) {
+            connection.resume(now);
+        }
+    }
+
     /// Takes a permit for bytes of a request.
     ///
     /// # Errors
@@ -139,16 +154,20 @@
         };
         let held = connection.held.saturating_add(bytes);
         let limit = match connection.listener {
-            Listener::Peers if connection.is_proven => self.capacity.bytes / 2,
-            Listener::Peers => self.capacity.bytes / 4,
+            Listener::Peers if connection.is_proven => self.capacity.peer_bytes,
+            Listener::Peers => self.capacity.peer_bytes / 2,
             _ if held <= ORDINARY_BYTES => self.capacity.bytes,
             _ => self.capacity.bytes / 4 * 3,
         };
-        if self.bytes.saturating_add(bytes) > limit {
+        let total = match connection.listener {
+            Listener::Peers => &mut self.peer_bytes,
+            _ => &mut self.bytes,
+        };
+        if total.saturating_add(bytes) > limit {
             return Err(Reason::NoBytes);
         }
         connection.held = held;
-        self.bytes += bytes;
+        *total += bytes;
         Ok(())
     }
 
@@ -157,7 +176,8 @@
         if let Some(connection) = self.connections.get_mut(&key) {
             let released = bytes.min(connection.held);
             connection.held -= released;
-            self.bytes -= released;
+            let listener = connection.listener;
+            *self.bytes_mut(listener) -= released;
         }
     }
 
@@ -166,20 +186,23 @@
         self.enter(key, Phase::Serving, now);
     }
 
-    /// Records that a response is ready to be written.
-    pub fn answer(&mut self, key: Key, now: Duration) {
-        self.enter(key, Phase::Answering, now);
+    /// Records that a response is ready to be written, and whether it tells of success.
+    pub fn answer(&mut self, key: Key, is_success: bool, now: Duration) {
+        if let Some(connection) = self.connections.get_mut(&key) {
+            connection.answer(is_success, now);
+        }
     }
 
     /// Records that all that was ready is written.
     pub fn flush(&mut self, key: Key, now: Duration) {
-        let connection = self.connections.get(&key);
-        if connection.is_some_and(|connection| connection.phase == Phase::Answering) {
-            self.finish(key, now);
+        let connection = self.connections.get_mut(&key);
+        if let Some(connection) = connection.filter(|found| found.phase == Phase::Answering) {
+            connection.end_answer();
+            self.rest(key, now);
         }
     }
 
-    /// Records the end of a request, or of a peer's frame.
+    /// Records the end of a valid frame of a peer.
     pub fn finish(&mut self, key: Key, now: Duration) {
         self.rest(key, now);
         if let Some(connection) = self.connections.get_mut(&key) {
@@ -204,7 +227,8 @@
     pub fn sweep(&mut self, now: Duration, timeouts: Timeouts) -> Vec<(Key, Reason)> {
         let mut closed: Vec<(Key, Reason)> = Vec::new();
         for (key, connection) in &self.connections {
-            if let Some(reason) = connection.expiry(now, timeouts) {
+            let is_short = self.is_short(connection.listener);
+            if let Some(reason) = connection.expiry(now, timeouts, is_short) {
                 closed.push((*key, reason));
             }
         }
@@ -231,20 +255,47 @@
                 }
             }
         }
-        if self.bytes >= part(self.capacity.bytes, SHORT_BYTES) {
+        for (is_peers, held, capacity) in [
+            (false, self.bytes, self.capacity.bytes),
+            (true, self.peer_bytes, self.capacity.peer_bytes),
+        ] {
+            if held < part(capacity, SHORT_BYTES) {
+                continue;
+            }
+            let is_of = |connection: &Connection| {
+                connection.held > 0 && (connection.listener == Listener::Peers) == is_peers
+            };
             let known: BTreeSet<Key> = closed.iter().map(|(key, _)| *key).collect();
             let mut left: usize = self
                 .connections
                 .iter()
-                .filter(|(key, _)| !known.contains(key))
+                .filter(|(key, connection)| is_of(connection) && !known.contains(key))
                 .map(|(_, connection)| connection.held)
                 .sum();
             for (key, connection) in self.slow(now, &known) {
-                if connection.held > 0 && left > part(self.capacity.bytes, CALM_BYTES) {
+                // A link waits for its next frame while its requests hold bytes.
+                let is_link = is_peers && connection.is_proven;
+                if is_of(connection) && !is_link && left > part(capacity, CALM_BYTES) {
                     left -= connection.held;
                     closed.push((key, Reason::SlowWhileBytesShort));
                 }
             }
+            let known: BTreeSet<Key> = closed.iter().map(|(key, _)| *key).collect();
+            let mut longest: Vec<_> = self
+                .connections
+                .iter()
+                .filter(|(key, connection)| is_of(connection) && !known.contains(key))
+                .filter_map(|(key, connection)| {
+                    Some((connection.occupancy(now)?, *key, connection))
+                })
+                .collect();
+            longest.sort_by_key(|(occupancy, key, _)| (Reverse(*occupancy), *key));
+            for (_, key, connection) in longest {
+                if left > part(capacity, CALM_BYTES) {
+                    left -= connection.held;
+                    closed.push((key, Reason::LongWhileBytesShort));
+                }
+            }
         }
         closed
     }
@@ -253,7 +304,10 @@
     /// have arrived since, and may run.
     pub fn is_due(&self, key: Key, now: Duration, timeouts: Timeouts) -> bool {
         self.connections.get(&key).is_some_and(|connection| {
-            connection.expiry(now, timeouts).is_some() || connection.slow_since(now).is_some()
+            let is_short = self.is_short(connection.listener);
+            let expiry = connection.expiry(now, timeouts, is_short);
+            let is_long = is_short && connection.occupancy(now).is_some();
+            expiry.is_some() || is_long || connection.slow_since(now).is_some()
         })
     }
 
@@ -261,31 +315,37 @@
     pub fn shortages(&mut self, now: Duration) -> Vec<Shortage> {
         let listeners = Listener::VARIANTS.iter().map(|&listener| {
             let capacity = self.capacity.connections(listener);
-            (Some(listener), self.connections(listener), capacity)
+            let parts = (SHORT_CONNECTIONS, CALM_CONNECTIONS);
+            let name = <&str>::from(listener);
+            (name, self.connections(listener), capacity, parts)
         });
-        let resources: Vec<_> = listeners
-            .chain([(None, self.bytes, self.capacity.bytes)])
-            .collect();
+        let parts = (SHORT_BYTES, CALM_BYTES);
+        let bytes = [
+            ("bytes", self.bytes, self.capacity.bytes, parts),
+            (
+                "peer-bytes",
+                self.peer_bytes,
+                self.capacity.peer_bytes,
+                parts,
+            ),
+        ];
+        let resources: Vec<_> = listeners.chain(bytes).collect();
         let mut changes = Vec::new();
-        for (resource, held, capacity) in resources {
-            let (short, calm) = match resource {
-                Some(_) => (SHORT_CONNECTIONS, CALM_CONNECTIONS),
-                None => (SHORT_BYTES, CALM_BYTES),
-            };
-            let duration = match self.short_since.get(&resource) {
+        for (resource, held, capacity, (short, calm)) in resources {
+            let duration = match self.short_since.get(resource) {
                 None if held >= part(capacity, short) => {
                     self.short_since.insert(resource, now);
                     None
                 }
                 Some(since) if held <= part(capacity, calm) => {
                     let duration = now.saturating_sub(*since);
-                    self.short_since.remove(&resource);
+                    self.short_since.remove(resource);
                     Some(duration)
                 }
                 _ => continue,
             };
             changes.push(Shortage {
-                resource: resource.map_or("bytes", Into::into),
+                resource,
                 held,
                 capacity,
                 duration,
@@ -309,6 +369,23 @@
             .collect()
     }
 
+    /// Returns whether a listener's connections, or its bytes, run short.
+    fn is_short(&self, listener: Listener) -> bool {
+        let (bytes, capacity) = match listener {
+            Listener::Peers => (self.peer_bytes, self.capacity.peer_bytes),
+            _ => (self.bytes, self.capacity.bytes),
+        };
+        let connections = part(self.capacity.connections(listener), SHORT_CONNECTIONS);
+        bytes >= part(capacity, SHORT_BYTES) || self.connections(listener) >= connections
+    }
+
+    fn bytes_mut(&mut self, listener: Listener) -> &mut usize {
+        match listener {
+            Listener::Peers => &mut self.peer_bytes,
+            Listener::Callers | Listener::Probes => &mut self.bytes,
+        }
+    }
+
     fn end_head(&mut self, key: Key) {
         if let Some(connection) = self.connections.get_mut(&key) {
             let bytes = connection.end_head();
