--- a/crates/hyssop-policy/src/owner/quota.rs
+++ b/crates/hyssop-policy/src/owner/quota.rs
@@ -311,7 +311,7 @@
             .steps
             .iter()
             .filter(|step| step.gang && step.count > 1);
-        let widest = gangs.map(|step| share(&times(&step.need, step.count), &limit));
+        let widest = gangs.map(|step| share(&step.need.times(step.count), &limit));
         let widest = widest.max().filter(|widest| *widest > WHOLE)?;
         log::info!(
             "event=gang-exceeds-quota pool={} account={account} share={widest}",
@@ -343,7 +343,7 @@
             return true;
         };
         let amount = if step.gang {
-            times(&charge.amount, step.count)
+            charge.amount.times(step.count)
         } else {
             charge.amount
         };
@@ -472,7 +472,7 @@
                     for (step, stage) in job.submission.steps.iter().zip(&occurrence.stages) {
                         let tasks = stage.tasks.iter();
                         let count = tasks.filter(|task| task.state == State::Orphaned).count();
-                        usage.orphaned.add(&times(&step.need, count as u32));
+                        usage.orphaned.add(&step.need.times(count as u32));
                     }
                 }
             }
@@ -563,7 +563,7 @@
                 count.single.add(&step.need);
                 count.largest = largest(&count.largest, &step.need);
             } else if task.index == 0 {
-                let gang = times(&step.need, step.count);
+                let gang = step.need.times(step.count);
                 if free.fits(&Resources::default(), &gang) {
                     count.gangs.add(&gang);
                     count.widest = largest(&count.widest, &gang);
@@ -622,15 +622,6 @@
 }
 
 /// Returns `count` times an amount, stopping at the largest.
-fn times(amount: &Resources, count: u32) -> Resources {
-    let count = u64::from(count);
-    Resources {
-        cpu: amount.cpu.saturating_mul(count),
-        memory: amount.memory.saturating_mul(count),
-        accelerators: amount.accelerators.saturating_mul(count),
-    }
-}
-
 fn largest(a: &Resources, b: &Resources) -> Resources {
     Resources {
         cpu: a.cpu.max(b.cpu),
