--- a/crates/hyssop-edge/src/intake/guard.rs
+++ b/crates/hyssop-edge/src/intake/guard.rs
@@ -188,7 +188,16 @@
     fn log(&mut self, reason: Reason, now: Duration) {
         let is_due = |at: Duration| now.saturating_sub(at) >= LINE_INTERVAL;
         if self.count > 0 && self.logged_at.is_none_or(is_due) {
-            log::warn!("event=intake-refused reason={reason} count={}", self.count);
+            // Idle connections end on ordinary days too.
+            let level = match reason {
+                Reason::IdleTimeout => log::Level::Debug,
+                _ => log::Level::Warn,
+            };
+            log::log!(
+                level,
+                "event=intake-refused reason={reason} count={}",
+                self.count
+            );
             *self = Self {
                 logged_at: Some(now),
                 count: 0,
