--- a/crates/hyssop-edge/src/daemon/configuration.rs
+++ b/crates/hyssop-edge/src/daemon/configuration.rs
@@ -68,13 +68,13 @@
     let (rejections, now) = (&node.metrics.rejections, node.clock.now());
     if row.is_removed {
         if row.key.key == key {
-            node.gate.on_row(row.version, false);
+            node.keyring.on_row(row.version, false);
         }
         return;
     }
     if row.key.key == key {
         let read = node.dialect.read_configuration(&row.value);
-        node.gate.on_row(row.version, read.is_some());
+        node.keyring.on_row(row.version, read.is_some());
         match read {
             Some(configuration) => {
                 match configuration.rejected {
--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -1,7 +1,7 @@
 use super::addresses::follow_addresses;
 use super::configuration::{fetch_on_demand, follow_operators};
 use super::error::{Error, ListenSnafu, LogSnafu, RuntimeSnafu};
-use crate::front::{self, Gate, Traffic};
+use crate::front::{self, Keyring, Traffic};
 use crate::http::Client;
 use crate::intake::{self, Guard};
 use crate::metric::Metrics;
@@ -120,7 +120,7 @@
         metrics,
         guard,
         configuration: RefCell::default(),
-        gate: Gate::new(account::Bounds::new(
+        keyring: Keyring::new(account::Bounds::new(
             settings.requires_accounts(),
             settings.bounds.strict_revocation,
             Duration::from_millis(settings.bounds.revocation_ms),
@@ -181,7 +181,7 @@
             settings.orders
         );
     }
-    let max_age = node.gate.max_age();
+    let max_age = node.keyring.max_age();
     if max_age.is_some_and(|max_age| max_age < MIN_TRUSTED_AGE) {
         log::error!(
             "event=revocation-too-short revocation_ms={} \
--- a/crates/hyssop-edge/src/front/handler.rs
+++ b/crates/hyssop-edge/src/front/handler.rs
@@ -1,5 +1,5 @@
 use super::discard::{discard, discard_body};
-use super::gate::{Caller, Denial};
+use super::keyring::{Caller, Denial};
 use crate::intake::{Body, Inbound};
 use crate::node::{Endpoint, Node, Route, Stage};
 use crate::ownership::{locate_owner, report_owner};
--- a/crates/hyssop-edge/src/front/gate.rs
+++ b/crates/hyssop-edge/src/front/keyring.rs
@@ -8,7 +8,7 @@
 
 /// The keys of the configuration in force, and the limits within which they are accepted.
 #[derive(Default)]
-pub(crate) struct Gate {
+pub(crate) struct Keyring {
     bounds: Bounds,
     keys: RefCell<Option<Rc<Keys>>>,
     /// The newest version of the configuration's row that was read.
@@ -38,7 +38,7 @@
     allows_anonymous: bool,
 }
 
-impl Gate {
+impl Keyring {
     pub(crate) fn new(bounds: Bounds) -> Self {
         Self {
             bounds,
@@ -67,7 +67,7 @@
     /// Returns for how long a newer configuration may exist than the one in force, `None` if that is
     /// unknown or one exists that can't be read.
     pub(crate) fn age(node: &Node) -> Option<Duration> {
-        if node.gate.unreadable_row > node.gate.readable_row {
+        if node.keyring.unreadable_row > node.keyring.readable_row {
             return None;
         }
         let (table, _) = node.dialect.configuration_row();
@@ -124,14 +124,14 @@
             let queue = configuration.route(&self.host, &self.path);
             queue.map_or(self.allows_anonymous, |queue| queue.allows_anonymous)
         };
-        let keys = node.gate.keys.borrow().clone();
-        let age = Gate::age(node);
+        let keys = node.keyring.keys.borrow().clone();
+        let age = Keyring::age(node);
         let access = decide(
             keys.as_deref(),
             allows_anonymous,
             &self.credential,
             age,
-            &node.gate.bounds,
+            &node.keyring.bounds,
         );
         let denial = match access {
             Access::Account(account) => return Ok(Some(account.to_owned())),
@@ -139,7 +139,7 @@
             Access::Unauthorized(cause) => Denial::Unauthorized(cause),
             Access::Stale => Denial::Stale,
         };
-        node.gate.is_ready(node);
+        node.keyring.is_ready(node);
         self.record(node, denial, keys.as_deref(), age);
         Err(denial)
     }
--- a/crates/hyssop-edge/src/front/ready.rs
+++ b/crates/hyssop-edge/src/front/ready.rs
@@ -1,4 +1,4 @@
-use super::Gate;
+use super::Keyring;
 use crate::intake::Inbound;
 use crate::node::Node;
 use bytes::Bytes;
@@ -16,7 +16,7 @@
     if request.uri().path() == METRICS_PATH {
         node.metrics.set_terms(&node.status().owned);
         node.metrics.set_links(node.links.count());
-        node.metrics.set_configuration_age(Gate::age(&node));
+        node.metrics.set_configuration_age(Keyring::age(&node));
         node.metrics.forecasts.reset();
         for (pool, driver) in node.drivers.borrow().iter() {
             driver.report_forecasts(pool, &node.metrics.forecasts);
@@ -26,7 +26,7 @@
         return Response::new(Full::new(Bytes::from(node.metrics.text())));
     }
     let has_started = node.configuration.borrow().version > 0 && node.knows_pools();
-    let is_ready = has_started && !node.is_stopping.get() && node.gate.is_ready(&node);
+    let is_ready = has_started && !node.is_stopping.get() && node.keyring.is_ready(&node);
     let mut response = Response::new(Full::default());
     if !is_ready {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/hyssop-edge/src/front/trust.rs
+++ b/crates/hyssop-edge/src/front/trust.rs
@@ -1,4 +1,4 @@
-use super::Gate;
+use super::Keyring;
 use crate::node::Node;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -47,12 +47,12 @@
 /// Checks whether the configuration is trusted each time that this may have changed, so that the log
 /// shows it without any caller.
 pub(crate) async fn watch_trust(node: Rc<Node>) {
-    let Some(max_age) = node.gate.max_age() else {
+    let Some(max_age) = node.keyring.max_age() else {
         return;
     };
     loop {
-        let left = match Gate::age(&node) {
-            Some(age) if node.gate.is_ready(&node) => max_age.saturating_sub(age),
+        let left = match Keyring::age(&node) {
+            Some(age) if node.keyring.is_ready(&node) => max_age.saturating_sub(age),
             _ => Duration::ZERO,
         };
         tokio::time::sleep(left.max(CHECK_INTERVAL)).await;
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -1,5 +1,5 @@
 use super::{Clock, Member, Ownership, Route, Stage, TrackedWave};
-use crate::front::Gate;
+use crate::front::Keyring;
 use crate::http::Client;
 use crate::intake::Guard;
 use crate::metric::Metrics;
@@ -64,7 +64,7 @@
     pub(crate) guard: Rc<Guard>,
     pub(crate) configuration: RefCell<Rc<Configuration>>,
     /// The admission of callers.
-    pub(crate) gate: Gate,
+    pub(crate) keyring: Keyring,
     /// The pools that have jobs of each queue's address.
     pub(crate) directory: RefCell<Directory>,
     pub(crate) waves: RefCell<BTreeMap<u64, TrackedWave>>,
@@ -169,7 +169,7 @@
             &configuration,
             self.clock.now(),
         );
-        self.gate.configure(&configuration);
+        self.keyring.configure(&configuration);
         *self.configuration.borrow_mut() = Rc::new(configuration);
         let configuration = self.configuration.borrow().clone();
         for driver in self.drivers.borrow().values() {
