policy: bound the starts to one worker that are under way, and its runs

Callers saw the owner of a pool run out of memory: a job of 10,000 tasks that need neither CPU nor memory is a body of 100 bytes, and all of its tasks fit on one worker. All were started at once, each by a task of the process with its own call, and each worker's reports listed all of them.

A worker is given another start only while fewer than 128 have no answer and it has fewer than 1,024 runs. A worker of 64 cores reaches neither with tasks of half a core, or of a sixteenth of one. The members of a gang are started together whatever their number, since a part of one never ends.

On tasks_without_needs_are_not_all_started_at_once sees 5,000 starts at once, wanted 256; the test of gangs guards the exception.

--- a/crates/hyssop-policy/src/owner/placement.rs
+++ b/crates/hyssop-policy/src/owner/placement.rs
@@ -272,6 +272,11 @@
             if !worker.could_run(step) {
                 continue;
             }
+            // The members of a gang are started together or not at all.
+            let has_member = step.gang && runs_per_worker.contains_key(key);
+            if !has_member && !worker.has_room_for_start() {
+                continue;
+            }
             let runs_here = runs_per_worker.get(key).copied().unwrap_or(0);
             if step.max_per_worker > 0 && runs_here >= step.max_per_worker {
                 continue;
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -16,6 +16,13 @@
 const MIN_RELATIVE: f64 = 0.3;
 const MAX_RELATIVE: f64 = 3.0;
 
+/// The most runs on one worker; each is listed in every report. A worker of 64 cores has room for as many
+/// tasks of a sixteenth of a core.
+const MAX_RUNS: usize = 1_024;
+/// The most starts to one worker without an answer; each is a task of the owner's process. They are answered
+/// within milliseconds, and a worker of 64 cores has room for as many tasks of half a core.
+const MAX_OPEN_STARTS: usize = 128;
+
 /// One incarnation of a worker, as the pool's owner knows it.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -170,6 +177,14 @@
         self.stretched_until.is_some()
     }
 
+    /// Returns whether another start may be ordered: tasks that need nothing would all fit at once.
+    pub(super) fn has_room_for_start(&self) -> bool {
+        let is_open = |run: &&Run| !run.is_confirmed;
+        self.runs.len() < MAX_RUNS
+            && (self.runs.len() < MAX_OPEN_STARTS
+                || self.runs.values().filter(is_open).count() < MAX_OPEN_STARTS)
+    }
+
     /// Records that a start got no answer.
     pub(super) fn record_unanswered_start(&mut self, task: String, run: u64, now: Duration) {
         self.unanswered_starts.retain(|_, start| now < start.until);
--- a/crates/hyssop-policy/tests/placement.rs
+++ b/crates/hyssop-policy/tests/placement.rs
@@ -384,3 +384,33 @@
     let checkpoints: BTreeSet<String> = again.into_iter().map(order).collect();
     assert_eq!(checkpoints, BTreeSet::from(["01ff".to_owned()]));
 }
+
+/// Tasks that need nothing all fit on one worker; the start of each takes memory until it is answered.
+#[test]
+fn tasks_without_needs_are_not_all_started_at_once() {
+    const MOST: usize = 128;
+    let idle = |count: u32| Step {
+        need: Resources::default(),
+        ..step(count, 0)
+    };
+    let mut scheduler = scheduler(2);
+    let first = submit(&mut scheduler, idle(5_000));
+    assert_eq!(first.len(), 2 * MOST);
+    for (worker, task, run) in first {
+        let done = StartResult::Answered(StartOutcome::Done(None));
+        scheduler.on_start_result(worker, task, run, done, at(1_030));
+    }
+    assert_eq!(starts(&mut scheduler, 1_200).len(), 2 * MOST);
+}
+
+/// A gang that was started only in part would wait for its other members for ever.
+#[test]
+fn gang_of_many_tasks_without_needs_is_started_whole() {
+    const COUNT: u32 = 1_500;
+    let gang = Step {
+        need: Resources::default(),
+        gang: true,
+        ..step(COUNT, 0)
+    };
+    assert_eq!(submit(&mut scheduler(2), gang).len(), COUNT as usize);
+}
