owner: restore a pool's jobs from its rows page by page

Callers saw the successor of a flooded owner need more memory than the owner itself: 394 MB against 268 MB for 4,042 jobs of 200 steps. It read all rows of all tables, then decoded all of them, then made its jobs of them, and held the three at once.

The tables are read in an order in which each job's row can be restored and dropped at once: the progress before the jobs. `recover` does the same with rows that are all at hand; the tests of recovery use it unchanged.

--- a/crates/hyssop-edge/src/ownership/takeover.rs
+++ b/crates/hyssop-edge/src/ownership/takeover.rs
@@ -6,7 +6,7 @@
 use crate::pool::Driver;
 use crate::store::{Committer, Head};
 use hyssop_platform::rows::{encode, Commit, Key, Row, Transaction};
-use hyssop_policy::owner::{Record, Scheduler};
+use hyssop_policy::owner::{Record, Recovery, Scheduler};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -211,32 +211,28 @@
         owner.is_some_and(|known| known.term == term && !known.is_released)
             && !node.is_stopping.get()
     };
-    let mut records = Vec::new();
-    let handover_table = ownership.handover.map(|_| Scheduler::handover_table());
-    for table in Scheduler::tables().into_iter().chain(handover_table) {
-        let rows = loop {
-            if !is_current() {
+    let mut scheduler = Scheduler::new(shard, term, node.timing.scheduler);
+    let mut recovery = Recovery::default();
+    for table in Scheduler::tables() {
+        let mut from = Some(String::new());
+        while let Some(key) = from {
+            let page = read_records(node, table, shard, &key, written.version, &is_current);
+            let Some((records, next)) = page.await else {
                 return;
-            }
-            match node.store.read(table, shard).await {
-                Some(page) if page.version >= written.version => break page.rows,
-                Some(page) => log::warn!(
-                    "event=read-stale part={shard} table={table} version={} written={}",
-                    page.version,
-                    written.version
-                ),
-                None => {}
-            }
-            tokio::time::sleep(RETRY_PAUSE).await;
-        };
-        records.extend(rows.into_iter().map(|row| Record {
-            table: table.to_owned(),
-            key: row.key.key,
-            value: row.value,
-        }));
+            };
+            let now = node.clock.now();
+            scheduler.read_rows(&mut recovery, &records, now, node.clock.wall_ms());
+            from = next;
+        }
     }
-    if !is_current() {
-        return;
+    let mut handover = Vec::new();
+    if ownership.handover.is_some() {
+        let table = Scheduler::handover_table();
+        let page = read_records(node, table, shard, "", written.version, &is_current);
+        let Some((records, _)) = page.await else {
+            return;
+        };
+        handover = records;
     }
     // The previous owner, or the one before it, may not know yet that it has been replaced.
     let authority_end = if has_predecessor {
@@ -245,10 +241,10 @@
         written.answered_at
     };
     let now = node.clock.now();
-    let mut scheduler = Scheduler::new(shard, term, node.timing.scheduler);
-    scheduler.recover(&records, authority_end, now, node.clock.wall_ms());
+    let rows = recovery.rows() + handover.len();
+    scheduler.finish_reading(recovery, authority_end, now);
     if let Some(handed_over) = ownership.handover {
-        if let Err(reason) = scheduler.accept_handover(&records, handed_over, now) {
+        if let Err(reason) = scheduler.accept_handover(&handover, handed_over, now) {
             node.metrics.count_refused_handover(&reason.to_string());
             log::warn!(
                 "event=handover-refused pool={shard} term={term} from={handed_over} reason={reason}"
@@ -256,8 +252,7 @@
         }
     }
     log::info!(
-        "event=owner-started pool={shard} term={term} rows={} after_ms={}",
-        records.len(),
+        "event=owner-started pool={shard} term={term} rows={rows} after_ms={}",
         now.saturating_sub(written.answered_at).as_millis()
     );
     let driver = Driver::start(node.clone(), scheduler, committer, written.confirmed_at);
@@ -265,6 +260,40 @@
     node.notify_changed();
 }
 
+/// Reads the rows of a shard from a key on that were written before the failover, as many as the store
+/// returns at once, and returns them with the key of the next ones. Repeats until the store answers;
+/// returns `None` once this process is no longer the owner.
+async fn read_records(
+    node: &Node,
+    table: &str,
+    shard: &str,
+    from: &str,
+    written_version: u64,
+    is_current: &dyn Fn() -> bool,
+) -> Option<(Vec<Record>, Option<String>)> {
+    let (page, next) = loop {
+        if !is_current() {
+            return None;
+        }
+        match node.store.read_page(table, shard, from).await {
+            Some((page, next)) if page.version >= written_version => break (page, next),
+            Some((page, _)) => log::warn!(
+                "event=read-stale part={shard} table={table} version={} written={written_version}",
+                page.version
+            ),
+            None => {}
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    };
+    let record = |row: Row| Record {
+        table: table.to_owned(),
+        key: row.key.key,
+        value: row.value,
+    };
+    let records = page.rows.into_iter().map(record).collect();
+    is_current().then_some((records, next))
+}
+
 /// Releases all owned shards, so that peers take them over at once.
 pub(crate) async fn release_all(node: &Rc<Node>) {
     let owned: Vec<(String, Ownership)> = node
--- a/crates/hyssop-edge/src/store/client.rs
+++ b/crates/hyssop-edge/src/store/client.rs
@@ -196,39 +196,53 @@
     /// Reads all rows of a shard; returns `None` if the store does not answer.
     pub(crate) async fn read(&self, table: &str, shard: &str) -> Option<Page> {
         let mut all = Page::default();
-        let mut range = Range {
-            table: table.to_owned(),
-            shard: shard.to_owned(),
-            from: String::new(),
-        };
+        let mut from = String::new();
         loop {
-            let call = self.dialect.get(&range);
-            let sent_at = self.clock.now();
-            let reply = self
-                .client
-                .call(self.address, Lane::Plain, call, CALL_TIMEOUT)
-                .await;
-            let reply = reply.ok();
-            let is_answered = reply.as_ref().is_some_and(Self::is_answered);
-            let page = reply.and_then(|reply| self.dialect.read_page(&reply));
-            // An unreadable answer tells nothing about whether the store is available.
-            if page.is_some() || !is_answered {
-                self.record_result(page.is_some());
-            }
-            let page = page?;
-            self.record_time(&page, sent_at);
-            self.record_rejected(table, &page);
+            let (page, next) = self.read_page(table, shard, &from).await?;
             if all.version == 0 {
                 all.version = page.version;
                 all.now_ms = page.now_ms;
             }
-            let last = page.rows.last().map(|row: &Row| row.key.key.clone());
             all.rows.extend(page.rows);
-            match last {
-                // The next page starts right after the last key.
-                Some(last) if page.has_more => range.from = format!("{last}\0"),
-                _ => return Some(all),
+            match next {
+                Some(next) => from = next,
+                None => return Some(all),
             }
         }
     }
+
+    /// Reads the rows of a shard from a key on, as many as the store returns at once, and returns them
+    /// with the key of the next page if there are more; returns `None` if the store does not answer.
+    pub(crate) async fn read_page(
+        &self,
+        table: &str,
+        shard: &str,
+        from: &str,
+    ) -> Option<(Page, Option<String>)> {
+        let range = Range {
+            table: table.to_owned(),
+            shard: shard.to_owned(),
+            from: from.to_owned(),
+        };
+        let call = self.dialect.get(&range);
+        let sent_at = self.clock.now();
+        let reply = self
+            .client
+            .call(self.address, Lane::Plain, call, CALL_TIMEOUT)
+            .await;
+        let reply = reply.ok();
+        let is_answered = reply.as_ref().is_some_and(Self::is_answered);
+        let page = reply.and_then(|reply| self.dialect.read_page(&reply));
+        // An unreadable answer tells nothing about whether the store is available.
+        if page.is_some() || !is_answered {
+            self.record_result(page.is_some());
+        }
+        let page = page?;
+        self.record_time(&page, sent_at);
+        self.record_rejected(table, &page);
+        let last = page.rows.last().filter(|_| page.has_more);
+        // The next page starts right after the last key.
+        let next = last.map(|row: &Row| format!("{}\0", row.key.key));
+        Some((page, next))
+    }
 }
--- a/crates/hyssop-policy/src/owner/learning/storing.rs
+++ b/crates/hyssop-policy/src/owner/learning/storing.rs
@@ -54,12 +54,10 @@
 
     /// Restores what an earlier owner has learned. A row that can't be used costs what was learned, and
     /// nothing else.
-    pub(in crate::owner) fn recover_learning(&mut self, records: &[Record]) {
-        let mut rows = records.iter();
-        let row = rows.find(|row| row.table == LEARNING && row.key == LEARNING_KEY);
-        let Some(row) = row else {
+    pub(in crate::owner) fn recover_learning(&mut self, row: &Record) {
+        if row.key != LEARNING_KEY {
             return;
-        };
+        }
         match self.learning.restore(&row.value) {
             Ok(()) => log::info!(
                 "event=learning-recovered pool={} queues={} images={} bytes={}",
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -54,7 +54,7 @@
 pub use key::{JobKey, TaskKey, WorkerKey};
 pub use quota::AccountState;
 pub use recall::Recall;
-pub use recovery::Record;
+pub use recovery::{Record, Recovery};
 pub use settings::Settings;
 pub use start::StartResult;
 pub use worker::Worker;
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -1,6 +1,6 @@
 use super::addresses::ADDRESSES;
 use super::batch::{JOBS, PROGRESS, RULES, WORKERS};
-use super::job::{Job, Occurrence, Rule, State};
+use super::job::{Job, Occurrence, State};
 use super::learning::LEARNING;
 use super::progress::{JobRow, Progress};
 use super::share::Entitlement;
@@ -23,17 +23,34 @@
     pub value: Vec<u8>,
 }
 
+/// The recovery of a pool whose rows are still being read.
+#[derive(Debug, Default)]
+pub struct Recovery {
+    /// The progress of the jobs that have not been restored, by identifier.
+    progress: BTreeMap<String, Progress>,
+    /// When the jobs were submitted whose rows told the rules of their queues, in Unix milliseconds.
+    rules_as_of: BTreeMap<String, i64>,
+    /// The workers that may run tasks: identifier, incarnation and how late orders may reach them.
+    workers: Vec<(String, i64, Stretch)>,
+    /// The number of rows.
+    rows: usize,
+}
+
+impl Recovery {
+    /// Returns the number of rows that were read.
+    pub fn rows(&self) -> usize {
+        self.rows
+    }
+}
+
 impl Scheduler {
-    /// Returns the tables read during recovery, in the order in which to read them.
+    /// Returns the tables read during recovery, in the order in which to read them. The jobs come last, so
+    /// that each of their rows is decoded and dropped at once.
     pub fn tables() -> [&'static str; 6] {
-        [RULES, ADDRESSES, JOBS, PROGRESS, WORKERS, LEARNING]
+        [RULES, ADDRESSES, LEARNING, WORKERS, PROGRESS, JOBS]
     }
 
-    /// Restores the jobs of an earlier term from its rows; `now` is the time after which they were read.
-    ///
-    /// Workers of that term may run tasks until they report or their leases expire. The previous
-    /// owner may have extended leases until `authority_end`, and each extension lasts for a full
-    /// lease.
+    /// Restores the jobs of an earlier term from all of its rows; see [`Scheduler::finish_reading`].
     pub fn recover(
         &mut self,
         records: &[Record],
@@ -41,40 +58,77 @@
         now: Duration,
         wall_ms: i64,
     ) {
-        let mut progress: BTreeMap<&str, Progress> = BTreeMap::new();
-        for record in records.iter().filter(|record| record.table == PROGRESS) {
-            if let Some(decoded) = decode(&record.value) {
-                progress.insert(&record.key, decoded);
+        let mut recovery = Recovery::default();
+        for table in Self::tables() {
+            let rows = records.iter().filter(|record| record.table == table);
+            self.read_rows(&mut recovery, rows, now, wall_ms);
+        }
+        self.finish_reading(recovery, authority_end, now);
+    }
+
+    /// Restores what some rows of an earlier term tell, which were read at `now` at the latest.
+    ///
+    /// Whole tables may be many times larger than what is kept of them, so they are read in parts, in the
+    /// order of [`Scheduler::tables`].
+    pub fn read_rows<'a>(
+        &mut self,
+        recovery: &mut Recovery,
+        records: impl IntoIterator<Item = &'a Record>,
+        now: Duration,
+        wall_ms: i64,
+    ) {
+        for record in records {
+            recovery.rows += 1;
+            match record.table.as_str() {
+                RULES => self.recover_rules(record),
+                ADDRESSES => self.recover_addresses(record),
+                LEARNING => self.recover_learning(record),
+                WORKERS => {
+                    if let Some((id, incarnation)) = record.key.rsplit_once('@') {
+                        let incarnation = incarnation.parse().unwrap_or(0);
+                        let stretch = Stretch::read(&record.value);
+                        recovery.workers.push((id.to_owned(), incarnation, stretch));
+                    }
+                }
+                PROGRESS => {
+                    if let Some(decoded) = decode(&record.value) {
+                        recovery.progress.insert(record.key.clone(), decoded);
+                    }
+                }
+                JOBS => {
+                    if let Some(row) = self.read_job(record) {
+                        self.learn_stored_rule(recovery, &row);
+                        let stored = recovery.progress.remove(&record.key);
+                        self.recover_job(&record.key, row, stored, now, wall_ms);
+                    }
+                }
+                _ => {}
             }
         }
+    }
+
+    /// Ends the reading of an earlier term's rows; `now` is the time after which they were read.
+    ///
+    /// Workers of that term may run tasks until they report or their leases expire. The previous
+    /// owner may have extended leases until `authority_end`, and each extension lasts for a full
+    /// lease.
+    pub fn finish_reading(&mut self, recovery: Recovery, authority_end: Duration, now: Duration) {
         let lease_end = authority_end + self.settings.lease_span();
-        let jobs = self.read_jobs(records);
-        self.recover_rules(records, &jobs);
-        self.recover_addresses(records);
-        self.recover_learning(records);
-        for (id, accepted) in jobs {
-            let stored = progress.remove(id);
-            self.recover_job(id, accepted, stored, now, wall_ms);
-        }
         self.is_recount_due = true;
-        for record in records.iter().filter(|record| record.table == WORKERS) {
-            if let Some((id, incarnation)) = record.key.rsplit_once('@') {
-                let incarnation = incarnation.parse().unwrap_or(0);
-                let stretch = Stretch::read(&record.value);
-                let lease_end = authority_end + self.settings.stretched_lease_span(stretch);
-                let unreported = Unreported::unknown(lease_end, stretch != Stretch::None);
-                self.unreported_workers
-                    .insert((id.to_owned(), incarnation), unreported);
-            }
+        for (id, incarnation, stretch) in recovery.workers {
+            let lease_end = authority_end + self.settings.stretched_lease_span(stretch);
+            let unreported = Unreported::unknown(lease_end, stretch != Stretch::None);
+            self.unreported_workers
+                .insert((id, incarnation), unreported);
         }
-        for (id, stored) in progress {
+        for (id, stored) in recovery.progress {
             let Some(phase) = stored.phase else {
                 log::warn!("event=progress-without-job pool={} job={id}", self.pool);
                 continue;
             };
-            let key = self.allocate_key(id);
+            let key = self.allocate_key(&id);
             self.finished_jobs.push_back((now, key));
-            let job = finished_job(id, &stored.queue, phase, stored.account, now);
+            let job = finished_job(&id, &stored.queue, phase, stored.account, now);
             self.jobs.insert(key, job);
         }
         self.is_recovering = true;
@@ -130,56 +184,57 @@
         key
     }
 
-    /// Decodes the rows of submitted jobs.
-    fn read_jobs<'a>(&self, records: &'a [Record]) -> Vec<(&'a str, JobRow)> {
-        let rows = records.iter().filter(|record| record.table == JOBS);
-        let decoded = rows.filter_map(|record| {
-            let row = decode(&record.value);
-            if row.is_none() {
-                log::error!(
-                    "event=job-unreadable pool={} job={} bytes={}",
-                    self.pool,
-                    record.key,
-                    record.value.len()
-                );
-            }
-            Some((record.key.as_str(), row?))
-        });
-        decoded.collect()
+    /// Decodes the row of a submitted job.
+    fn read_job(&self, record: &Record) -> Option<JobRow> {
+        let row = decode(&record.value);
+        if row.is_none() {
+            log::error!(
+                "event=job-unreadable pool={} job={} bytes={}",
+                self.pool,
+                record.key,
+                record.value.len()
+            );
+        }
+        row
     }
 
-    /// Restores the rules of queues, which the configuration may no longer have.
-    fn recover_rules(&mut self, records: &[Record], jobs: &[(&str, JobRow)]) {
-        for record in records.iter().filter(|record| record.table == RULES) {
-            if self.rules.recover(&record.value).is_none() {
-                log::error!(
-                    "event=rule-unreadable pool={} queue={} bytes={}",
-                    self.pool,
-                    record.key,
-                    record.value.len()
-                );
-            }
+    /// Restores the rules of a queue, which the configuration may no longer have.
+    fn recover_rules(&mut self, record: &Record) {
+        if self.rules.recover(&record.value).is_none() {
+            log::error!(
+                "event=rule-unreadable pool={} queue={} bytes={}",
+                self.pool,
+                record.key,
+                record.value.len()
+            );
         }
-        // Earlier versions stored the rules with each job: the newest job has the newest ones.
-        let with_rules = jobs.iter().filter_map(|(_, row)| Some((row, row.rule?)));
-        let mut newest: Vec<(&JobRow, Rule)> = with_rules.collect();
-        newest.sort_by_key(|(row, _)| std::cmp::Reverse(row.submitted_wall_ms));
-        for (row, rule) in newest {
-            self.rules.learn(&row.queue, rule);
+    }
+
+    /// Restores the rules that earlier versions stored with each job, unless there is a row of them: the
+    /// newest job has the newest ones.
+    fn learn_stored_rule(&mut self, recovery: &mut Recovery, row: &JobRow) {
+        let Some(rule) = row.rule else {
+            return;
+        };
+        let as_of = recovery.rules_as_of.get(&row.queue);
+        if as_of.is_some_and(|as_of| *as_of < row.submitted_wall_ms) {
+            self.rules.forget(&row.queue);
+        }
+        if self.rules.learn(&row.queue, rule) {
+            let as_of = row.submitted_wall_ms;
+            recovery.rules_as_of.insert(row.queue.clone(), as_of);
         }
     }
 
-    /// Restores the addresses at which jobs were submitted.
-    fn recover_addresses(&mut self, records: &[Record]) {
-        for record in records.iter().filter(|record| record.table == ADDRESSES) {
-            if self.addresses.recover(&record.value).is_none() {
-                log::error!(
-                    "event=address-unreadable pool={} queue={} bytes={}",
-                    self.pool,
-                    record.key,
-                    record.value.len()
-                );
-            }
+    /// Restores the address at which jobs were submitted.
+    fn recover_addresses(&mut self, record: &Record) {
+        if self.addresses.recover(&record.value).is_none() {
+            log::error!(
+                "event=address-unreadable pool={} queue={} bytes={}",
+                self.pool,
+                record.key,
+                record.value.len()
+            );
         }
     }
 
