owner: bound the bytes of accepted jobs, and refuse before one is accepted

Callers saw owners run out of memory one after the other: 64 connections that hand in whole, valid jobs faster than the pool runs them took 273 MB in 25 s on an instance of 160 MB, and the successor 394 MB. Nothing was asked in Scheduler::submit. The same happened with bodies of 100 bytes: jobs of many tasks or of many overdue occurrences, and jobs that are cancelled at once, which kept their steps and tasks for another 130 s.

Each job counts the most bytes that it takes in an owner's memory until it ends, from its submission on. A pool's jobs may hold a tenth of the memory of the smallest member, since any member may have to take the pool over, and the jobs of all pools of a process a quarter of its own. Member rows tell the memory. Above half of a limit a job is accepted only if 64 of its size fit into the rest, so that large jobs leave room for ordinary ones; an eighth is for urgent queues; one account has at most half. A job for which there is no room is refused with 503 and the time in which enough becomes free, by the rate of the last 10 s or by the work of the backlog; one that never fits is told so without a time. What is recovered always counts and is never refused: several full pools on one process take the excess from the bytes for callers' requests.

An ended job keeps its phase, queue and account, some 250 bytes, as soon as no worker may run one of its tasks; a flood of short jobs otherwise fills the limit for 130 s.

--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -109,6 +109,7 @@
         process: format!("{}/{}", settings.node_name, clock.wall_ms()),
         data_centre: settings.zone.clone(),
         share: settings.limits.share(),
+        memory_mb: limits.memory_mb,
         address,
         advice_address: settings.advice.as_ref().and_then(|text| text.parse().ok()),
         instance_api: settings.cloud_api.map(|service| service.address),
--- a/crates/hyssop-edge/src/front/ready.rs
+++ b/crates/hyssop-edge/src/front/ready.rs
@@ -22,7 +22,7 @@
             driver.report_forecasts(pool, &node.metrics.forecasts);
         }
         node.metrics.set_accounts(&node.account_states());
-        node.guard.measure();
+        node.guard.measure(node.job_bytes());
         return Response::new(Full::new(Bytes::from(node.metrics.text())));
     }
     let has_started = node.configuration.borrow().version > 0 && node.knows_pools();
--- a/crates/hyssop-edge/src/intake/guard.rs
+++ b/crates/hyssop-edge/src/intake/guard.rs
@@ -55,12 +55,14 @@
         let burst = Duration::from_millis(BURST_FRAMES * 1_000 / rate);
         let rate = u32::try_from(rate).unwrap_or(u32::MAX);
         log::info!(
-            "event=intake bytes={} peer_bytes={} callers={} probes={} peers={} frames_per_s={rate}",
+            "event=intake bytes={} peer_bytes={} callers={} probes={} peers={} jobs={} \
+             frames_per_s={rate}",
             capacity.bytes,
             capacity.peer_bytes,
             capacity.callers,
             capacity.probes,
-            capacity.peers
+            capacity.peers,
+            capacity.jobs
         );
         Rc::new(Self {
             clock,
@@ -81,6 +83,10 @@
         self.gate.borrow_mut()
     }
 
+    pub(crate) fn capacity(&self) -> Capacity {
+        self.gate.borrow().capacity()
+    }
+
     pub(super) fn now(&self) -> Duration {
         self.clock.now()
     }
@@ -154,12 +160,13 @@
     }
 
     /// Sets the gauges to what is held now.
-    pub(crate) fn measure(&self) {
+    pub(crate) fn measure(&self, job_bytes: usize) {
         let gate = self.gate.borrow();
         let capacity = gate.capacity();
         self.metrics.set_bytes(gate.bytes(), capacity.bytes);
         self.metrics
             .set_peer_bytes(gate.peer_bytes(), capacity.peer_bytes);
+        self.metrics.set_job_bytes(job_bytes, capacity.jobs);
         for which in Listener::VARIANTS {
             let (held, limit) = (gate.connections(*which), capacity.connections(*which));
             self.metrics.set_connections(which.into(), held, limit);
@@ -167,8 +174,9 @@
     }
 
     /// Closes the connections that exceed their time, or must make room.
-    fn sweep(&self, timeouts: Timeouts) {
+    fn sweep(&self, timeouts: Timeouts, job_bytes: usize) {
         let now = self.now();
+        self.gate().set_job_bytes(job_bytes);
         self.timeouts.set(timeouts);
         let shortages = self.gate().shortages(now);
         shortages.iter().for_each(log_shortage);
@@ -237,6 +245,6 @@
                 idle: configuration.idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT),
             }
         };
-        node.guard.sweep(timeouts);
+        node.guard.sweep(timeouts, node.job_bytes());
     }
 }
--- a/crates/hyssop-edge/src/metric/intake.rs
+++ b/crates/hyssop-edge/src/metric/intake.rs
@@ -7,6 +7,8 @@
     pub(super) bytes_left: IntGauge,
     pub(super) peer_bytes: IntGauge,
     pub(super) peer_bytes_left: IntGauge,
+    pub(super) job_bytes: IntGauge,
+    pub(super) job_bytes_left: IntGauge,
     pub(super) connections: IntGaugeVec,
     pub(super) connections_left: IntGaugeVec,
     pub(super) refusals: IntCounterVec,
@@ -28,6 +30,12 @@
             .set(capacity.saturating_sub(held) as i64);
     }
 
+    pub(crate) fn set_job_bytes(&self, held: usize, capacity: usize) {
+        self.job_bytes.set(held as i64);
+        self.job_bytes_left
+            .set(capacity.saturating_sub(held) as i64);
+    }
+
     pub(crate) fn set_connections(&self, listener: &str, held: usize, capacity: usize) {
         let left = capacity.saturating_sub(held);
         let gauges = [(&self.connections, held), (&self.connections_left, left)];
--- a/crates/hyssop-edge/src/metric/registry.rs
+++ b/crates/hyssop-edge/src/metric/registry.rs
@@ -174,6 +174,14 @@
                 "hyssop_intake_peer_bytes_left",
                 "Bytes that peers may hold beyond",
             ),
+            job_bytes: gauge(
+                "hyssop_intake_job_bytes",
+                "Bytes that accepted jobs hold, as an upper estimate",
+            ),
+            job_bytes_left: gauge(
+                "hyssop_intake_job_bytes_left",
+                "Bytes that the jobs of all pools of the process may hold beyond",
+            ),
             connections: gauges(
                 "hyssop_intake_connections",
                 "Open connections that were accepted, by listener",
--- a/crates/hyssop-edge/src/node/context.rs
+++ b/crates/hyssop-edge/src/node/context.rs
@@ -12,7 +12,8 @@
 use hyssop_policy::directory::Directory;
 use hyssop_policy::failover::Series;
 use hyssop_policy::fleet::RecentOrders;
-use hyssop_policy::owner::{AccountState, Scheduler, Settings};
+use hyssop_policy::intake::Capacity;
+use hyssop_policy::owner::{AccountState, Limits, Scheduler, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -48,6 +49,8 @@
     pub(crate) data_centre: String,
     /// The CPU share of this instance, in thousandths of a core.
     pub(crate) share: u64,
+    /// The memory of this instance, in megabytes; `None` if it is not limited.
+    pub(crate) memory_mb: Option<u64>,
     /// The address for links from peers.
     pub(crate) address: SocketAddr,
     /// The address of the API that moves and maintains instances.
@@ -295,6 +298,31 @@
         }
     }
 
+    /// Returns the limits on the bytes of a pool's jobs.
+    ///
+    /// Any member may have to take the pool over and then holds all of its jobs, so the smallest one
+    /// counts.
+    pub(crate) fn job_limits(&self, shard: &str) -> Limits {
+        let members = self.members.borrow();
+        let staying = members.values().filter(|member| !member.is_leaving);
+        let smallest = staying
+            .filter_map(|member| member.memory_mb)
+            .chain(self.memory_mb)
+            .min();
+        let own = self.driver(shard).map_or(0, |driver| driver.held_bytes());
+        Limits {
+            pool: Capacity::pool_jobs(smallest),
+            process: self.guard.capacity().jobs,
+            others: self.job_bytes().saturating_sub(own),
+        }
+    }
+
+    /// Returns the bytes that the jobs of this process's pools hold.
+    pub(crate) fn job_bytes(&self) -> usize {
+        let drivers = self.drivers.borrow();
+        drivers.values().map(|driver| driver.held_bytes()).sum()
+    }
+
     /// Returns the state of the accounts with a quota in each pool that this process owns.
     pub(crate) fn account_states(&self) -> Vec<AccountState> {
         let now = self.clock.now();
--- a/crates/hyssop-edge/src/node/owner.rs
+++ b/crates/hyssop-edge/src/node/owner.rs
@@ -49,6 +49,10 @@
     pub(crate) data_centre: String,
     /// The CPU share of its instance, in thousandths of a core.
     pub(crate) share: u64,
+    /// The memory of its instance, in megabytes; `None` if it is not limited, and in the rows of earlier
+    /// versions.
+    #[serde(default)]
+    pub(crate) memory_mb: Option<u64>,
     /// Whether the process is stopping and must not take over shards.
     pub(crate) is_leaving: bool,
     /// In the row of a stopping process, the version of the row that announced the first stop of
--- a/crates/hyssop-edge/src/ownership/registry.rs
+++ b/crates/hyssop-edge/src/ownership/registry.rs
@@ -19,6 +19,7 @@
         address: node.address,
         data_centre: node.data_centre.clone(),
         share: node.share,
+        memory_mb: node.memory_mb,
         is_leaving,
         series: node
             .series
--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Returns the bytes that the pool's jobs hold.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.scheduler.borrow().held_bytes()
+    }
+
     /// Returns whether the term has ended.
     pub(crate) fn is_over(&self) -> bool {
         self.is_over.get()
--- a/crates/hyssop-edge/src/pool/operations.rs
+++ b/crates/hyssop-edge/src/pool/operations.rs
@@ -60,10 +60,12 @@
                     }
                 }
                 let wall_ms = self.node.clock.wall_ms();
-                let admission = self
-                    .scheduler
-                    .borrow_mut()
-                    .submit(&id, &queue, submission, age, now, wall_ms);
+                let limits = self.node.job_limits(self.scheduler.borrow().pool());
+                let admission = {
+                    let scheduler = &mut *self.scheduler.borrow_mut();
+                    scheduler.limit_backlog(limits);
+                    scheduler.submit(&id, &queue, submission, age, now, wall_ms)
+                };
                 match admission {
                     Admission::Accepted => Answer::Done,
                     Admission::Refused(reason) => Answer::Refused(reason, 0),
--- a/crates/hyssop-edge/tests/accepted_jobs.rs
+++ b/crates/hyssop-edge/tests/accepted_jobs.rs
@@ -112,6 +112,81 @@
     assert_within_memory(&successor, MEMORY_MB);
 }
 
+/// 4,138 jobs of 15 KB took their owner 273 MB, and its successor 394 MB.
+#[test]
+fn jobs_of_many_steps_do_not_exhaust_memory() {
+    assert_survives(LONG_JOBS, &job(STEPS, 1, TASK_MS));
+}
+
+/// A body of 100 bytes took 200 KB, and up to 1 MB with 10,000 tasks.
+#[test]
+fn jobs_of_many_tasks_do_not_exhaust_memory() {
+    assert_survives(WIDE_JOBS, &wide_job());
+}
+
+#[test]
+fn jobs_of_many_occurrences_do_not_exhaust_memory() {
+    assert_survives(WIDE_JOBS, &overdue_job());
+}
+
+/// Tasks that need nothing all fit on one worker, and the start of each was under way at once.
+#[test]
+fn tasks_without_needs_do_not_exhaust_memory() {
+    let mut body = wide_job();
+    body["steps"][0]["cpu"] = 0.into();
+    body["steps"][0]["mem-mb"] = 0.into();
+    assert_survives(IDLE_JOBS, &body);
+}
+
+/// Several pools of one process are bounded together.
+#[test]
+fn jobs_of_two_pools_do_not_exhaust_memory() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let platform = platform();
+    let owner = start(&platform, "e1", MEMORY_MB);
+    owner.submit_until_accepted(FIRST, &job(1, 1, 10));
+    for prefix in ["/a/", "/b/"] {
+        let flood = flood(prefix, LONG_JOBS / 2, &job(STEPS, 1, TASK_MS)).send(&owner);
+        assert_truthful(&owner, &flood);
+    }
+    owner.submit_until_accepted(ORDINARY, &job(1, 1, 10));
+    assert_within_memory(&owner, MEMORY_MB);
+}
+
+/// A successor may run on a smaller instance than the owner that accepted the jobs.
+#[test]
+fn jobs_of_a_larger_owner_do_not_exhaust_its_successor() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let platform = platform();
+    let mut owner = start(&platform, "e1", LARGE_MEMORY_MB);
+    owner.submit_until_accepted(FIRST, &job(1, 1, 10));
+    let successor = start(&platform, "e2", MEMORY_MB);
+    wait_until("the standby serves", || successor.state(FIRST) == "done");
+    let flood = flood("/a/", LONG_JOBS, &job(STEPS, 1, TASK_MS)).send(&owner);
+    owner.kill();
+    wait_until("the successor owns the pool", || successor.owns("alpha"));
+    assert_truthful(&successor, &flood);
+    successor.submit_until_accepted(ORDINARY, &job(1, 1, 10));
+    assert_within_memory(&successor, MEMORY_MB);
+}
+
+/// A cancelled job kept its steps and tasks until it was forgotten, 130 s later.
+#[test]
+fn cancelled_jobs_do_not_exhaust_memory() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let platform = platform();
+    let owner = start(&platform, "e1", MEMORY_MB);
+    owner.submit_until_accepted(FIRST, &job(1, 1, 10));
+    let flood = Flood {
+        cancels: true,
+        ..flood("/a/", WIDE_JOBS, &wide_job())
+    };
+    let flood = flood.send(&owner);
+    assert_truthful(&owner, &flood);
+    owner.submit_until_accepted(ORDINARY, &job(1, 1, 10));
+    assert_within_memory(&owner, MEMORY_MB);
+}
+
 /// A job whose caller gave up before it was stored left its waiting request behind, some 850 bytes.
 #[test]
 fn callers_that_give_up_early_do_not_exhaust_memory() {
--- a/crates/hyssop-policy/src/intake/capacity.rs
+++ b/crates/hyssop-policy/src/intake/capacity.rs
@@ -4,9 +4,15 @@
 const DEFAULT_MEMORY_MB: u64 = 512;
 const DEFAULT_DESCRIPTORS: u64 = 8_192;
 const BYTES_PER_MB: u64 = 1_000_000;
-/// One part in this many of the memory is for bytes of requests, and as much for connections; the other
-/// half is for jobs, links and the program.
+/// One part in this many of the memory is for bytes of requests, as much for connections, and as much for
+/// the jobs of all pools that the process owns; the rest is for links and the program.
 const MEMORY_PART: u64 = 4;
+/// One part in this many of the memory is for the jobs of one pool: five pools, as many as a deployment
+/// has today, fit into the parts for jobs and bytes together if one process has to own them all.
+const POOL_MEMORY_PART: u64 = 10;
+/// The least memory that the limits of jobs are derived from, so that a wrong setting of one instance
+/// doesn't make all owners refuse every job.
+const MIN_MEMORY_MB: u64 = 16;
 /// One part in this many of the memory is for frames of peers. It is apart from the bytes of callers, so
 /// that a crowd of them can't cut off the links that carry leases and failover.
 const PEERS_MEMORY_PART: u64 = 8;
@@ -36,6 +42,8 @@
     pub probes: usize,
     /// The connections of peers.
     pub peers: usize,
+    /// The bytes of the jobs of all pools of the process.
+    pub jobs: usize,
 }
 
 impl Capacity {
@@ -53,9 +61,18 @@
             callers: size(callers),
             probes: size(PROBES.min(callers)),
             peers: size((descriptors / PEERS_PART).max(MIN_PEERS)),
+            jobs: size(memory.max(MIN_MEMORY_MB).saturating_mul(BYTES_PER_MB) / MEMORY_PART),
         }
     }
 
+    /// Returns the bytes that the jobs of one pool may hold if the smallest instance that may own it has
+    /// this memory.
+    pub fn pool_jobs(memory_mb: Option<u64>) -> usize {
+        let memory = memory_mb.unwrap_or(DEFAULT_MEMORY_MB).max(MIN_MEMORY_MB);
+        usize::try_from(memory.saturating_mul(BYTES_PER_MB) / POOL_MEMORY_PART)
+            .unwrap_or(usize::MAX)
+    }
+
     /// Returns how many connections a listener may have open.
     pub fn connections(&self, listener: Listener) -> usize {
         match listener {
--- a/crates/hyssop-policy/src/intake/gate.rs
+++ b/crates/hyssop-policy/src/intake/gate.rs
@@ -18,6 +18,9 @@
 /// The part of the connections up to which those that have been served are closed too.
 const FULL_CONNECTIONS: usize = 7;
 
+/// The part of the bytes that jobs never take: with it ordinary requests are still read.
+const LEAST_BYTES: usize = 1;
+
 /// A connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Key(u64);
@@ -39,6 +42,8 @@
 #[derive(Clone, Debug)]
 pub struct Gate {
     capacity: Capacity,
+    /// The bytes of callers' requests while jobs keep within their own part of the memory.
+    full_bytes: usize,
     next: u64,
     connections: BTreeMap<Key, Connection>,
     counts: BTreeMap<Listener, usize>,
@@ -53,6 +58,7 @@
     pub fn new(capacity: Capacity) -> Self {
         Self {
             capacity,
+            full_bytes: capacity.bytes,
             next: 0,
             connections: BTreeMap::new(),
             counts: BTreeMap::new(),
@@ -67,6 +73,14 @@
         self.capacity
     }
 
+    /// Sets the bytes that jobs hold, which take their excess over their own part of the memory from that
+    /// of callers' requests: a process that takes over several full pools has to keep all of their jobs.
+    pub fn set_job_bytes(&mut self, held: usize) {
+        let excess = held.saturating_sub(self.capacity.jobs);
+        let rest = self.full_bytes.saturating_sub(excess);
+        self.capacity.bytes = rest.max(part(self.full_bytes, LEAST_BYTES));
+    }
+
     /// Returns the bytes for which callers and probes hold permits.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/crates/hyssop-policy/src/intake/mod.rs
+++ b/crates/hyssop-policy/src/intake/mod.rs
@@ -19,3 +19,4 @@
 pub use pace::Pace;
 pub use reason::Reason;
 pub use weight::decoded_bytes;
+pub(crate) use weight::submission_bytes;
--- a/crates/hyssop-policy/src/intake/weight.rs
+++ b/crates/hyssop-policy/src/intake/weight.rs
@@ -7,6 +7,11 @@
 
 /// Returns the bytes that a decoded job holds while its request is served.
 pub fn decoded_bytes(submission: &Submission) -> usize {
+    COPIES * submission_bytes(submission)
+}
+
+/// Returns the bytes of a decoded job.
+pub(crate) fn submission_bytes(submission: &Submission) -> usize {
     let texts = |step: &Step| {
         let optional = [&step.label, &step.rack].into_iter().flatten();
         step.image.len() + optional.map(String::len).sum::<usize>()
@@ -16,5 +21,5 @@
         .iter()
         .map(|step| size_of::<Step>() + texts(step) + step.after.len() * size_of::<usize>())
         .sum();
-    COPIES * (size_of::<Submission>() + submission.specification.len() + steps)
+    size_of::<Submission>() + submission.specification.len() + steps
 }
--- a/crates/hyssop-policy/src/owner/addresses.rs
+++ b/crates/hyssop-policy/src/owner/addresses.rs
@@ -113,6 +113,9 @@
             for job in self.jobs.values() {
                 unused.remove(&job.queue);
             }
+            for job in self.ended.values() {
+                unused.remove(&*job.queue);
+            }
         }
         unused
     }
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -1,3 +1,4 @@
+use super::backlog::open_bytes;
 use super::job::{Job, Occurrence, State};
 use super::progress::{JobRow, Progress};
 use super::share::Entitlement;
@@ -111,6 +112,9 @@
         if !self.is_visible(id, submission.account.as_deref()) {
             return Admission::Refused(IDENTIFIER_IN_USE.to_owned());
         }
+        if self.ended.contains(id) {
+            return Admission::Accepted;
+        }
         if let Some(job) = self.job_keys.get(id).and_then(|key| self.jobs.get(key)) {
             return if job.is_stored {
                 Admission::Accepted
@@ -135,6 +139,10 @@
         if let Some(reason) = self.quota_refusal(&submission) {
             return Admission::Refused(reason);
         }
+        let held_bytes = open_bytes(&submission, max_open_occurrences);
+        if let Some(refusal) = self.backlog_refusal(id, queue, &submission, held_bytes, now) {
+            return refusal;
+        }
         let submitted_at = self.shares.first_request(id, now.saturating_sub(age));
         let entitlement = self.entitle(id, queue, &submission, submitted_at, now);
         if let Some(wait) = self.deferral(id, queue, &submission, entitlement, submitted_at, now) {
@@ -173,6 +181,7 @@
             has_started: false,
             occurrences,
             finished_occurrences: 0,
+            held_bytes: 0,
             is_oversized: false,
             finished_at: None,
         };
@@ -184,6 +193,7 @@
             }
         }
         self.jobs.insert(key, job);
+        self.hold_job(key, held_bytes);
         self.open_jobs.insert(key);
         self.dirty.insert(key);
         self.rules.require(queue);
@@ -219,6 +229,9 @@
     ///
     /// Returns whether the job is withdrawn; a job that may have been stored stays.
     pub fn withdraw(&mut self, id: &str) -> bool {
+        if self.ended.contains(id) {
+            return false;
+        }
         let Some(&key) = self.job_keys.get(id) else {
             return true;
         };
@@ -230,7 +243,9 @@
             return false;
         }
         self.job_keys.remove(id);
-        self.jobs.remove(&key);
+        if let Some(job) = self.jobs.remove(&key) {
+            self.release_job(&job);
+        }
         self.open_jobs.remove(&key);
         self.dirty.remove(&key);
         true
@@ -239,14 +254,22 @@
     /// Returns whether callers of an account may see and cancel a job and submit it again; those
     /// without an account may do so only with jobs that have none.
     pub fn is_visible(&self, id: &str, account: Option<&str>) -> bool {
-        let job = self.job_keys.get(id).and_then(|key| self.jobs.get(key));
-        let owner = job.and_then(|job| job.submission.account.as_deref());
+        let owner = match self.ended.get(id) {
+            Some(ended) => ended.account.as_deref(),
+            None => {
+                let job = self.job_keys.get(id).and_then(|key| self.jobs.get(key));
+                job.and_then(|job| job.submission.account.as_deref())
+            }
+        };
         owner.is_none() || owner == account
     }
 
     /// Returns the phase of a job that callers may see, `None` if no accepted job has that
     /// identifier.
     pub fn phase(&self, id: &str) -> Option<Phase> {
+        if let Some(ended) = self.ended.get(id) {
+            return Some(ended.phase);
+        }
         let job = self.jobs.get(self.job_keys.get(id)?)?;
         job.is_stored.then(|| job.visible_phase())
     }
@@ -256,6 +279,9 @@
     /// None of its tasks is started from here on. Its runs are stopped once the cancellation is
     /// stored, because a crash before that would revive the job.
     pub fn cancel(&mut self, id: &str, now: Duration) -> Cancellation {
+        if self.ended.contains(id) {
+            return Cancellation::Done;
+        }
         let Some(&key) = self.job_keys.get(id) else {
             return Cancellation::Unknown;
         };
--- a/crates/hyssop-policy/src/owner/batch.rs
+++ b/crates/hyssop-policy/src/owner/batch.rs
@@ -7,6 +7,7 @@
 use hyssop_model::work::Phase;
 use hyssop_platform::rows::encode;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Table of accepted jobs as submitted.
@@ -64,7 +65,7 @@
     recorded_workers: Vec<WorkerKey>,
     removed_workers: Vec<String>,
     removed_submissions: Vec<String>,
-    expired_jobs: Vec<JobKey>,
+    expired_jobs: Vec<Arc<str>>,
     rules: Vec<(String, Rule)>,
     addresses: Vec<Entry>,
 }
@@ -233,19 +234,17 @@
     fn batch_expired_jobs(&self, now: Duration, batch: &mut Batch, pending: &mut Pending) {
         /// Small because nothing waits for these deletions.
         const MAX_EXPIRED_JOBS: usize = 10;
-        for (finished_at, key) in self.finished_jobs.iter().take(MAX_EXPIRED_JOBS) {
+        for (finished_at, id) in self.finished_jobs.iter().take(MAX_EXPIRED_JOBS) {
             if now.saturating_sub(*finished_at) < self.settings.job_retention {
                 return;
             }
-            if let Some(job) = self.jobs.get(key) {
-                // Without its final phase the submission would look like an open job.
-                if self.finished_submissions.contains(&job.id) {
-                    batch.removes.push((JOBS, job.id.clone()));
-                    pending.removed_submissions.push(job.id.clone());
-                }
-                batch.removes.push((PROGRESS, job.id.clone()));
+            // Without its final phase the submission would look like an open job.
+            if self.finished_submissions.contains(&**id) {
+                batch.removes.push((JOBS, id.to_string()));
+                pending.removed_submissions.push(id.to_string());
             }
-            pending.expired_jobs.push(*key);
+            batch.removes.push((PROGRESS, id.to_string()));
+            pending.expired_jobs.push(id.clone());
         }
     }
 
@@ -396,10 +395,8 @@
             self.finished_submissions.remove(&id);
         }
         self.finished_jobs.drain(..pending.expired_jobs.len());
-        for key in pending.expired_jobs {
-            if let Some(job) = self.jobs.remove(&key) {
-                self.job_keys.remove(&job.id);
-            }
+        for id in pending.expired_jobs {
+            self.forget_ended_job(&id, now);
         }
         notifications
     }
@@ -407,13 +404,15 @@
     /// Closes a finished job, keeping only what status queries and late reports of its runs need.
     fn close_job(&mut self, key: JobKey) {
         self.open_jobs.remove(&key);
-        if let Some(finished_at) = self.jobs.get(&key).and_then(|job| job.finished_at) {
-            self.finished_jobs.push_back((finished_at, key));
-        }
         self.permits.retain(|step, _| step.job != key);
         if let Some(job) = self.jobs.get_mut(&key) {
+            if let Some(finished_at) = job.finished_at {
+                self.finished_jobs
+                    .push_back((finished_at, job.id.as_str().into()));
+            }
             job.submission.specification = String::new();
             self.finished_submissions.insert(job.id.clone());
+            self.ended_jobs_with_runs.insert(key);
         }
     }
 
--- a/crates/hyssop-policy/src/owner/incarnation.rs
+++ b/crates/hyssop-policy/src/owner/incarnation.rs
@@ -1,6 +1,6 @@
 use super::job::State;
 use super::order::task_name;
-use super::worker::{Run, Stretch, UnansweredStart, IN_FLIGHT, ORDER_LATENESS};
+use super::worker::{has_open_start, Run, Stretch, UnansweredStart, IN_FLIGHT, ORDER_LATENESS};
 use super::{Action, Scheduler, TaskKey, Worker, WorkerKey};
 use hyssop_model::work;
 use std::collections::{BTreeMap, BTreeSet};
@@ -328,6 +328,11 @@
         open.map(|(task, _)| task.as_str())
     }
 
+    /// Returns whether a start may still be carried out of a task whose name begins with `prefix`.
+    pub(super) fn has_unanswered_start(&self, prefix: &str, now: Duration) -> bool {
+        has_open_start(&self.unanswered_starts, prefix, now)
+    }
+
     fn add_unanswered_start(&mut self, task: String, start: UnansweredStart) {
         let known = self.unanswered_starts.entry(task).or_insert(start);
         known.run = known.run.max(start.run);
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -73,6 +73,8 @@
     pub(super) max_open_occurrences: usize,
     /// The number of finished occurrences before `next_occurrence`.
     pub(super) finished_occurrences: u32,
+    /// The bytes that it counts for in the pool's backlog.
+    pub(super) held_bytes: usize,
     /// Whether its progress was found too large to store.
     pub(super) is_oversized: bool,
     /// When the job finished, on the owner's clock.
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -17,10 +17,12 @@
 mod action;
 mod addresses;
 mod admission;
+mod backlog;
 mod batch;
 mod budget;
 mod capacity;
 mod completion;
+mod ended;
 mod handover;
 mod incarnation;
 mod job;
@@ -47,6 +49,7 @@
 
 pub use action::{Action, Notification};
 pub use admission::{retry_after, Admission, Cancellation, StorePace, IDENTIFIER_IN_USE};
+pub use backlog::Limits;
 pub use batch::Batch;
 pub use capacity::{Demand, Load};
 pub use handover::Refusal;
@@ -62,6 +65,7 @@
 use hyssop_model::work::{Account, Configuration};
 use learning::{Estimator, Scores, Stored};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Maximum time between placement passes. Excluded workers become available again without an
@@ -90,10 +94,15 @@
     next_job: u32,
     /// When the rules of removed queues were last checked for jobs.
     rules_checked_at: Duration,
-    /// Unfinished jobs. Finished ones are kept only for status queries.
+    /// Unfinished jobs.
     open_jobs: BTreeSet<JobKey>,
-    /// Finished jobs kept for status queries, in the order in which their results were stored.
-    finished_jobs: VecDeque<(Duration, JobKey)>,
+    /// Finished jobs of which a worker may still run tasks.
+    ended_jobs_with_runs: BTreeSet<JobKey>,
+    /// The other finished jobs.
+    ended: ended::Ended,
+    /// All finished jobs, in the order in which their results were stored.
+    finished_jobs: VecDeque<(Duration, Arc<str>)>,
+    backlog: backlog::Backlog,
     workers: BTreeMap<WorkerKey, Worker>,
     next_worker: u32,
     /// What may still reach the next incarnations of removed workers, by identifier.
@@ -166,7 +175,10 @@
             next_job: 0,
             rules_checked_at: Duration::ZERO,
             open_jobs: BTreeSet::new(),
+            ended_jobs_with_runs: BTreeSet::new(),
+            ended: ended::Ended::default(),
             finished_jobs: VecDeque::new(),
+            backlog: backlog::Backlog::default(),
             workers: BTreeMap::new(),
             next_worker: 0,
             late_orders: BTreeMap::new(),
@@ -267,6 +279,7 @@
             self.watch_schedules(now, wall_ms);
             self.watch_runs(now);
             self.evacuate_workers(now);
+            self.compact_ended_jobs(now);
         }
         let is_interval_over = now.saturating_sub(self.last_placement_at) >= PLACEMENT_INTERVAL;
         if self.is_placement_due || is_interval_over {
--- a/crates/hyssop-policy/src/owner/recall.rs
+++ b/crates/hyssop-policy/src/owner/recall.rs
@@ -52,6 +52,9 @@
     /// another pool. If not, requests by processes with an earlier version are rejected from then on,
     /// so that no job is accepted by two pools.
     pub fn recall(&mut self, id: &str, version: u64, now: Duration) -> Recall {
+        if self.ended.contains(id) {
+            return Recall::Accepted;
+        }
         match self.job_keys.get(id).and_then(|key| self.jobs.get(key)) {
             Some(job) if job.is_stored => Recall::Accepted,
             Some(_) => Recall::Pending,
--- a/crates/hyssop-policy/src/owner/recovery.rs
+++ b/crates/hyssop-policy/src/owner/recovery.rs
@@ -1,4 +1,5 @@
 use super::addresses::ADDRESSES;
+use super::backlog::open_bytes;
 use super::batch::{JOBS, PROGRESS, RULES, WORKERS};
 use super::job::{Job, Occurrence, State};
 use super::learning::LEARNING;
@@ -7,7 +8,7 @@
 use super::unreported::Unreported;
 use super::worker::Stretch;
 use super::{JobKey, Scheduler};
-use hyssop_model::work::{Phase, Submission};
+use hyssop_model::work::Phase;
 use hyssop_platform::rows::decode;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -126,10 +127,8 @@
                 log::warn!("event=progress-without-job pool={} job={id}", self.pool);
                 continue;
             };
-            let key = self.allocate_key(&id);
-            self.finished_jobs.push_back((now, key));
-            let job = finished_job(&id, &stored.queue, phase, stored.account, now);
-            self.jobs.insert(key, job);
+            self.finished_jobs.push_back((now, id.as_str().into()));
+            self.insert_ended_job(&id, &stored.queue, stored.account.as_deref(), phase);
         }
         self.is_recovering = true;
         self.recovered_at = now;
@@ -277,15 +276,14 @@
         now: Duration,
         wall_ms: i64,
     ) {
-        let key = self.allocate_key(id);
         if let Some(phase) = stored.as_ref().and_then(|stored| stored.phase) {
-            let account = accepted.submission.account;
-            let job = finished_job(id, &accepted.queue, phase, account, now);
+            let account = accepted.submission.account.as_deref();
+            self.insert_ended_job(id, &accepted.queue, account, phase);
             self.finished_submissions.insert(id.to_owned());
-            self.finished_jobs.push_back((now, key));
-            self.jobs.insert(key, job);
+            self.finished_jobs.push_back((now, id.into()));
             return;
         }
+        let key = self.allocate_key(id);
         let age_ms = wall_ms.saturating_sub(accepted.submitted_wall_ms).max(0);
         let submitted_at = now.saturating_sub(Duration::from_millis(age_ms.unsigned_abs()));
         let submission = accepted.submission;
@@ -304,6 +302,7 @@
         let max_open_occurrences = self
             .max_open_occurrences(&accepted.queue, &submission)
             .max(1);
+        let held_bytes = open_bytes(&submission, max_open_occurrences);
         self.rules.require(&accepted.queue);
         let job = Job {
             id: id.to_owned(),
@@ -322,10 +321,12 @@
             occurrences,
             submission,
             is_excess: false,
+            held_bytes: 0,
             is_oversized: false,
             finished_at: None,
         };
         self.jobs.insert(key, job);
+        self.hold_job(key, held_bytes);
         self.open_jobs.insert(key);
     }
 
@@ -356,36 +357,3 @@
         );
     }
 }
-
-/// Creates a finished job of which only the final phase and the account are known.
-fn finished_job(
-    id: &str,
-    queue: &str,
-    phase: Phase,
-    account: Option<String>,
-    now: Duration,
-) -> Job {
-    Job {
-        id: id.to_owned(),
-        queue: queue.to_owned(),
-        submission: Submission {
-            account,
-            ..Submission::default()
-        },
-        is_excess: false,
-        submitted_at: now,
-        submitted_wall_ms: 0,
-        phase,
-        stored_phase: Some(phase),
-        is_stored: true,
-        first_started_at: None,
-        has_started: true,
-        occurrences: BTreeMap::new(),
-        next_occurrence: 0,
-        max_open_occurrences: 0,
-        stored_occurrences: 0,
-        finished_occurrences: 0,
-        is_oversized: false,
-        finished_at: Some(now),
-    }
-}
--- a/crates/hyssop-policy/src/owner/share.rs
+++ b/crates/hyssop-policy/src/owner/share.rs
@@ -271,22 +271,33 @@
     /// Returns how long a job beyond its account's weight has to wait for the tasks before it, with
     /// the capacity that the jobs which are owed leave free.
     fn backlog_wait(&mut self, now: Duration) -> Duration {
-        /// How long a count of the backlog is reused; counting takes time for every open job.
-        const MAX_AGE: Duration = Duration::from_millis(50);
         /// Some capacity is always free for a while, as tasks are not all of one size.
         const MIN_FREE_SHARE: f64 = 0.02;
+        let Backlog { work, capacity, .. } = self.recent_backlog(now);
+        let free = (capacity - self.shares.owed_cpu(now)).max(capacity * MIN_FREE_SHARE);
+        if free <= 0.0 {
+            return MAX_WAIT;
+        }
+        Duration::from_secs_f64((work / free / 1_000.0).min(MAX_WAIT.as_secs_f64()))
+    }
+
+    /// Returns how long the whole capacity of the pool takes for the tasks that wait or run.
+    pub(super) fn backlog_time(&mut self, now: Duration) -> Duration {
+        let Backlog { work, capacity, .. } = self.recent_backlog(now);
+        let seconds = work / capacity.max(1.0) / 1_000.0;
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    fn recent_backlog(&mut self, now: Duration) -> Backlog {
+        /// How long a count of the backlog is reused; counting takes time for every open job.
+        const MAX_AGE: Duration = Duration::from_millis(50);
         let is_recent = |backlog: &Backlog| now.saturating_sub(backlog.counted_at) < MAX_AGE;
         let backlog = match self.shares.backlog.filter(is_recent) {
             Some(backlog) => backlog,
             None => self.count_backlog(now),
         };
         self.shares.backlog = Some(backlog);
-        let Backlog { work, capacity, .. } = backlog;
-        let free = (capacity - self.shares.owed_cpu(now)).max(capacity * MIN_FREE_SHARE);
-        if free <= 0.0 {
-            return MAX_WAIT;
-        }
-        Duration::from_secs_f64((work / free / 1_000.0).min(MAX_WAIT.as_secs_f64()))
+        backlog
     }
 
     fn count_backlog(&self, now: Duration) -> Backlog {
--- a/crates/hyssop-policy/src/owner/worker.rs
+++ b/crates/hyssop-policy/src/owner/worker.rs
@@ -4,6 +4,7 @@
 use super::{JobKey, TaskKey};
 use hyssop_model::work::{self, Completion, Resources};
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 use std::time::Duration;
 
 /// A worker whose runs take this many times the expected duration is chosen only when no other
@@ -121,6 +122,18 @@
     format!("{id}@{incarnation}")
 }
 
+/// Returns whether one of these starts may still be carried out, of a task whose name begins with `prefix`.
+pub(super) fn has_open_start(
+    starts: &BTreeMap<String, UnansweredStart>,
+    prefix: &str,
+    now: Duration,
+) -> bool {
+    let named = starts.range::<str, _>((Bound::Included(prefix), Bound::Unbounded));
+    named
+        .take_while(|(task, _)| task.starts_with(prefix))
+        .any(|(_, start)| now < start.until)
+}
+
 impl Worker {
     pub(super) fn new(listing: work::Worker) -> Self {
         Self {
@@ -185,6 +198,11 @@
                 || self.runs.values().filter(is_open).count() < MAX_OPEN_STARTS)
     }
 
+    /// Returns whether a start may still be carried out of a task whose name begins with `prefix`.
+    pub(super) fn has_unanswered_start(&self, prefix: &str, now: Duration) -> bool {
+        has_open_start(&self.unanswered_starts, prefix, now)
+    }
+
     /// Records that a start got no answer.
     pub(super) fn record_unanswered_start(&mut self, task: String, run: u64, now: Duration) {
         self.unanswered_starts.retain(|_, start| now < start.until);
--- a/crates/hyssop-policy/tests/intake.rs
+++ b/crates/hyssop-policy/tests/intake.rs
@@ -14,6 +14,7 @@
     callers: 40,
     probes: 8,
     peers: 8,
+    jobs: 100_000,
 };
 const TIMEOUTS: Timeouts = Timeouts {
     header: Duration::from_secs(3),
