pool: a replaced owner forgets the pool's jobs

An owner that was replaced kept its scheduler with all jobs until it owned the same pool again. After some failovers a process held the jobs of pools that others owned, beside its own, and no limit counted them.

The scheduler of a term that has ended is emptied once all waiting requests are answered. Test replaced_owner_holds_no_jobs reads the bytes held from the metrics after the process was frozen for a failover.

--- a/crates/hyssop-edge/src/pool/driver.rs
+++ b/crates/hyssop-edge/src/pool/driver.rs
@@ -175,6 +175,8 @@
                 false => Answer::Uncertain,
             });
         self.cancelling.answer_all(|_| Answer::NotOwner);
+        // The process may own other pools for long, and the driver is kept until it owns this one again.
+        scheduler.forget_jobs();
         self.wake.notify_one();
         self.store_wake.notify_one();
         self.grants_wake.notify_one();
--- a/crates/hyssop-edge/tests/accepted_jobs.rs
+++ b/crates/hyssop-edge/tests/accepted_jobs.rs
@@ -187,6 +187,27 @@
     assert_within_memory(&owner, MEMORY_MB);
 }
 
+/// An owner that was replaced kept its jobs until it owned the pool again.
+#[test]
+fn replaced_owner_holds_no_jobs() {
+    const HELD: &str = "hyssop_intake_job_bytes ";
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let platform = platform();
+    let owner = start(&platform, "e1", MEMORY_MB);
+    owner.submit_until_accepted(FIRST, &job(1, 1, 10));
+    let successor = start(&platform, "e2", MEMORY_MB);
+    wait_until("the standby serves", || successor.state(FIRST) == "done");
+    flood("/a/", WIDE_JOBS, &wide_job()).send(&owner);
+    assert!(owner.metric(HELD) > Some(0.0));
+    owner.signal("STOP");
+    wait_until("the successor owns the pool", || successor.owns("alpha"));
+    owner.signal("CONT");
+    wait_until("the owner has forgotten the jobs", || {
+        owner.metric(HELD) == Some(0.0)
+    });
+    assert!(successor.metric(HELD) > Some(0.0));
+}
+
 /// A job whose caller gave up before it was stored left its waiting request behind, some 850 bytes.
 #[test]
 fn callers_that_give_up_early_do_not_exhaust_memory() {
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -234,6 +234,12 @@
         self.actions.clear();
     }
 
+    /// Drops all jobs, workers and rows of a term that has ended.
+    pub fn forget_jobs(&mut self) {
+        *self = Self::new(&self.pool, self.term, self.settings);
+        self.depose();
+    }
+
     /// Applies the queue rules of a configuration. Rules of removed queues are kept for the jobs
     /// accepted under them.
     pub fn configure(&mut self, configuration: &Configuration) {
--- a/crates/hyssop-policy/tests/backlog.rs
+++ b/crates/hyssop-policy/tests/backlog.rs
@@ -236,6 +236,15 @@
     assert!(scheduler.held_bytes() < open / 10, "{open}");
 }
 
+#[test]
+fn deposed_owner_holds_nothing() {
+    let mut scheduler = scheduler();
+    submit(&mut scheduler, 1, URGENT, job(1, 500, 900));
+    scheduler.forget_jobs();
+    assert_eq!(scheduler.held_bytes(), 0);
+    assert!(scheduler.is_deposed());
+}
+
 /// A process that takes over several full pools keeps their jobs, and reads fewer requests at once.
 #[test]
 fn jobs_beyond_their_part_of_the_memory_take_that_of_requests() {
