planner: serve the status address with bounded connections, heads and times

Operators saw a planner that could be ended by anybody who reaches its status address: the library for its requests opens a thread and two descriptors for each connection, keeps heads without end, and answers pipelined requests into memory that nobody takes.

--- a/crates/hyssop-planner/src/daemon/error.rs
+++ b/crates/hyssop-planner/src/daemon/error.rs
@@ -12,13 +12,13 @@
     },
     /// The status server can't listen on its address.
     #[snafu(display(
-        "failed to listen on {address}: {reason}; choose a free address in the settings"
+        "failed to listen on {address}: {source}; choose a free address in the settings"
     ))]
     Listen {
         /// The address.
         address: std::net::SocketAddr,
-        /// The HTTP library's error message.
-        reason: String,
+        /// The operating system's error.
+        source: std::io::Error,
     },
     /// A thread can't be started or a signal handler can't be installed.
     #[snafu(display("failed to start a thread or to install a signal handler: {source}"))]
--- a/crates/hyssop-planner/src/daemon/lifecycle.rs
+++ b/crates/hyssop-planner/src/daemon/lifecycle.rs
@@ -1,7 +1,7 @@
 use super::error::{Error, ListenSnafu, LogSnafu, SystemSnafu};
 use super::region::{Platform, Region};
 use crate::reports::Http;
-use crate::status::{Metrics, Server};
+use crate::status::{Listener, Metrics, Server};
 use hyssop_config::settings::Planner;
 use hyssop_event::{Kind, Recorder};
 use hyssop_model::clock::System;
@@ -24,24 +24,24 @@
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
         signal_hook::flag::register(signal, is_stopping.clone()).context(SystemSnafu)?;
     }
-    let server = tiny_http::Server::http(settings.status).map_err(|error| {
-        ListenSnafu {
-            address: settings.status,
-            reason: error.to_string(),
-        }
-        .build()
+    let listener = Listener::bind(settings.status).context(ListenSnafu {
+        address: settings.status,
     })?;
     let clock: Arc<dyn Clock> = Arc::new(System);
     let recorder = Recorder::new(&settings.process.name, clock.clone());
     let metrics = Arc::new(Metrics::new());
-    let address = server.server_addr().to_string();
+    let address = listener.address().to_string();
     let status_server = Server {
         recorder: recorder.clone(),
         metrics: metrics.clone(),
     };
     std::thread::Builder::new()
         .name("status".to_owned())
-        .spawn(move || status_server.serve(&server))
+        .spawn(move || {
+            if let Err(error) = listener.serve(status_server) {
+                log::error!("event=status-failed reason={:?}", error.to_string());
+            }
+        })
         .context(SystemSnafu)?;
     recorder.record(Kind::ProcessStarted, &[("address", &address)]);
     println!("ready planner=http://{address} pid={}", std::process::id());
--- a/crates/hyssop-planner/src/status/server.rs
+++ b/crates/hyssop-planner/src/status/server.rs
@@ -1,7 +1,10 @@
+use super::listener::respond;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::{Response, StatusCode, Uri};
 use hyssop_event::Recorder;
 use prometheus::{Encoder, IntCounter, IntGauge, Registry, TextEncoder};
 use std::sync::Arc;
-use tiny_http::{Request, Response};
 
 /// The planner's metrics.
 pub struct Metrics {
@@ -93,29 +96,19 @@
 }
 
 impl Server {
-    /// Serves until the process ends.
-    pub(crate) fn serve(&self, server: &tiny_http::Server) {
-        for request in server.incoming_requests() {
-            let response = self.handle(&request);
-            // The client may have closed the connection.
-            let _ = request.respond(response);
-        }
-    }
-
-    fn handle(&self, request: &Request) -> Response<std::io::Cursor<Vec<u8>>> {
-        const NOT_FOUND: u16 = 404;
-        let (path, query) = request.url().split_once('?').unwrap_or((request.url(), ""));
-        match path {
-            "/health/live" => Response::from_string("live\n"),
-            "/metrics" => Response::from_string(self.metrics.render()),
+    /// Answers a request by its target.
+    pub(super) fn handle(&self, target: &Uri) -> Response<Full<Bytes>> {
+        match target.path() {
+            "/health/live" => respond(StatusCode::OK, "live\n"),
+            "/metrics" => respond(StatusCode::OK, self.metrics.render()),
             "/events" => {
-                let after = query
-                    .strip_prefix("after=")
-                    .and_then(|number| number.parse().ok());
+                let after = target.query().unwrap_or("").strip_prefix("after=");
+                let after = after.and_then(|number| number.parse().ok());
                 let events = self.recorder.after(after.unwrap_or(0));
-                Response::from_data(serde_json::to_vec(&events).unwrap_or_default())
+                let body = serde_json::to_vec(&events).unwrap_or_default();
+                respond(StatusCode::OK, body)
             }
-            _ => Response::from_string("not found\n").with_status_code(NOT_FOUND),
+            _ => respond(StatusCode::NOT_FOUND, "not found\n"),
         }
     }
 }
