entry: bound the memory of all bodies, and what is read of a peer before its first frame

Callers saw an entry whose memory grows with the bodies that don't end: each connection may send 1 MiB within 10 s, and there are 4,096. The listener for peers had no bound at all: any number of connections, for any time, each with a frame of up to 16 MiB.

Bodies take permits for what has arrived, from 32 MiB in all (limits.body_memory). A quarter is for the first 16 KiB of each body, so that large ones never keep ordinary ones from being read. A request without a permit is answered 503 (not-run, reason body-memory, Retry-After 1). Of a peer's connection 256 KiB are read before its first frame, which must come within 5 s of the handshake, and 48 connections are open at once; kept answers of megabytes pass after the first frame as before.

--- a/crates/hyssop-config/src/settings/limits.rs
+++ b/crates/hyssop-config/src/settings/limits.rs
@@ -8,6 +8,9 @@
 pub struct Limits {
     /// The maximum size of a request body, in bytes.
     pub body: u64,
+    /// The memory for the bodies of all requests that are read or served, in bytes; a quarter is for the first
+    /// 16 KiB of each.
+    pub body_memory: u64,
     /// The maximum size of a request head, in bytes.
     pub head: u64,
     /// The maximum size of a response from a backend server, in bytes.
@@ -39,6 +42,9 @@
         let defaults = Self::default();
         let limits = Self {
             body: section.take_or("body", Bytes(defaults.body))?.0,
+            body_memory: section
+                .take_or("body_memory", Bytes(defaults.body_memory))?
+                .0,
             head: section.take_or("head", Bytes(defaults.head))?.0,
             answer: section.take_or("answer", Bytes(defaults.answer))?.0,
             connections: section.take_or("connections", defaults.connections)?,
@@ -73,6 +79,7 @@
     fn default() -> Self {
         Self {
             body: 1 << 20,
+            body_memory: 32 << 20,
             head: 16 << 10,
             answer: 8 << 20,
             connections: 4096,
--- a/crates/hyssop-entry/src/daemon/lifecycle.rs
+++ b/crates/hyssop-entry/src/daemon/lifecycle.rs
@@ -135,6 +135,7 @@
     let frontend = Arc::new(front::Frontend {
         state: state.clone(),
         limits: settings.limits.clone(),
+        bodies: front::Memory::new(&settings.limits),
         inbox: inbox.clone(),
         backends: backends.clone(),
         metrics,
--- a/crates/hyssop-entry/src/front/server.rs
+++ b/crates/hyssop-entry/src/front/server.rs
@@ -1,3 +1,4 @@
+use super::body::Memory;
 use super::service;
 use crate::backend;
 use crate::core::Inbox;
@@ -21,6 +22,7 @@
 pub(crate) struct Frontend {
     pub(crate) state: Arc<State>,
     pub(crate) limits: Limits,
+    pub(crate) bodies: Memory,
     pub(crate) inbox: Inbox,
     pub(crate) backends: Arc<backend::Pool>,
     pub(crate) metrics: Arc<Metrics>,
--- a/crates/hyssop-entry/src/front/service.rs
+++ b/crates/hyssop-entry/src/front/service.rs
@@ -1,14 +1,15 @@
+use super::body::{Body, Unread};
 use super::call::{Call, POOLS_PREFIX};
-use super::rejection::Rejection;
 use super::response::{self, Reply};
 use super::server::Frontend;
 use super::{control, jobs, task};
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::{Request, StatusCode};
+use hyper::Request;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// The time until a retry of a request for whose body there was no memory; most bodies arrive within it.
+const BODY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Handles one request of a connection.
 pub(crate) async fn handle(frontend: Arc<Frontend>, request: Request<Incoming>) -> Reply {
@@ -16,8 +17,8 @@
         let pool = pool.to_owned();
         let (parts, body) = request.into_parts();
         return match read_body(&frontend, body).await {
-            Ok(body) => jobs::submit(&frontend, &pool, &parts.headers, &body).await,
-            Err(rejection) => response::rejected("none", &rejection),
+            Ok(body) => jobs::submit(&frontend, &pool, &parts.headers, &body.bytes).await,
+            Err(cause) => unread("none", &cause),
         };
     }
     if request.uri().path().starts_with(POOLS_PREFIX) {
@@ -25,8 +26,11 @@
     }
     let (parts, body) = request.into_parts();
     match read_body(&frontend, body).await {
-        Ok(body) => control::handle(&frontend, &parts.method, &parts.uri, body).await,
-        Err(rejection) => response::rejected("none", &rejection),
+        Ok(body) => {
+            let bytes = body.bytes.clone();
+            control::handle(&frontend, &parts.method, &parts.uri, bytes).await
+        }
+        Err(cause) => unread("none", &cause),
     }
 }
 
@@ -42,9 +46,10 @@
     };
     let body = match read_body(&frontend, body).await {
         Ok(body) => body,
-        Err(rejection) => return record(&frontend, started, response::rejected(&id, &rejection)),
+        Err(cause) => return record(&frontend, started, unread(&id, &cause)),
     };
-    let reply = task::run(frontend.clone(), number, id, call, body, started).await;
+    let bytes = body.bytes.clone();
+    let reply = task::run(frontend.clone(), number, id, call, bytes, started).await;
     record(&frontend, started, reply)
 }
 
@@ -59,23 +64,15 @@
     reply
 }
 
-/// Reads a request body within the size and time limits.
-async fn read_body(frontend: &Frontend, body: Incoming) -> Result<Bytes, Rejection> {
-    let limit = frontend.limits.body;
-    let collect = Limited::new(body, limit as usize).collect();
-    match tokio::time::timeout(frontend.limits.body_timeout, collect).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let message = format!("the body exceeds {limit} bytes; send less");
-            Err(Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, message))
-        }
-        Ok(Err(_)) => {
-            let message = "the body is incomplete; send the complete body";
-            Err(Rejection::new(StatusCode::BAD_REQUEST, message))
-        }
-        Err(_) => {
-            let message = "the body was not received in time; send it faster";
-            Err(Rejection::new(StatusCode::REQUEST_TIMEOUT, message))
-        }
+/// Reads a request body within the limits on its size, its time and the memory for all bodies.
+async fn read_body(frontend: &Frontend, body: Incoming) -> Result<Body, Unread> {
+    frontend.bodies.read(&frontend.limits, body).await
+}
+
+/// Returns the response to a request whose body was not read; it has not run.
+fn unread(request: &str, cause: &Unread) -> Reply {
+    match cause {
+        Unread::Rejected(rejection) => response::rejected(request, rejection),
+        Unread::NoMemory => response::not_run(request, "body-memory", BODY_RETRY_AFTER),
     }
 }
--- a/crates/hyssop-entry/src/peer/mod.rs
+++ b/crates/hyssop-entry/src/peer/mod.rs
@@ -3,6 +3,7 @@
 mod dialer;
 mod links;
 mod listener;
+mod opening;
 
 pub(crate) use links::Links;
 pub(crate) use listener::listen;
--- a/crates/hyssop-entry/tests/support/mod.rs
+++ b/crates/hyssop-entry/tests/support/mod.rs
@@ -25,6 +25,8 @@
 /// A running entry, which is stopped when it is dropped.
 pub struct TestEntry {
     pub address: String,
+    /// The address for links from peers.
+    pub peers: String,
     pub servers: String,
     pub platform: String,
     stop: Option<tokio::sync::oneshot::Sender<()>>,
@@ -59,6 +61,11 @@
 impl TestEntry {
     /// Starts the stand-ins and an entry, and waits until it is ready.
     pub fn start() -> Self {
+        Self::start_with("body = 64KiB\nhead_timeout = 500ms\nbody_timeout = 500ms\n")
+    }
+
+    /// As `start`, with other lines for the section `limits` of the settings.
+    pub fn start_with(limits: &str) -> Self {
         let platform = platform::listen(platform::Options {
             listen: "127.0.0.1:0".to_owned(),
             writes_per_second: 400,
@@ -91,14 +98,17 @@
         write_planner_rows(&Client::new(platform_url.clone(), 5));
         let (stop, stopped) = tokio::sync::oneshot::channel();
         let (sender, receiver) = mpsc::channel();
-        let settings = settings(&platform_url);
+        let settings = settings(&platform_url, limits);
         let thread = std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_multi_thread()
                 .worker_threads(1)
                 .enable_all()
                 .build()
                 .unwrap();
-            let announce = move |member: &Member| sender.send(member.address.clone()).unwrap();
+            let announce = move |member: &Member| {
+                let addresses = (member.address.clone(), member.peer_address.clone());
+                sender.send(addresses).unwrap();
+            };
             let stop = async {
                 let _ = stopped.await;
             };
@@ -106,8 +116,10 @@
                 .block_on(hyssop_entry::daemon::serve(settings, announce, stop))
                 .unwrap();
         });
+        let (address, peers) = receiver.recv_timeout(TIMEOUT).unwrap();
         let entry = Self {
-            address: receiver.recv_timeout(TIMEOUT).unwrap(),
+            address,
+            peers,
             servers: servers_url,
             platform: platform_url,
             stop: Some(stop),
@@ -242,10 +254,10 @@
     }
 }
 
-fn settings(platform: &str) -> Entry {
+fn settings(platform: &str, limits: &str) -> Entry {
     let text = format!(
-        "[process]\nname = entry-1\nregion = {REGION}\ndata_centre = dc\nplatform = {platform}\npoll = 50ms\n[limits]\nbody \
-         = 64KiB\nhead_timeout = 500ms\nbody_timeout = 500ms\n[entry]\ncallers = 127.0.0.1:0\npeers = \
+        "[process]\nname = entry-1\nregion = {REGION}\ndata_centre = dc\nplatform = {platform}\npoll = 50ms\n[limits]\n\
+         {limits}[entry]\ncallers = 127.0.0.1:0\npeers = \
          127.0.0.1:0\nbalancer_delay = 100ms\n"
     );
     Entry::from_document(Document::parse("entry.ini", &text).unwrap()).unwrap()
