pool: tell a repeated request of a job that is on its way to the store from a new one

Cause: an owner refuses new jobs at once while the store is silent, and took a job for new if no request waited for it. The requests that were never removed had hidden that a job may be under way without anybody waiting: with them gone, a repetition of a request that had got 504 was told 503 while the first one was stored.

The scheduler is asked whether it has the job, stored or not.

--- a/crates/hyssop-edge/src/pool/operations.rs
+++ b/crates/hyssop-edge/src/pool/operations.rs
@@ -50,10 +50,10 @@
                     self.scheduler.borrow_mut().learn_rule(&queue, rule);
                 }
                 let now = self.node.clock.now();
-                let is_known = self.scheduler.borrow().phase(&id).is_some();
-                let is_waiting = self.accepting.contains(&id);
                 let age = Duration::from_millis(age_ms);
-                if !is_known && !is_waiting {
+                // A job that was sent to the store may be stored, whether or not a caller still waits.
+                let is_new = !self.scheduler.borrow().has_job(&id);
+                if is_new {
                     let refusal = self.store_refusal(&queue, &id, &submission, age);
                     if let Some(refusal) = refusal {
                         return refusal;
--- a/crates/hyssop-edge/src/pool/waiters.rs
+++ b/crates/hyssop-edge/src/pool/waiters.rs
@@ -19,11 +19,6 @@
 }
 
 impl Waiters {
-    /// Returns whether a request waits for this job.
-    pub(super) fn contains(&self, id: &str) -> bool {
-        self.senders.borrow().contains_key(id)
-    }
-
     /// Waits for the answer about a job; returns `None` on a timeout.
     pub(super) async fn wait(&self, id: &str, timeout: Duration) -> Option<Answer> {
         let mut waiter = self.register(id);
--- a/crates/hyssop-edge/tests/accepted_jobs.rs
+++ b/crates/hyssop-edge/tests/accepted_jobs.rs
@@ -3,10 +3,11 @@
 
 mod support;
 
-use platform_standin::Platform;
+use platform_standin::{Access, Platform};
 use serde_json::Value;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use support::caller::{Connection, Outcome};
 use support::crowd::memory_kib;
 use support::flood::{Flood, Outcomes};
 use support::{job, platform, wait_until, Edge};
@@ -233,3 +234,37 @@
     owner.submit_until_accepted(ORDINARY, &job(1, 1, 10));
     assert_within_memory(&owner, MEMORY_MB);
 }
+
+/// A repeated request was told that the job has not run, while the first one was on its way to the store.
+#[test]
+fn job_on_its_way_to_the_store_is_not_refused_when_it_is_submitted_again() {
+    const PATH: &str = "/a/00000000000000f4";
+    const DEADLINE_MS: u64 = 400;
+    /// Longer than the store may be silent until new jobs are refused at once.
+    const OUTAGE: Duration = Duration::from_millis(1_000);
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let platform = platform();
+    let owner = start(&platform, "e1", MEMORY_MB);
+    owner.submit_until_accepted(FIRST, &job(1, 1, 10));
+    wait_until("the job is done", || owner.state(FIRST) == "done");
+    // The last rows of that job are stored.
+    std::thread::sleep(OUTAGE);
+    platform.set_access_of_all(Access::Unanswered);
+    let submit = |path: &str| {
+        let mut connection = Connection::open(&owner.front).expect("a connection");
+        connection.deadline_ms = Some(DEADLINE_MS);
+        connection.request("POST", path, &job(1, 1, 10).to_string())
+    };
+    let first = submit(PATH);
+    assert!(first.has_status(504), "{first:?}");
+    std::thread::sleep(OUTAGE);
+    let refusal = Outcome::Answered {
+        status: 503,
+        has_retry_after: true,
+    };
+    assert_eq!(submit(ORDINARY), refusal, "a new job");
+    let second = submit(PATH);
+    assert!(second.has_status(504), "{second:?}");
+    platform.set_access_of_all(Access::Open);
+    wait_until("the job is done", || owner.state(PATH) == "done");
+}
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -264,6 +264,11 @@
         owner.is_none() || owner == account
     }
 
+    /// Returns whether a job is accepted or may be: it waits for the store, or is on its way there.
+    pub fn has_job(&self, id: &str) -> bool {
+        self.ended.contains(id) || self.job_keys.contains_key(id)
+    }
+
     /// Returns the phase of a job that callers may see, `None` if no accepted job has that
     /// identifier.
     pub fn phase(&self, id: &str) -> Option<Phase> {
