edge tests: start the processes of a test of links at the same time

On a busy machine the file `links` failed in 2 of 8 runs at a load of 22: "all shards have owners" timed out in 3 tests and in 1. The tests want three owners among processes that they started one after the other. Taken as the cause: a process takes over vacant shards 0.6 s after its start, and each start takes a good part of a second on such a machine, so the first ones own all. A trace of a failed run was not obtained.

The processes are started in parallel, as a platform does. All assertions stay.

--- a/crates/hyssop-edge/tests/links.rs
+++ b/crates/hyssop-edge/tests/links.rs
@@ -26,12 +26,24 @@
         .sum()
 }
 
+/// Starts processes at the same time. One that is ready long before the others takes over all shards, as it
+/// should, and on a busy machine each start takes a good part of a second.
+fn start_together(platform: &Platform, names: &[String]) -> Vec<Edge> {
+    std::thread::scope(|scope| {
+        let starts: Vec<_> = names
+            .iter()
+            .map(|name| scope.spawn(|| Edge::start(platform, name)))
+            .collect();
+        let edges = starts.into_iter().map(|start| start.join());
+        edges
+            .map(|edge| edge.expect("the process starts"))
+            .collect()
+    })
+}
+
 /// Starts `count` processes and waits until each of the three shards has an owner of its own.
 fn start_with_owners(platform: &Platform, count: usize) -> Vec<Edge> {
-    let edges: Vec<Edge> = names(count)
-        .iter()
-        .map(|name| Edge::start(platform, name))
-        .collect();
+    let edges = start_together(platform, &names(count));
     wait_until("all shards have owners", || {
         edges.iter().filter(|edge| edge.is_owner()).count() == 3
     });
@@ -74,12 +86,7 @@
     });
     platform.set_feed_delay(Duration::ZERO);
     let mut edges = vec![late];
-    edges.extend(
-        names(4)
-            .iter()
-            .skip(1)
-            .map(|name| Edge::start(&platform, name)),
-    );
+    edges.extend(start_together(&platform, &names(4)[1..]));
     wait_until("all shards have owners", || {
         edges.iter().map(Edge::owned_shards).sum::<usize>() == 3
     });
