--- a/review/cases-3/src/edge.rs
+++ b/review/cases-3/src/edge.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// What a process is told of its surroundings.
@@ -16,6 +15,7 @@
     pub zone: String,
     pub store: SocketAddr,
     pub machines: SocketAddr,
+    pub advice: Option<SocketAddr>,
 }
 
 /// One process, killed on drop.
@@ -23,7 +23,6 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     child: Child,
-    log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Edge {
@@ -46,17 +45,12 @@
             let _ = child.wait();
             return None;
         };
-        let log: Arc<Mutex<Vec<String>>> = Arc::default();
-        let kept = log.clone();
         let (name, noted) = (place.name.clone(), record.clone());
         std::thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
                 if is_notable(&line) {
                     noted.note(&format!("{name} logs: {line}"));
                 }
-                kept.lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .push(line);
             }
         });
         let field = |name: &str| -> Option<SocketAddr> {
@@ -69,27 +63,9 @@
             front,
             ready,
             child,
-            log,
         })
     }
 
-    pub fn has_logged(&self, is_wanted: impl Fn(&str) -> bool) -> bool {
-        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
-        log.iter().any(|line| is_wanted(line))
-    }
-
-    /// Sends a signal, named without its `SIG` prefix.
-    pub fn signal(&self, name: &str) -> bool {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill").args([format!("-{name}"), id]).status();
-        status.is_ok_and(|status| status.success())
-    }
-
-    /// Waits for the end of a process that was told to stop.
-    pub fn wait(&mut self) {
-        let _ = self.child.wait();
-    }
-
     /// Returns whether the process owns a shard by its metrics.
     pub fn owns(&self, shard: &str) -> bool {
         let timeout = Duration::from_millis(500);
@@ -143,7 +119,9 @@
         zone,
         store,
         machines,
+        advice,
     } = place;
+    let advice = advice.map_or_else(String::new, |address| format!("advice = \"{address}\""));
     format!(
         r#"node-name = "{name}"
 role = "edge"
@@ -159,6 +137,7 @@
 heartbeat-interval-ms = 1500
 contracts = ["base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"]
 orders = "call"
+{advice}
 [zones]
 lahore-a = "punjab"
 lahore-b = "punjab"
--- a/review/cases-3/src/held_order.rs
+++ b/review/cases-3/src/held_order.rs
@@ -4,6 +4,7 @@
 use crate::cut::{plain_way, request_way, Cut, Requests};
 use crate::edge::{wait_until, Edge, Place};
 use crate::record::Record;
+use crate::server::response;
 use crate::wire::{call, Message};
 use crate::{Setting, Verdict};
 use platform_standin::{Platform, Shape};
@@ -50,15 +51,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn response(status: u16, body: &str) -> Vec<u8> {
-    let length = body.len();
-    format!(
-        "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n\
-         {body}"
-    )
-    .into_bytes()
-}
-
 impl Requests for Api {
     fn on_sent(&self, request: &Message) {
         if request.first.starts_with("POST /machine-upkeep")
@@ -112,7 +104,11 @@
             order.text,
             order.holder,
             order.fence,
-            if was_held { " (held up by the cut)" } else { "" }
+            if was_held {
+                " (held up by the cut)"
+            } else {
+                ""
+            }
         ));
         lock(&self.orders).push(order);
         Some(response(status, &body))
@@ -165,6 +161,7 @@
             zone: zone.to_owned(),
             store,
             machines,
+            advice: None,
         };
         let Some(edge) = Edge::start(&setting.root, &setting.temporary, &place, record) else {
             return Verdict::NotRun(format!("{name} doesn't start"));
--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -1,10 +1,14 @@
 //! Runs one scripted case: `cases-3 CASE ROOT FOLDER`; exits with 1 if the rule was broken, 0 if it
 //! held, 2 if the case couldn't run. With `TROUBLE=0` it does the same without the disruption.
 
+mod advice_burst;
 mod cut;
 mod edge;
 mod held_order;
+mod late_pace;
 mod record;
+mod server;
+mod sharing;
 mod wire;
 
 use std::path::{Path, PathBuf};
@@ -44,7 +48,9 @@
         record,
     };
     let verdict = match case.as_str() {
+        "advice-burst" => advice_burst::run(&setting),
         "held-order" => held_order::run(&setting),
+        "late-pace" => late_pace::run(&setting),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     let _ = std::fs::remove_dir_all(&temporary);
--- a/review/cases-3/src/wire.rs
+++ b/review/cases-3/src/wire.rs
@@ -11,8 +11,6 @@
     pub first: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
-    /// The bytes as they came.
-    pub raw: Vec<u8>,
 }
 
 impl Message {
@@ -69,7 +67,6 @@
         first,
         headers,
         body,
-        raw: raw[..end + 4 + length].to_vec(),
     })
 }
 
