--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -4,6 +4,7 @@
 mod advice_burst;
 mod cut;
 mod edge;
+mod foreign_entry;
 mod held_order;
 mod late_pace;
 mod record;
@@ -49,6 +50,7 @@
     };
     let verdict = match case.as_str() {
         "advice-burst" => advice_burst::run(&setting),
+        "foreign-entry" => foreign_entry::run(&setting),
         "held-order" => held_order::run(&setting),
         "late-pace" => late_pace::run(&setting),
         _ => Verdict::NotRun(format!("no case {case}")),
--- a/review/cases-3/src/sharing.rs
+++ b/review/cases-3/src/sharing.rs
@@ -56,6 +56,24 @@
     record: Record,
     /// When the late order was received and when it was carried out.
     late: Mutex<(Option<Duration>, Option<Duration>)>,
+    /// The starts and ends of runs here.
+    spans: Mutex<Vec<Span>>,
+}
+
+/// One run of a subtask.
+#[derive(Clone, Debug)]
+pub struct Span {
+    pub task: String,
+    pub started_at: Duration,
+    /// When it ended and how, `None` while it goes on.
+    pub end: Option<(Duration, &'static str)>,
+}
+
+impl Span {
+    /// Returns whether the subtask was at work at a time, past its startup.
+    pub fn is_at_work(&self, at: Duration) -> bool {
+        at >= self.started_at + STARTUP && self.end.is_none_or(|(ended_at, _)| at < ended_at)
+    }
 }
 
 impl Worker {
@@ -79,6 +97,7 @@
             changed: Condvar::new(),
             record: record.clone(),
             late: Mutex::default(),
+            spans: Mutex::default(),
         });
         let serving = worker.clone();
         let address = serve(move |path, call| serving.handle(path, call))?;
@@ -104,6 +123,11 @@
         *self.late.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub fn spans(&self) -> Vec<Span> {
+        let spans = self.spans.lock().unwrap_or_else(PoisonError::into_inner);
+        spans.clone()
+    }
+
     /// The tail of the serving subtask and the speed of the filling one, if both are at work.
     pub fn tail(&self) -> Option<(f64, u64)> {
         let state = self.lock();
@@ -148,6 +172,13 @@
         for (task, number, how) in ended {
             self.record
                 .note(&format!("worker: {task} run {number} ends: {how}"));
+            let now = self.record.now();
+            let mut spans = self.spans.lock().unwrap_or_else(PoisonError::into_inner);
+            let of_run = spans.iter_mut().rev().find(|span| span.task == task);
+            if let Some(span) = of_run {
+                span.end = Some((now, how));
+            }
+            drop(spans);
             state.runs.remove(&task);
             state.stale.insert(task.clone(), number);
             state.last_end += 1;
@@ -240,6 +271,13 @@
                     next: None,
                     stops_at: None,
                 };
+                let span = Span {
+                    task: task.clone(),
+                    started_at: self.record.now(),
+                    end: None,
+                };
+                let mut spans = self.spans.lock().unwrap_or_else(PoisonError::into_inner);
+                spans.push(span);
                 state.runs.insert(task, run);
                 done
             }
