--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 root=$(cd "$folder/../.." && pwd) || exit 2
 program=$root/target/cases-3/release/cases-3
 [ -x "$program" ] || { echo "run review/build-3.sh first"; exit 2; }
-exec "$program" late-pace "$root" "$folder"
+exec "$program" silent "$root" "$folder"
--- a/review/cases-3/src/cut.rs
+++ b/review/cases-3/src/cut.rs
@@ -16,13 +16,12 @@
 #[derive(Clone, Default)]
 pub struct Cut {
     is_cut: Arc<AtomicBool>,
-    /// How many cuts have begun.
-    count: Arc<AtomicU64>,
+    /// How often the open channels have gone silent for good.
+    silenced: Arc<AtomicU64>,
 }
 
 impl Cut {
     pub fn begin(&self) {
-        self.count.fetch_add(1, Ordering::SeqCst);
         self.is_cut.store(true, Ordering::SeqCst);
     }
 
@@ -34,6 +33,15 @@
         self.is_cut.load(Ordering::SeqCst)
     }
 
+    /// Lets the channels that are open now go silent for good, while new ones work.
+    pub fn silence(&self) {
+        self.silenced.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn silenced(&self) -> u64 {
+        self.silenced.load(Ordering::SeqCst)
+    }
+
     /// Waits while the way is cut; returns whether it was.
     fn wait(&self) -> bool {
         let was_cut = self.is_cut();
@@ -98,6 +106,7 @@
 
 fn pump(mut from: TcpStream, mut to: TcpStream, cut: &Cut) {
     let mut buffer = [0; 16_384];
+    let opened = cut.silenced();
     loop {
         let count = match from.read(&mut buffer) {
             Ok(0) => break,
@@ -108,6 +117,11 @@
                 return;
             }
         };
+        if cut.silenced() != opened {
+            // What comes is taken and goes nowhere.
+            while from.read(&mut buffer).is_ok_and(|count| count > 0) {}
+            return;
+        }
         if cut.wait() && is_reset(&from) {
             let _ = to.shutdown(Shutdown::Both);
             return;
--- a/review/cases-3/src/foreign_entry.rs
+++ b/review/cases-3/src/foreign_entry.rs
@@ -148,7 +148,12 @@
         record.note(&format!("client: POST {path} {text}: {status}"));
         status == 200
     });
-    let spans = || -> Vec<Span> { workers.iter().flat_map(|(worker, ..)| worker.spans()).collect() };
+    let spans = || -> Vec<Span> {
+        workers
+            .iter()
+            .flat_map(|(worker, ..)| worker.spans())
+            .collect()
+    };
     let at_work = |at: Duration| spans().iter().filter(|span| span.is_at_work(at)).count();
     if !is_accepted || !wait_until(LIMIT, || at_work(record.now()) == COUNT) {
         return Verdict::NotRun("the job isn't at work".to_owned());
--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -10,6 +10,7 @@
 mod record;
 mod server;
 mod sharing;
+mod silent;
 mod wire;
 
 use std::path::{Path, PathBuf};
@@ -52,6 +53,7 @@
         "advice-burst" => advice_burst::run(&setting),
         "foreign-entry" => foreign_entry::run(&setting),
         "held-order" => held_order::run(&setting),
+        "silent" => silent::run(&setting),
         "late-pace" => late_pace::run(&setting),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
