--- a/review/cases-3/src/cut.rs
+++ b/review/cases-3/src/cut.rs
@@ -86,8 +86,9 @@
     Some(address)
 }
 
-/// Returns the address of a way to `target` that passes bytes on as they come.
-pub fn plain_way(target: SocketAddr, cut: &Cut) -> Option<SocketAddr> {
+/// Returns the address of a way to `target` that passes bytes on as they come, those that come back
+/// `answer_time` later.
+pub fn plain_way(target: SocketAddr, cut: &Cut, answer_time: Duration) -> Option<SocketAddr> {
     let way = cut.clone();
     listen(cut.clone(), move |near| {
         let Ok(far) = TcpStream::connect(target) else {
@@ -98,13 +99,13 @@
             return;
         };
         let back = way.clone();
-        let answers = thread::spawn(move || pump(far_reader, near, &back));
-        pump(near_reader, far, &way);
+        let answers = thread::spawn(move || pump(far_reader, near, &back, answer_time));
+        pump(near_reader, far, &way, Duration::ZERO);
         let _ = answers.join();
     })
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, cut: &Cut) {
+fn pump(mut from: TcpStream, mut to: TcpStream, cut: &Cut, delay: Duration) {
     let mut buffer = [0; 16_384];
     let opened = cut.silenced();
     loop {
@@ -117,6 +118,7 @@
                 return;
             }
         };
+        thread::sleep(delay);
         if cut.silenced() != opened {
             // What comes is taken and goes nowhere.
             while from.read(&mut buffer).is_ok_and(|count| count > 0) {}
--- a/review/cases-3/src/held_order.rs
+++ b/review/cases-3/src/held_order.rs
@@ -151,7 +151,7 @@
             upkeeps: Arc::clone(&upkeeps),
             record: record.clone(),
         });
-        let store = plain_way(platform.store, &cut);
+        let store = plain_way(platform.store, &cut, Duration::ZERO);
         let machines = request_way(&cut, api, record);
         let (Some(store), Some(machines)) = (store, machines) else {
             return Verdict::NotRun("no loopback port is free".to_owned());
--- a/review/cases-3/src/silent.rs
+++ b/review/cases-3/src/silent.rs
@@ -14,6 +14,10 @@
 const ACK_TIMEOUT: Duration = Duration::from_millis(4_000);
 const CANCEL: Duration = Duration::from_millis(3_000);
 const STOP: Duration = Duration::from_millis(900);
+/// "4 ms an answer" (SYSTEM, the platform's store).
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// From the loss of the history on, before the channels go silent.
+const CALM_TIME: Duration = Duration::from_secs(10);
 const LIMIT: Duration = Duration::from_secs(20);
 
 fn configuration() -> Value {
@@ -45,7 +49,7 @@
     let mut edges = Vec::new();
     for (name, zone) in [("e0", "lahore-a"), ("e1", "lahore-b"), ("e2", "gujranwala")] {
         let cut = Cut::default();
-        let Some(store) = plain_way(platform.store, &cut) else {
+        let Some(store) = plain_way(platform.store, &cut, ANSWER_TIME) else {
             return Verdict::NotRun("no loopback port is free".to_owned());
         };
         let place = Place {
@@ -73,22 +77,36 @@
     }] })
     .to_string();
     let mut paths = Vec::new();
-    for pool in &POOLS[..1] {
+    for (number, pool) in POOLS.iter().enumerate() {
         for index in 0..3 {
-            let path = format!("/{pool}/{:016x}", 0xd000 + index);
-            let front = edges[index % edges.len()].0.front;
-            let is_accepted = wait_until(LIMIT, || {
-                let headers = [("X-Hyssopworks-Deadline-Ms", "3000")];
-                call(front, "POST", &path, &headers, &job, Duration::from_secs(3))
-                    .is_some_and(|answer| answer.status() == 200)
-            });
-            if !is_accepted {
-                return Verdict::NotRun(format!("{path} isn't accepted"));
-            }
-            paths.push((path, front));
+            let path = format!("/{pool}/{:016x}", 0xd000 + number * 16 + index);
+            paths.push((path, edges[index % edges.len()].0.front));
         }
     }
-    thread::sleep(Duration::from_secs(3));
+    // The clients of all queues hand their jobs in at the same time, three times.
+    for round in 0..3 {
+        let mut clients = Vec::new();
+        for (path, front) in paths.iter().skip(round).step_by(3).cloned() {
+            let job = job.clone();
+            clients.push(thread::spawn(move || {
+                wait_until(LIMIT, || {
+                    let headers = [("X-Hyssopworks-Deadline-Ms", "3000")];
+                    let limit = Duration::from_secs(3);
+                    call(front, "POST", &path, &headers, &job, limit)
+                        .is_some_and(|answer| answer.status() == 200)
+                })
+            }));
+        }
+        let accepted = clients.into_iter().map(|client| client.join());
+        if !accepted.fold(true, |all, one| all & one.unwrap_or(false)) {
+            return Verdict::NotRun("a job isn't accepted".to_owned());
+        }
+    }
+    let cancelled: Vec<_> = paths.iter().take(3).cloned().collect();
+    // Every feed reads its table anew, all at once.
+    record.note("the store discards its history");
+    platform.forget_history();
+    thread::sleep(CALM_TIME);
     if setting.has_trouble {
         record.note("all open channels to the store go silent");
         edges.iter().for_each(|(_, cut)| cut.silence());
@@ -96,7 +114,7 @@
     thread::sleep(CONTACT_WINDOW + Duration::from_millis(50));
     let sent = record.now();
     let sent_at = platform.now();
-    let clients: Vec<_> = paths
+    let clients: Vec<_> = cancelled
         .iter()
         .cloned()
         .map(|(path, front)| {
@@ -126,7 +144,11 @@
     let bound = sent_at + ACK_TIMEOUT + CANCEL + STOP;
     let mut latest = Duration::ZERO;
     let mut late = 0;
-    for run in platform.runs() {
+    let is_cancelled = |task: &str| {
+        let mut paths = cancelled.iter();
+        paths.any(|(path, _)| path.ends_with(&task[..16]))
+    };
+    for run in platform.runs().iter().filter(|run| is_cancelled(&run.task)) {
         let ended = run.ended_at.unwrap_or(platform.now());
         latest = latest.max(ended.saturating_sub(sent_at));
         late += usize::from(ended > bound);
