--- a/review/cases-3/src/advice_burst.rs
+++ b/review/cases-3/src/advice_burst.rs
@@ -106,6 +106,7 @@
             store: platform.store,
             machines: platform.machines,
             advice: Some(advice_address),
+            cpu_share: 0.25,
         };
         let Some(edge) = Edge::start(&setting.root, &setting.temporary, &place, record) else {
             return Verdict::NotRun(format!("{name} doesn't start"));
--- a/review/cases-3/src/cut.rs
+++ b/review/cases-3/src/cut.rs
@@ -89,6 +89,16 @@
 /// Returns the address of a way to `target` that passes bytes on as they come, those that come back
 /// `answer_time` later.
 pub fn plain_way(target: SocketAddr, cut: &Cut, answer_time: Duration) -> Option<SocketAddr> {
+    limited_way(target, cut, answer_time, None)
+}
+
+/// As `plain_way`, with at most so many bytes a second on each connection's way back.
+pub fn limited_way(
+    target: SocketAddr,
+    cut: &Cut,
+    answer_time: Duration,
+    bytes_per_s: Option<u64>,
+) -> Option<SocketAddr> {
     let way = cut.clone();
     listen(cut.clone(), move |near| {
         let Ok(far) = TcpStream::connect(target) else {
@@ -99,13 +109,20 @@
             return;
         };
         let back = way.clone();
-        let answers = thread::spawn(move || pump(far_reader, near, &back, answer_time));
-        pump(near_reader, far, &way, Duration::ZERO);
+        let answers =
+            thread::spawn(move || pump(far_reader, near, &back, answer_time, bytes_per_s));
+        pump(near_reader, far, &way, Duration::ZERO, None);
         let _ = answers.join();
     })
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, cut: &Cut, delay: Duration) {
+fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    cut: &Cut,
+    delay: Duration,
+    bytes_per_s: Option<u64>,
+) {
     let mut buffer = [0; 16_384];
     let opened = cut.silenced();
     loop {
@@ -119,6 +136,9 @@
             }
         };
         thread::sleep(delay);
+        if let Some(rate) = bytes_per_s {
+            thread::sleep(Duration::from_micros(count as u64 * 1_000_000 / rate));
+        }
         if cut.silenced() != opened {
             // What comes is taken and goes nowhere.
             while from.read(&mut buffer).is_ok_and(|count| count > 0) {}
--- a/review/cases-3/src/edge.rs
+++ b/review/cases-3/src/edge.rs
@@ -16,6 +16,7 @@
     pub store: SocketAddr,
     pub machines: SocketAddr,
     pub advice: Option<SocketAddr>,
+    pub cpu_share: f64,
 }
 
 /// One process, killed on drop.
@@ -120,6 +121,7 @@
         store,
         machines,
         advice,
+        cpu_share,
     } = place;
     let advice = advice.map_or_else(String::new, |address| format!("advice = \"{address}\""));
     format!(
@@ -146,7 +148,7 @@
 front = "127.0.0.1:0"
 ready = "127.0.0.1:0"
 [limits]
-cpu-share = 0.25
+cpu-share = {cpu_share}
 cores = 1
 memory-mb = 260
 file-descriptors = 4100
--- a/review/cases-3/src/foreign_entry.rs
+++ b/review/cases-3/src/foreign_entry.rs
@@ -123,6 +123,7 @@
             store: platform.store,
             machines,
             advice: None,
+            cpu_share: 0.25,
         };
         let Some(edge) = Edge::start(&setting.root, &setting.temporary, &place, record) else {
             return Verdict::NotRun(format!("{name} doesn't start"));
--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -11,6 +11,7 @@
 mod server;
 mod sharing;
 mod silent;
+mod slow_link;
 mod wire;
 
 use std::path::{Path, PathBuf};
@@ -53,6 +54,7 @@
         "advice-burst" => advice_burst::run(&setting),
         "foreign-entry" => foreign_entry::run(&setting),
         "held-order" => held_order::run(&setting),
+        "slow-link" => slow_link::run(&setting),
         "silent" => silent::run(&setting),
         "late-pace" => late_pace::run(&setting),
         _ => Verdict::NotRun(format!("no case {case}")),
