--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -1,5 +1,6 @@
-//! Runs one scripted case: `cases-3 CASE ROOT FOLDER`; exits with 1 if the rule was broken, 0 if it
-//! held, 2 if the case couldn't run. With `TROUBLE=0` it does the same without the disruption.
+//! Runs one scripted case: `cases-3 CASE ROOT RECORD TROUBLE`; exits with 1 if the rule was broken, 0 if
+//! it held, 2 if the case couldn't run. It writes the record to the file RECORD. With 0 for TROUBLE it
+//! does the same without the disruption.
 
 mod advice_burst;
 mod cut;
@@ -34,12 +35,12 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, root, folder] = arguments.as_slice() else {
-        eprintln!("usage: cases-3 CASE ROOT FOLDER");
+    let [_, case, root, record, trouble] = arguments.as_slice() else {
+        eprintln!("usage: cases-3 CASE ROOT RECORD TROUBLE");
         exit(2);
     };
     let temporary = std::env::temp_dir().join(format!("cases-3-{}", std::process::id()));
-    let record = record::Record::create(&Path::new(folder).join("record.txt"));
+    let record = record::Record::create(Path::new(record));
     let (Ok(record), Ok(())) = (record, std::fs::create_dir_all(&temporary)) else {
         eprintln!("the record or the temporary folder can't be created");
         exit(2);
@@ -47,7 +48,7 @@
     let setting = Setting {
         root: PathBuf::from(root),
         temporary: temporary.clone(),
-        has_trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
+        has_trouble: trouble != "0",
         record,
     };
     let verdict = match case.as_str() {
