advice: choose each request when it can be sent, and count the age of tickets from there

Cause: every step's request was made at once and waited in line for two connections, and a ticket's age counted from before that wait. Once the line was longer than tickets are valid, each ticket had expired on arrival and its step asked again at the end of the line.

Change: one request without an answer at a time, chosen in the placement pass: steps with room first, then those whose tickets were of use, then by rank. A start whose ticket has expired in the line for its worker isn't sent. Jobs that would wait longer than half of finish_s are refused with a time to return. The stand-in has an advice service whose tickets workers check.

It works because nothing waits between the choice of a request and its sending, so an answer is always fresh, and because the choice prefers steps that can use it: under any load the next answer starts something.

--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -68,6 +68,9 @@
     /// The upper bound on a worker's lease, after which the tasks of an unreachable worker run
     /// elsewhere.
     const LEASE: Duration = Duration::from_millis(3_500);
+    /// The part of the time after which accepted jobs must have started that they may wait: the
+    /// forecast of the wait may be off by a factor of two.
+    const MAX_START_DELAY_PART: f64 = 0.5;
     let max_lease = Duration::from_millis(settings.bounds.hold_max_ms);
     Timing {
         scheduler: owner::Settings {
@@ -75,6 +78,9 @@
             max_lease,
             job_retention: Duration::from_secs_f64(settings.bounds.status_s)
                 + Duration::from_secs(10),
+            max_start_delay: Duration::from_secs_f64(
+                settings.bounds.finish_s * MAX_START_DELAY_PART,
+            ),
             account_window: Duration::from_secs_f64(settings.bounds.quota_window_s),
             max_row_bytes: settings.platform.row_bytes,
             enforces_quotas: settings.enforces_quotas(),
--- a/crates/hyssop-edge/src/http/lane.rs
+++ b/crates/hyssop-edge/src/http/lane.rs
@@ -5,6 +5,9 @@
     Renewal,
     /// Orders to a worker.
     Order,
+    /// Requests to the advice service, which answers the calls of a process one after another: a
+    /// second one would only wait there, and its answer seem older than it is.
+    Advice,
     /// Feed calls to the store, which wait for changes of a table.
     Feed,
     /// All other calls to the store and to the instance API.
@@ -16,7 +19,7 @@
     /// new connection to a worker.
     pub(super) fn max_connections(self) -> usize {
         match self {
-            Self::Renewal => 1,
+            Self::Renewal | Self::Advice => 1,
             Self::Order => 2,
             Self::Feed | Self::Plain => 16,
         }
--- a/crates/hyssop-edge/src/pool/calls.rs
+++ b/crates/hyssop-edge/src/pool/calls.rs
@@ -8,8 +8,6 @@
 
 /// Workers answer orders within milliseconds; an order without an answer is sent again.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
-/// The advice service handles calls one after another and needs time for each worker in a call.
-const ADVICE_TIMEOUT: Duration = Duration::from_secs(5);
 /// An answer with this status or a higher one means that the worker has not acted on the order.
 const STATUS_THROTTLED: u16 = 429;
 /// The time beyond the requested wait after which a report counts as missed.
@@ -121,27 +119,41 @@
 
     /// Asks the advice service which of the workers may run a step.
     pub(super) async fn request_advice(self: Rc<Self>, step: TaskKey, workers: Vec<WorkerKey>) {
+        let requested_at = self.node.clock.now();
+        let slot = match self.node.advice_address {
+            Some(address) => Some(self.node.client.slot(address, Lane::Advice).await),
+            None => None,
+        };
         let sent_at = self.node.clock.now();
-        let query = self.scheduler.borrow().query_for(step, &workers);
-        let answer = match (query, self.node.advice_address) {
-            (Some((name, ids)), Some(address)) => {
-                let call = self.node.dialect.advise(&name, &ids);
-                let slot = self.node.client.slot(address, Lane::Order).await;
-                let reply = slot.call(call, ADVICE_TIMEOUT).await.ok();
-                let advice = reply.and_then(|reply| self.node.dialect.read_advice(&reply));
-                let good = advice.as_ref().map(|(good, _)| good.len());
-                log::info!(
-                    "event=advice step={name} workers={} good={good:?}",
-                    ids.len()
-                );
-                advice.map(|(good, valid_ms)| (good, Duration::from_millis(valid_ms)))
+        let query = {
+            let scheduler = &mut *self.scheduler.borrow_mut();
+            scheduler.advice_query(step, &workers, sent_at)
+        };
+        let Some(query) = query else {
+            self.scheduler.borrow_mut().on_advice_not_needed(step);
+            self.wake.notify_one();
+            return;
+        };
+        let answer = match slot {
+            Some(slot) => {
+                let call = self.node.dialect.advise(&query.step, &query.workers);
+                let reply = slot.call(call, query.timeout).await.ok();
+                reply.and_then(|reply| self.node.dialect.read_advice(&reply))
             }
-            _ => None,
+            None => None,
         };
         let now = self.node.clock.now();
-        self.scheduler
-            .borrow_mut()
-            .on_advice(step, &workers, answer, sent_at, now);
+        log::info!(
+            "event=advice step={} workers={} good={:?} valid_ms={:?} queued_ms={} answer_ms={}",
+            query.step,
+            query.workers.len(),
+            answer.as_ref().map(|(good, _)| good.len()),
+            answer.as_ref().map(|(_, valid_ms)| *valid_ms),
+            sent_at.saturating_sub(requested_at).as_millis(),
+            now.saturating_sub(sent_at).as_millis()
+        );
+        let answer = answer.map(|(good, valid_ms)| (good, Duration::from_millis(valid_ms)));
+        self.scheduler.borrow_mut().on_advice(step, answer, now);
         self.wake.notify_one();
     }
 
--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -394,6 +394,7 @@
 zone = "zone-a"
 internal-port-range = [0, 0]
 orders = "call"
+advice = "{}"
 {general}
 [listen-addresses]
 front = "127.0.0.1:0"
@@ -406,6 +407,7 @@
 [cloud-api]
 address = "{}"
 "#,
+        platform.advice,
         platform.store_for(name),
         platform.machines
     )
--- a/crates/hyssop-lab/src/measure/owner.rs
+++ b/crates/hyssop-lab/src/measure/owner.rs
@@ -110,7 +110,7 @@
         max_attempts: 2,
         stretch: 1.6,
         objective: Duration::from_millis(600),
-        needs_advice: false,
+        advice: None,
         allows_anonymous: false,
     };
     scheduler.configure(&Configuration {
--- a/crates/hyssop-model/src/work/mod.rs
+++ b/crates/hyssop-model/src/work/mod.rs
@@ -5,6 +5,7 @@
 
 mod account;
 mod address;
+mod advice_time;
 mod configuration;
 mod exclusion;
 mod instance;
@@ -24,6 +25,7 @@
 
 pub use account::Account;
 pub use address::Address;
+pub use advice_time::AdviceTime;
 pub use configuration::Configuration;
 pub use exclusion::{Exclusion, Reason};
 pub use instance::{Condition, Instance};
--- a/crates/hyssop-model/src/work/queue.rs
+++ b/crates/hyssop-model/src/work/queue.rs
@@ -1,3 +1,4 @@
+use super::AdviceTime;
 use std::time::Duration;
 
 /// The operators' configuration of a queue of jobs.
@@ -20,8 +21,9 @@
     pub stretch: f64,
     /// The fixed term of the latency objective.
     pub objective: Duration,
-    /// Whether starting a task of this queue requires a ticket from the advice service.
-    pub needs_advice: bool,
+    /// How long the advice service takes, from which starting a task of this queue requires a ticket;
+    /// `None` if it requires none.
+    pub advice: Option<AdviceTime>,
     /// Whether calls without a key are served.
     pub allows_anonymous: bool,
 }
--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -143,6 +143,9 @@
         if let Some(refusal) = self.backlog_refusal(id, queue, &submission, held_bytes, now) {
             return refusal;
         }
+        if let Some(refusal) = self.advice_refusal(id, queue, &submission) {
+            return refusal;
+        }
         let submitted_at = self.shares.first_request(id, now.saturating_sub(age));
         let entitlement = self.entitle(id, queue, &submission, submitted_at, now);
         if let Some(wait) = self.deferral(id, queue, &submission, entitlement, submitted_at, now) {
@@ -197,6 +200,7 @@
         self.open_jobs.insert(key);
         self.dirty.insert(key);
         self.rules.require(queue);
+        self.count_job_for_advice(queue);
         self.open_occurrences(key, now, wall_ms);
         Admission::Pending
     }
--- a/crates/hyssop-policy/src/owner/backlog.rs
+++ b/crates/hyssop-policy/src/owner/backlog.rs
@@ -147,6 +147,14 @@
     Some(held.saturating_sub(allowed))
 }
 
+/// Returns the delay after which a caller should submit a refused job again that has no place for `wait`:
+/// simultaneous callers return within half of the wait after it.
+pub(super) fn spread_wait(id: &str, wait: Duration) -> Duration {
+    let wait = wait.clamp(MIN_WAIT, MAX_WAIT);
+    let part = xxhash_rust::xxh3::xxh3_64(id.as_bytes()) % 1_000;
+    wait + wait.mul_f64(part as f64 / 2_000.0)
+}
+
 /// Returns the most bytes that a job takes in its owner's memory until it ends.
 pub(super) fn open_bytes(submission: &Submission, max_open_occurrences: usize) -> usize {
     let occurrence =
@@ -197,14 +205,10 @@
                 self.backlog_time(now).min(MAX_BACKLOG_TIME).mul_f64(part)
             }
         };
-        let wait = wait.clamp(MIN_WAIT, MAX_WAIT);
         self.backlog.refused += 1;
-        self.log_refusals(wait, now);
-        // Simultaneous callers return within half of the wait after it.
-        let part = xxhash_rust::xxh3::xxh3_64(id.as_bytes()) % 1_000;
-        let jitter = wait.mul_f64(part as f64 / 2_000.0);
+        self.log_refusals(wait.clamp(MIN_WAIT, MAX_WAIT), now);
         let reason = "too many jobs wait in the pool; the job has not run".to_owned();
-        Some(Admission::Deferred(reason, wait + jitter))
+        Some(Admission::Deferred(reason, spread_wait(id, wait)))
     }
 
     /// Logs refused jobs, at most one line each [`LINE_INTERVAL`].
--- a/crates/hyssop-policy/src/owner/job.rs
+++ b/crates/hyssop-policy/src/owner/job.rs
@@ -1,5 +1,5 @@
 use super::{JobKey, TaskKey, WorkerKey};
-use hyssop_model::work::{Phase, Queue, Step, Submission};
+use hyssop_model::work::{AdviceTime, Phase, Queue, Step, Submission};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -12,6 +12,9 @@
     pub(super) stretch: f64,
     pub(super) objective: Duration,
     pub(super) needs_advice: bool,
+    /// Zero in rows of earlier versions.
+    #[serde(default)]
+    pub(super) advice_time: AdviceTime,
 }
 
 impl Rule {
@@ -22,9 +25,16 @@
             max_attempts: queue.max_attempts,
             stretch: queue.stretch,
             objective: queue.objective,
-            needs_advice: queue.needs_advice,
+            needs_advice: queue.advice.is_some(),
+            advice_time: queue.advice.unwrap_or_default(),
         }
     }
+
+    /// Returns how long the advice service takes for requests about the queue, `None` if it requires
+    /// no tickets.
+    pub(super) fn advice(&self) -> Option<AdviceTime> {
+        self.needs_advice.then_some(self.advice_time)
+    }
 }
 
 impl Default for Rule {
@@ -35,6 +45,7 @@
             stretch: 1.0,
             objective: Duration::from_secs(1),
             needs_advice: false,
+            advice_time: AdviceTime::default(),
         }
     }
 }
--- a/crates/hyssop-policy/src/owner/mod.rs
+++ b/crates/hyssop-policy/src/owner/mod.rs
@@ -17,6 +17,7 @@
 mod action;
 mod addresses;
 mod admission;
+mod advice;
 mod backlog;
 mod batch;
 mod budget;
@@ -30,7 +31,6 @@
 pub mod learning;
 mod order;
 mod pace;
-mod permit;
 mod placement;
 mod progress;
 mod quota;
@@ -49,6 +49,7 @@
 
 pub use action::{Action, Notification};
 pub use admission::{retry_after, Admission, Cancellation, StorePace, IDENTIFIER_IN_USE};
+pub use advice::Query;
 pub use backlog::Limits;
 pub use batch::Batch;
 pub use capacity::{Demand, Load};
@@ -141,7 +142,9 @@
     learning_stored: Stored,
     scores: Scores,
     /// Answers of the advice service, by step.
-    permits: BTreeMap<TaskKey, permit::Permit>,
+    permits: BTreeMap<TaskKey, advice::Permit>,
+    /// The requests to the advice service.
+    advice: advice::Requests,
     actions: Vec<Action>,
     is_deposed: bool,
     is_placement_due: bool,
@@ -201,6 +204,7 @@
             learning_stored: Stored::default(),
             scores: Scores::default(),
             permits: BTreeMap::new(),
+            advice: advice::Requests::default(),
             actions: Vec::new(),
             is_deposed: false,
             is_placement_due: false,
--- a/crates/hyssop-policy/src/owner/order.rs
+++ b/crates/hyssop-policy/src/owner/order.rs
@@ -158,7 +158,9 @@
         if self.is_deposed || self.is_handing_over {
             return None;
         }
-        if !self.is_start_covered(worker, task, run, now) {
+        let is_allowed =
+            self.is_start_covered(worker, task, run, now) && !self.lacks_ticket(worker, task, now);
+        if !is_allowed {
             self.withdraw_start(worker, task, now);
             return None;
         }
@@ -193,10 +195,7 @@
             until_ms,
             fence: self.term,
             checkpoint: job.checkpoint(task)?.clone(),
-            ticket: self
-                .permits
-                .get(&super::permit::step_of(task))
-                .and_then(|permit| permit.ticket(worker, now).cloned()),
+            ticket: self.ticket(worker, task, now).cloned(),
         })
     }
 
--- a/crates/hyssop-policy/src/owner/placement.rs
+++ b/crates/hyssop-policy/src/owner/placement.rs
@@ -28,13 +28,15 @@
     /// Assigns waiting tasks to workers, job by job in ranking order.
     pub(super) fn place(&mut self, now: Duration) {
         self.count_usage(now);
+        self.begin_advice_pass();
         let mut free = ResidualCapacity::new(&self.workers, now);
         for key in self.ranked(now) {
             if free.is_empty() {
-                return;
+                break;
             }
             self.place_job(key, &mut free, now);
         }
+        self.request_advice();
     }
 
     fn place_job(&mut self, key: JobKey, free: &mut ResidualCapacity, now: Duration) {
@@ -99,15 +101,13 @@
         } else {
             BTreeMap::new()
         };
-        let needs_advice = self.needs_advice(first);
+        let mut is_incomplete = false;
         for &task in tasks {
             if !step.gang && !self.quota_admits(task, &step, now) {
                 break;
             }
             let Some(worker) = self.choose_worker(task, &step, &runs_per_worker, free, now) else {
-                if needs_advice {
-                    self.request_advice(first, now);
-                }
+                is_incomplete = true;
                 if !step.gang && self.has_exclusion(task) {
                     continue;
                 }
@@ -126,12 +126,19 @@
                 });
             }
         }
+        let unplaced = match step.gang {
+            true => tasks.len(),
+            false => tasks.len() - placed.len(),
+        };
         if step.gang {
             self.finish_gang(tasks, &placed);
             for (_, worker) in placed {
                 free.update(&self.workers, worker);
             }
         }
+        if is_incomplete && self.needs_advice(first) {
+            self.consider_advice(first, &step, unplaced, now);
+        }
     }
 
     /// Starts a gang under one run number if all of its members are placed; otherwise undoes the
@@ -245,7 +252,7 @@
             }
         }
         let needs_advice = self.needs_advice(task);
-        let permit = self.permits.get(&super::permit::step_of(task));
+        let permit = self.permits.get(&super::advice::step_of(task));
         let has_required_ticket = |key: &WorkerKey| {
             !needs_advice || permit.is_some_and(|permit| permit.ticket(*key, now).is_some())
         };
--- a/crates/hyssop-policy/src/owner/settings.rs
+++ b/crates/hyssop-policy/src/owner/settings.rs
@@ -32,6 +32,9 @@
     /// How long after a failover no task with a budget is interrupted: stops ordered by the previous
     /// owner take effect meanwhile, and reports don't show them before.
     pub interrupt_pause: Duration,
+    /// How long an accepted job may wait for its first start beside idle workers; what would wait
+    /// longer is refused.
+    pub max_start_delay: Duration,
     /// The time within which a client account may make up for jobs that it was owed and didn't send.
     pub account_window: Duration,
     /// The maximum number of rows in one batch; the store accepts 100 entries per call, conditions
@@ -60,6 +63,7 @@
             job_retention: Duration::from_secs(130),
             quarantine: Duration::from_millis(2_500),
             interrupt_pause: Duration::from_millis(2_500),
+            max_start_delay: Duration::from_secs(7),
             account_window: Duration::from_secs(1),
             max_batch_rows: 90,
             max_row_bytes: 65_536,
--- a/crates/hyssop-policy/src/owner/start.rs
+++ b/crates/hyssop-policy/src/owner/start.rs
@@ -71,6 +71,7 @@
                 if let Some(clock) = clock {
                     self.read_answered_clock(key, task, clock, now);
                 }
+                self.on_ticket_used(task);
                 if let Some(job) = self.jobs.get_mut(&task.job) {
                     job.has_started = true;
                     job.first_started_at.get_or_insert(now);
--- a/crates/hyssop-policy/tests/account_shares.rs
+++ b/crates/hyssop-policy/tests/account_shares.rs
@@ -79,7 +79,7 @@
     world.run(500);
     world.scheduler().configure(&Configuration {
         accounts,
-        ..configuration(false)
+        ..configuration(None)
     });
     let started_ms = world.now_ms;
     let mut next_ms: BTreeMap<String, i64> = (0..ORDINARY_ACCOUNTS)
@@ -185,7 +185,7 @@
     };
     world.scheduler().configure(&Configuration {
         accounts: Some(BTreeMap::from([(LOUD.to_owned(), account)])),
-        ..configuration(false)
+        ..configuration(None)
     });
     let submit = |world: &mut World, number: u64| {
         let mut submission = job(1, 8, 2_000);
@@ -222,7 +222,7 @@
         };
         world.scheduler().configure(&Configuration {
             accounts: Some(BTreeMap::from([(LOUD.to_owned(), account)])),
-            ..configuration(false)
+            ..configuration(None)
         });
         for number in 0..4 {
             let mut submission = job(1, 8, 2_000);
--- a/crates/hyssop-policy/tests/backlog.rs
+++ b/crates/hyssop-policy/tests/backlog.rs
@@ -27,7 +27,7 @@
 
 /// Returns a configuration with an urgent queue and another one, and two accounts.
 fn two_queues() -> Configuration {
-    let mut configuration = configuration(false);
+    let mut configuration = configuration(None);
     let bulk = Queue {
         name: BULK.to_owned(),
         prefix: "/bulk/".to_owned(),
--- a/crates/hyssop-policy/tests/capacity.rs
+++ b/crates/hyssop-policy/tests/capacity.rs
@@ -78,7 +78,7 @@
 fn store_of_previous_owner() -> FakeStore {
     let mut store = FakeStore::default();
     let mut first = Scheduler::new("pool", 1, Settings::default());
-    first.configure(&configuration(false));
+    first.configure(&configuration(None));
     first.register_worker(worker("w0"), at(1_000));
     report(&mut first, &[], &[], 1_000);
     submit(&mut first, CANCELLED, 1_000);
@@ -93,7 +93,7 @@
 
 fn second_owner(store: &FakeStore) -> Scheduler {
     let mut second = Scheduler::new("pool", 2, Settings::default());
-    second.configure(&configuration(false));
+    second.configure(&configuration(None));
     second.recover(&store.records(), at(2_000), at(2_000), 2_000);
     second.register_worker(worker("w0"), at(2_000));
     second.on_registry_snapshot(at(2_000));
--- a/crates/hyssop-policy/tests/directory.rs
+++ b/crates/hyssop-policy/tests/directory.rs
@@ -17,7 +17,7 @@
 
 /// Returns a version of the configuration in which a queue at the model's address belongs to `pool`.
 fn assigned_to(pool: &str, name: &str, version: u64) -> Configuration {
-    let mut configuration = configuration(false);
+    let mut configuration = configuration(None);
     let queue = configuration.queues.remove("queue").expect("the queue");
     let (name, pool) = (name.to_owned(), pool.to_owned());
     let queue = Queue {
--- a/crates/hyssop-policy/tests/distorted_runs.rs
+++ b/crates/hyssop-policy/tests/distorted_runs.rs
@@ -32,7 +32,7 @@
             completions: 0,
             batches: Vec::new(),
         };
-        owner.scheduler.configure(&configuration(false));
+        owner.scheduler.configure(&configuration(None));
         for number in 0..2 {
             let listing = worker(&format!("w{number}"));
             owner.scheduler.register_worker(listing, owner.now());
--- a/crates/hyssop-policy/tests/handover.rs
+++ b/crates/hyssop-policy/tests/handover.rs
@@ -80,7 +80,7 @@
             sent: Vec::new(),
         };
         pool.store.begin_term();
-        pool.scheduler.configure(&configuration(false));
+        pool.scheduler.configure(&configuration(None));
         pool.scheduler.on_registry_snapshot(at(1_000));
         for id in workers {
             pool.join(id, 1_000);
@@ -197,7 +197,7 @@
         self.store.begin_term();
         let (now, records) = (at(ms), self.store.records());
         self.scheduler = Scheduler::new("pool", self.store.term, self.settings);
-        self.scheduler.configure(&configuration(false));
+        self.scheduler.configure(&configuration(None));
         let authority_end = now + self.settings.authority;
         self.scheduler
             .recover(&records, authority_end, now, ms as i64);
--- a/crates/hyssop-policy/tests/incarnations.rs
+++ b/crates/hyssop-policy/tests/incarnations.rs
@@ -84,7 +84,7 @@
     /// As `new`, with a start that was ordered but not sent yet.
     fn unsent(submission: Submission) -> Self {
         let mut scheduler = Scheduler::new("pool", 1, Settings::default());
-        scheduler.configure(&configuration(false));
+        scheduler.configure(&configuration(None));
         scheduler.register_worker(listing("w0", FIRST_BORN), at(1_000));
         let first = report(FIRST_BORN);
         scheduler.receive(WorkerKey(0), first, at(1_000), 0, at(1_000));
@@ -165,7 +165,7 @@
     fn fail_over(&mut self, ms: u64) {
         self.commit(ms);
         self.scheduler = Scheduler::new("pool", 2, Settings::default());
-        self.scheduler.configure(&configuration(false));
+        self.scheduler.configure(&configuration(None));
         let authority_end = at(ms) + Settings::default().authority;
         let records = self.store.records();
         self.scheduler
--- a/crates/hyssop-policy/tests/job_accounts.rs
+++ b/crates/hyssop-policy/tests/job_accounts.rs
@@ -15,7 +15,7 @@
 
 fn scheduler(term: u64) -> Scheduler {
     let mut scheduler = Scheduler::new("pool", term, Settings::default());
-    scheduler.configure(&configuration(false));
+    scheduler.configure(&configuration(None));
     scheduler
 }
 
--- a/crates/hyssop-policy/tests/lived_on.rs
+++ b/crates/hyssop-policy/tests/lived_on.rs
@@ -69,7 +69,7 @@
 }
 
 fn queues(attempts: [u32; 2]) -> Configuration {
-    let template = configuration(false).queues["queue"].clone();
+    let template = configuration(None).queues["queue"].clone();
     let named = QUEUES.iter().zip(attempts);
     let queues = named.filter(|(_, attempts)| *attempts > 0);
     let queues = queues.map(|(name, max_attempts)| {
--- a/crates/hyssop-policy/tests/model/mod.rs
+++ b/crates/hyssop-policy/tests/model/mod.rs
@@ -36,12 +36,12 @@
     submission
 }
 
-use hyssop_model::work::{Configuration, Queue, Resources, Step, Submission};
+use hyssop_model::work::{AdviceTime, Configuration, Queue, Resources, Step, Submission};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Returns a configuration of one queue.
-pub fn configuration(needs_advice: bool) -> Configuration {
+pub fn configuration(advice: Option<AdviceTime>) -> Configuration {
     let queue = Queue {
         name: "queue".to_owned(),
         host: String::new(),
@@ -51,7 +51,7 @@
         max_attempts: 2,
         stretch: 1.6,
         objective: Duration::from_millis(600),
-        needs_advice,
+        advice,
         allows_anonymous: false,
     };
     Configuration {
--- a/crates/hyssop-policy/tests/model/pools.rs
+++ b/crates/hyssop-policy/tests/model/pools.rs
@@ -53,7 +53,7 @@
         Configuration {
             version: self.quotas.len() as u64,
             accounts: Some(accounts.collect()),
-            ..configuration(false)
+            ..configuration(None)
         }
     }
 
--- a/crates/hyssop-policy/tests/model/world/mod.rs
+++ b/crates/hyssop-policy/tests/model/world/mod.rs
@@ -154,7 +154,7 @@
             late_starts_reach_next: false,
             commit_ms: 10,
             pool: "pool".to_owned(),
-            configuration: configuration(false),
+            configuration: configuration(None),
             settings: Settings::default(),
             shared: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
--- a/crates/hyssop-policy/tests/placement.rs
+++ b/crates/hyssop-policy/tests/placement.rs
@@ -23,7 +23,7 @@
 /// and the label `big`.
 fn scheduler(workers: usize) -> Scheduler {
     let mut scheduler = Scheduler::new("pool", 1, Settings::default());
-    scheduler.configure(&configuration(false));
+    scheduler.configure(&configuration(None));
     for number in 0..workers {
         let mut listing = model::worker(&format!("w{number}"));
         if number + 2 >= workers {
--- a/crates/hyssop-policy/tests/removed_queue.rs
+++ b/crates/hyssop-policy/tests/removed_queue.rs
@@ -50,7 +50,7 @@
 fn job_of_a_removed_queue_keeps_its_attempts_after_a_failover() {
     let mut store = FakeStore::default();
     let mut first = Scheduler::new("pool", 1, Settings::default());
-    first.configure(&configuration(false));
+    first.configure(&configuration(None));
     first.register_worker(worker("w0"), at(1_000));
     report(&mut first, Vec::new(), 1_000);
     first.submit(
@@ -84,7 +84,7 @@
 
 /// Returns a configuration in which the queue allows `max_attempts`.
 fn with_attempts(max_attempts: u32) -> Configuration {
-    let mut configuration = configuration(false);
+    let mut configuration = configuration(None);
     let queue = configuration.queues.get_mut("queue").expect("the queue");
     queue.max_attempts = max_attempts;
     configuration
--- a/crates/hyssop-policy/tests/rows.rs
+++ b/crates/hyssop-policy/tests/rows.rs
@@ -22,7 +22,7 @@
         ..Settings::default()
     };
     let mut scheduler = Scheduler::new("pool", 1, settings);
-    scheduler.configure(&configuration(false));
+    scheduler.configure(&configuration(None));
     scheduler.register_worker(worker("w0"), at(NOW_MS));
     report(&mut scheduler, Report::default());
     scheduler
--- a/crates/hyssop-policy/tests/schedules.rs
+++ b/crates/hyssop-policy/tests/schedules.rs
@@ -128,7 +128,7 @@
 
     fn with(settings: Settings, term: u64, records: Vec<Record>, ms: u64, wall_ms: i64) -> Self {
         let mut scheduler = Scheduler::new("pool", term, settings);
-        scheduler.configure(&configuration(false));
+        scheduler.configure(&configuration(None));
         scheduler.recover(&records, at(ms), at(ms), wall_ms);
         scheduler.register_worker(worker("w0"), at(ms));
         scheduler.on_registry_snapshot(at(ms));
--- a/crates/hyssop-policy/tests/start_results.rs
+++ b/crates/hyssop-policy/tests/start_results.rs
@@ -32,7 +32,7 @@
 /// Returns a scheduler with two workers that has started the only task of a job, and that start.
 fn started() -> (Scheduler, WorkerKey, TaskKey, u64) {
     let mut scheduler = Scheduler::new("pool", 1, Settings::default());
-    scheduler.configure(&configuration(false));
+    scheduler.configure(&configuration(None));
     for number in 0..2 {
         scheduler.register_worker(model::worker(&format!("w{number}")), at(1_000));
         scheduler.receive(
--- a/crates/hyssop-policy/tests/withdrawn_starts.rs
+++ b/crates/hyssop-policy/tests/withdrawn_starts.rs
@@ -31,7 +31,7 @@
 impl Pool {
     fn with_job(submission: Submission) -> Self {
         let mut scheduler = Scheduler::new("pool", 1, Settings::default());
-        scheduler.configure(&configuration(false));
+        scheduler.configure(&configuration(None));
         let mut pool = Self {
             scheduler,
             starts: Vec::new(),
