http: after one silent connection, don't reuse those that were last heard before

Cause: an idle connection was believed in because it had once worked. A call that one of up to 16 left unanswered said nothing about the others, so each cost the next transaction a whole timeout of 2.5 s, though the feeds had found the silence out before the cancellation was asked for.

Change: the lanes to one address share a time before which nothing is trusted: that of the last call that a reused connection left unanswered. Idle connections that were last heard before it are closed. Connections idle for 60 s are closed, and destinations without any are forgotten.

It works because a silence that covers a destination is found out by the call that is always under way there, the feed or the renewal, within its wait, and no idle connection outlives that.

--- a/crates/hyssop-edge/src/http/client.rs
+++ b/crates/hyssop-edge/src/http/client.rs
@@ -1,45 +1,54 @@
-use super::{Failure, Lane};
+use super::destination::{Destination, Idle};
+use super::{Failure, Lane, Sender};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::Request;
 use hyper_util::rt::TokioIo;
 use hyssop_platform::dialect::{Call, Reply};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Instant;
 
 /// The timeout of new connections: the network's delay is a few milliseconds, while a lost SYN is
 /// retransmitted only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-type Sender = SendRequest<Full<Bytes>>;
-type Lanes = BTreeMap<(SocketAddr, Lane), Rc<Connections>>;
+/// The interval between searches for connections that have been idle for too long.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
+
+type Destinations = BTreeMap<SocketAddr, Rc<Destination>>;
 
 /// An HTTP client that reuses connections.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct Client {
-    lanes: Rc<RefCell<Lanes>>,
-}
-
-/// The connections of one lane to one address.
-struct Connections {
-    permits: std::sync::Arc<Semaphore>,
-    idle: RefCell<Vec<Sender>>,
+    destinations: Rc<RefCell<Destinations>>,
+    swept_at: Rc<Cell<Instant>>,
 }
 
 /// A permit for one call; the call's timeouts start after the slot is acquired.
 pub(crate) struct Slot {
     address: SocketAddr,
-    connections: Rc<Connections>,
+    lane: Lane,
+    destination: Rc<Destination>,
     _permit: OwnedSemaphorePermit,
 }
 
+impl Default for Client {
+    fn default() -> Self {
+        Self {
+            destinations: Rc::default(),
+            swept_at: Rc::new(Cell::new(Instant::now())),
+        }
+    }
+}
+
 impl Client {
     /// Waits for a free slot in a lane.
     ///
@@ -47,25 +56,37 @@
     ///
     /// Panics if the semaphore is closed, which no code does.
     pub(crate) async fn slot(&self, address: SocketAddr, lane: Lane) -> Slot {
-        let connections = self
-            .lanes
+        self.close_idle();
+        let destination = self
+            .destinations
             .borrow_mut()
-            .entry((address, lane))
-            .or_insert_with(|| {
-                Rc::new(Connections {
-                    permits: std::sync::Arc::new(Semaphore::new(lane.max_connections())),
-                    idle: RefCell::default(),
-                })
-            })
+            .entry(address)
+            .or_insert_with(|| Destination::new(address))
             .clone();
-        let permit = connections.permits.clone().acquire_owned().await;
+        let permit = destination.permits(lane).acquire_owned().await;
         Slot {
             address,
-            connections,
+            lane,
+            destination,
             _permit: permit.expect("lanes are never closed"),
         }
     }
 
+    /// Closes connections that have been idle for too long, and forgets the destinations without any.
+    fn close_idle(&self) {
+        let now = Instant::now();
+        if now.duration_since(self.swept_at.get()) < SWEEP_INTERVAL {
+            return;
+        }
+        self.swept_at.set(now);
+        let mut destinations = self.destinations.borrow_mut();
+        destinations.retain(|_, destination| {
+            let is_used = destination.close_idle(now);
+            // A call that waits for its permit has a reference to the destination.
+            is_used || Rc::strong_count(destination) > 1
+        });
+    }
+
     /// Waits for a free slot and makes a call in it.
     pub(crate) async fn call(
         &self,
@@ -81,27 +102,23 @@
 impl Slot {
     /// Makes one call; the connection is reused only if the whole answer has arrived.
     pub(crate) async fn call(self, call: Call, timeout: Duration) -> Result<Reply, Failure> {
-        let reused = loop {
-            let reused = self.connections.idle.borrow_mut().pop();
-            match reused {
-                Some(sender) if sender.is_closed() => {}
-                other => break other,
+        let (sender, heard_at) = match self.destination.take_idle(self.lane) {
+            Some(Idle { sender, heard_at }) => (sender, Some(heard_at)),
+            None => {
+                let sender = tokio::time::timeout(CONNECT_TIMEOUT, connect(self.address))
+                    .await
+                    .map_err(|_| Failure::Unsent)?
+                    .ok_or(Failure::Unsent)?;
+                (sender, None)
             }
         };
-        let sender = match reused {
-            Some(sender) => sender,
-            None => tokio::time::timeout(CONNECT_TIMEOUT, connect(self.address))
-                .await
-                .map_err(|_| Failure::Unsent)?
-                .ok_or(Failure::Unsent)?,
-        };
-        let (reply, sender) = tokio::time::timeout(timeout, exchange(sender, self.address, call))
-            .await
-            .map_err(|_| Failure::Lost)?
-            .ok_or(Failure::Lost)?;
-        if !sender.is_closed() {
-            self.connections.idle.borrow_mut().push(sender);
+        let sent_at = Instant::now();
+        let answer = tokio::time::timeout(timeout, exchange(sender, self.address, call)).await;
+        if let (Err(_), Some(heard_at)) = (&answer, heard_at) {
+            self.destination.on_silence(self.lane, heard_at, sent_at);
         }
+        let (reply, sender) = answer.map_err(|_| Failure::Lost)?.ok_or(Failure::Lost)?;
+        self.destination.put_back(self.lane, sender, Instant::now());
         Ok(reply)
     }
 }
--- a/crates/hyssop-edge/src/http/lane.rs
+++ b/crates/hyssop-edge/src/http/lane.rs
@@ -1,5 +1,8 @@
+use strum::Display;
+
 /// A class of calls with its own connections to an address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[strum(serialize_all = "kebab-case")]
 pub(crate) enum Lane {
     /// Lease renewals, which wait for a worker's report.
     Renewal,
