http: reset connections that are given up, and bound unacknowledged orders to instances

Cause: a call that was given up had its connection closed in order, so the network still delivered what it had not acknowledged, and the platform checks no fencing tokens of such orders.

Change: a connection is reset when it is dropped: its task is aborted and the socket closes with SO_LINGER 0. Calls to the instance API have a lane with TCP_USER_TIMEOUT at half of lease-duration-ms, so that a paused process's order is dropped before the next owner orders anything. That part is not shown by a run.

--- a/crates/hyssop-edge/src/daemon/lifecycle.rs
+++ b/crates/hyssop-edge/src/daemon/lifecycle.rs
@@ -94,7 +94,7 @@
 /// Creates the process's state before any task has started.
 fn create_node(settings: &Settings, dialect: Rc<dyn Dialect>, address: SocketAddr) -> Rc<Node> {
     let clock = Clock::new();
-    let client = Client::default();
+    let client = Client::new(Duration::from_millis(settings.bounds.lease_duration_ms));
     let metrics = Metrics::new();
     let limits = &settings.limits;
     let guard = Guard::new(
--- a/crates/hyssop-edge/src/fleet/controller.rs
+++ b/crates/hyssop-edge/src/fleet/controller.rs
@@ -303,7 +303,7 @@
             let reply = self
                 .node
                 .client
-                .call(address, Lane::Plain, call, CALL_TIMEOUT)
+                .call(address, Lane::Instance, call, CALL_TIMEOUT)
                 .await
                 .ok()?;
             let listed = self.node.dialect.read_instances(&reply)?;
@@ -510,7 +510,7 @@
             .node
             .dialect
             .transfer(&change, &self.node.name, self.term);
-        let slot = self.node.client.slot(address, Lane::Plain).await;
+        let slot = self.node.client.slot(address, Lane::Instance).await;
         if !self.may_order(requested_at) {
             log::info!("event=transfer-dropped change={change:?} reason=late");
             self.fleet.borrow_mut().on_unsent(change.instance());
--- a/crates/hyssop-edge/src/http/client.rs
+++ b/crates/hyssop-edge/src/http/client.rs
@@ -1,18 +1,12 @@
+use super::connection::Connection;
 use super::destination::{Destination, Idle};
-use super::{Failure, Lane, Sender};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
-use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::Request;
-use hyper_util::rt::TokioIo;
+use super::{Failure, Lane};
 use hyssop_platform::dialect::{Call, Reply};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
@@ -29,6 +23,8 @@
 #[derive(Clone)]
 pub(crate) struct Client {
     destinations: Rc<RefCell<Destinations>>,
+    /// How long orders that no fencing token guards may be unacknowledged.
+    unfenced_timeout: Duration,
     swept_at: Rc<Cell<Instant>>,
 }
 
@@ -37,19 +33,24 @@
     address: SocketAddr,
     lane: Lane,
     destination: Rc<Destination>,
+    user_timeout: Option<Duration>,
     _permit: OwnedSemaphorePermit,
 }
 
-impl Default for Client {
-    fn default() -> Self {
+impl Client {
+    /// Creates a client of a process whose successor orders changes of instances no sooner than
+    /// `handover_gap` after it took over.
+    pub(crate) fn new(handover_gap: Duration) -> Self {
+        /// The part of the gap after which an order that was not acknowledged is dropped; the rest is for
+        /// the system's timers and the way through the network.
+        const UNFENCED_PART: u32 = 2;
         Self {
             destinations: Rc::default(),
+            unfenced_timeout: handover_gap / UNFENCED_PART,
             swept_at: Rc::new(Cell::new(Instant::now())),
         }
     }
-}
 
-impl Client {
     /// Waits for a free slot in a lane.
     ///
     /// # Panics
@@ -68,6 +69,7 @@
             address,
             lane,
             destination,
+            user_timeout: lane.is_unfenced().then_some(self.unfenced_timeout),
             _permit: permit.expect("lanes are never closed"),
         }
     }
@@ -101,61 +103,32 @@
 
 impl Slot {
     /// Makes one call; the connection is reused only if the whole answer has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure::Unsent`] if no connection could be opened, and [`Failure::Lost`] if there was
+    /// no whole answer within `timeout`.
     pub(crate) async fn call(self, call: Call, timeout: Duration) -> Result<Reply, Failure> {
-        let (sender, heard_at) = match self.destination.take_idle(self.lane) {
-            Some(Idle { sender, heard_at }) => (sender, Some(heard_at)),
+        let (mut connection, heard_at) = match self.destination.take_idle(self.lane) {
+            Some(Idle {
+                connection,
+                heard_at,
+            }) => (connection, Some(heard_at)),
             None => {
-                let sender = tokio::time::timeout(CONNECT_TIMEOUT, connect(self.address))
-                    .await
-                    .map_err(|_| Failure::Unsent)?
-                    .ok_or(Failure::Unsent)?;
-                (sender, None)
+                let opening = Connection::open(self.address, self.user_timeout);
+                let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await;
+                let connection = opened.ok().flatten().ok_or(Failure::Unsent)?;
+                (connection, None)
             }
         };
         let sent_at = Instant::now();
-        let answer = tokio::time::timeout(timeout, exchange(sender, self.address, call)).await;
+        let answer = tokio::time::timeout(timeout, connection.exchange(call)).await;
         if let (Err(_), Some(heard_at)) = (&answer, heard_at) {
             self.destination.on_silence(self.lane, heard_at, sent_at);
         }
-        let (reply, sender) = answer.map_err(|_| Failure::Lost)?.ok_or(Failure::Lost)?;
-        self.destination.put_back(self.lane, sender, Instant::now());
+        let reply = answer.ok().flatten().ok_or(Failure::Lost)?;
+        self.destination
+            .put_back(self.lane, connection, Instant::now());
         Ok(reply)
     }
 }
-
-/// Opens a connection and spawns the task that drives it.
-async fn connect(address: SocketAddr) -> Option<Sender> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::task::spawn_local(async move {
-        if let Err(error) = connection.await {
-            log::debug!("event=connection-broken to={address} reason={error:?}");
-        }
-    });
-    Some(sender)
-}
-
-/// Sends a call and reads its whole answer; returns the connection along with it.
-async fn exchange(mut sender: Sender, address: SocketAddr, call: Call) -> Option<(Reply, Sender)> {
-    sender.ready().await.ok()?;
-    let mut request = Request::builder()
-        .method(call.method)
-        .uri(call.path)
-        .header(HOST, address.to_string());
-    if !call.body.is_empty() {
-        request = request.header(CONTENT_TYPE, "application/json");
-    }
-    for (name, value) in call.headers {
-        request = request.header(name, value);
-    }
-    let request = request.body(Full::new(Bytes::from(call.body))).ok()?;
-    let response = sender.send_request(request).await.ok()?;
-    let status = response.status().as_u16();
-    let body = response.into_body().collect().await.ok()?.to_bytes();
-    let reply = Reply {
-        status,
-        body: body.to_vec(),
-    };
-    Some((reply, sender))
-}
--- a/crates/hyssop-edge/src/http/destination.rs
+++ b/crates/hyssop-edge/src/http/destination.rs
@@ -1,4 +1,5 @@
-use super::{Lane, Sender};
+use super::connection::Connection;
+use super::Lane;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,7 +15,7 @@
 
 /// An open connection without a call.
 pub(super) struct Idle {
-    pub(super) sender: Sender,
+    pub(super) connection: Connection,
     /// When its last answer arrived.
     pub(super) heard_at: Instant,
 }
@@ -66,12 +67,15 @@
     }
 
     /// Keeps a connection for later calls.
-    pub(super) fn put_back(&self, lane: Lane, sender: Sender, heard_at: Instant) {
-        if sender.is_closed() {
+    pub(super) fn put_back(&self, lane: Lane, connection: Connection, heard_at: Instant) {
+        if connection.is_closed() {
             return;
         }
         if let Some(connections) = self.lanes.borrow_mut().get_mut(&lane) {
-            connections.idle.push(Idle { sender, heard_at });
+            connections.idle.push(Idle {
+                connection,
+                heard_at,
+            });
         }
     }
 
@@ -102,7 +106,7 @@
         let mut lanes = self.lanes.borrow_mut();
         for connections in lanes.values_mut() {
             connections.idle.retain(|idle| {
-                !idle.sender.is_closed() && now.duration_since(idle.heard_at) < IDLE_TIMEOUT
+                !idle.connection.is_closed() && now.duration_since(idle.heard_at) < IDLE_TIMEOUT
             });
         }
         lanes.iter().any(|(lane, connections)| {
@@ -123,6 +127,6 @@
 
 impl Idle {
     fn is_trusted(&self, silent_since: Option<Instant>) -> bool {
-        !self.sender.is_closed() && silent_since.is_none_or(|since| self.heard_at > since)
+        !self.connection.is_closed() && silent_since.is_none_or(|since| self.heard_at > since)
     }
 }
--- a/crates/hyssop-edge/src/http/lane.rs
+++ b/crates/hyssop-edge/src/http/lane.rs
@@ -13,18 +13,25 @@
     Advice,
     /// Feed calls to the store, which wait for changes of a table.
     Feed,
-    /// All other calls to the store and to the instance API.
+    /// Calls to the instance API. It may carry orders out whatever their fencing tokens.
+    Instance,
+    /// All other calls to the store.
     Plain,
 }
 
 impl Lane {
+    /// Returns whether the receiver carries out orders that arrive after those of the next owner.
+    pub(super) fn is_unfenced(self) -> bool {
+        self == Self::Instance
+    }
+
     /// Returns the maximum number of connections to an address; the platform charges for each
     /// new connection to a worker.
     pub(super) fn max_connections(self) -> usize {
         match self {
             Self::Renewal | Self::Advice => 1,
             Self::Order => 2,
-            Self::Feed | Self::Plain => 16,
+            Self::Feed | Self::Plain | Self::Instance => 16,
         }
     }
 }
--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -6,10 +6,12 @@
 pub mod caller;
 pub mod crowd;
 pub mod flood;
+pub mod way;
 
 use platform_standin::{Platform, Shape};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -57,18 +59,28 @@
         )
     }
 
+    /// As `start`, with another address of the API for machines.
+    pub fn start_with_machines(platform: &Platform, name: &str, machines: SocketAddr) -> Self {
+        Self::spawn(&settings_text(platform, name, machines, "", ""))
+    }
+
     /// As `start`, with further lines for the settings outside of sections and for `bounds`.
     pub fn start_as(platform: &Platform, name: &str, general: &str, bounds: &str) -> Self {
+        let text = settings_text(platform, name, platform.machines, general, bounds);
+        Self::spawn(&text)
+    }
+
+    /// Starts a process with these settings and waits until it listens.
+    fn spawn(settings: &str) -> Self {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let number = NEXT.fetch_add(1, Ordering::SeqCst);
         let file = format!("hyssop-edge-{}-{number}.toml", std::process::id());
-        let settings = std::env::temp_dir().join(file);
-        let text = settings_text(platform, name, general, bounds);
-        std::fs::write(&settings, text).expect("settings can be written");
+        let path = std::env::temp_dir().join(file);
+        std::fs::write(&path, settings).expect("settings can be written");
         let mut child = Command::new(
             std::env::var("EDGE_BIN").unwrap_or(env!("CARGO_BIN_EXE_hyssop-edge").to_owned()),
         )
-        .env("HYSSOPWORKS_BOOT", &settings)
+        .env("HYSSOPWORKS_BOOT", &path)
         .stdout(Stdio::piped())
         .spawn()
         .expect("the process starts");
@@ -96,7 +108,7 @@
             ready: field("ready="),
             peers: field("peers="),
             child,
-            settings,
+            settings: path,
             log,
         }
     }
@@ -386,7 +398,13 @@
 }
 
 /// Returns the settings file of a process.
-fn settings_text(platform: &Platform, name: &str, general: &str, bounds: &str) -> String {
+fn settings_text(
+    platform: &Platform,
+    name: &str,
+    machines: SocketAddr,
+    general: &str,
+    bounds: &str,
+) -> String {
     format!(
         r#"
 node-name = "{name}"
@@ -409,6 +427,6 @@
 "#,
         platform.advice,
         platform.store_for(name),
-        platform.machines
+        machines
     )
 }
