advice: log refused jobs once a second

Each job that was refused because of the wait for the advice service had a log line of its own, so that a flood of jobs would have written one for each.

--- a/crates/hyssop-policy/src/owner/admission.rs
+++ b/crates/hyssop-policy/src/owner/admission.rs
@@ -143,7 +143,7 @@
         if let Some(refusal) = self.backlog_refusal(id, queue, &submission, held_bytes, now) {
             return refusal;
         }
-        if let Some(refusal) = self.advice_refusal(id, queue, &submission) {
+        if let Some(refusal) = self.advice_refusal(id, queue, &submission, now) {
             return refusal;
         }
         let submitted_at = self.shares.first_request(id, now.saturating_sub(age));
--- a/crates/hyssop-policy/src/owner/advice/mod.rs
+++ b/crates/hyssop-policy/src/owner/advice/mod.rs
@@ -276,10 +276,11 @@
     /// The load is more steps than the service can answer: jobs beyond that would wait ever longer
     /// beside idle workers.
     pub(super) fn advice_refusal(
-        &self,
+        &mut self,
         id: &str,
         queue: &str,
         submission: &Submission,
+        now: Duration,
     ) -> Option<Admission> {
         let time = self.rules.get(queue)?.advice()?;
         if submission.is_long_running() || submission.schedule.is_some() {
@@ -292,11 +293,13 @@
         });
         let wait = each.saturating_mul(u32::try_from(steps).unwrap_or(u32::MAX));
         let excess = wait.checked_sub(self.settings.max_start_delay)?;
-        log::info!(
-            "event=advice-backlog pool={} job={id} queue={queue} steps={steps} wait_ms={}",
-            self.pool,
-            wait.as_millis()
-        );
+        if let Some(refused) = self.advice.count_refusal(now) {
+            log::warn!(
+                "event=advice-backlog pool={} queue={queue} steps={steps} refused={refused} wait_ms={}",
+                self.pool,
+                wait.as_millis()
+            );
+        }
         let reason = format!(
             "{steps} steps wait for the advice service, {} ms; the job has not run",
             wait.as_millis()
--- a/crates/hyssop-policy/src/owner/advice/permit.rs
+++ b/crates/hyssop-policy/src/owner/advice/permit.rs
@@ -66,7 +66,7 @@
             self.tickets.remove(worker);
         }
         if !tickets.is_empty() {
-            self.fruitless_requests += 1;
+            self.fruitless_requests = self.fruitless_requests.saturating_add(1);
         }
         let margin = EXPIRY_MARGIN.min(validity / EXPIRY_MARGIN_PART);
         let expires_at = issued_at.saturating_add(validity).saturating_sub(margin);
--- a/crates/hyssop-policy/src/owner/advice/requests.rs
+++ b/crates/hyssop-policy/src/owner/advice/requests.rs
@@ -1,6 +1,8 @@
 use super::{TaskKey, WorkerKey};
 use std::time::Duration;
 
+/// The interval of log lines about refused jobs.
+const LINE_INTERVAL: Duration = Duration::from_secs(1);
 /// How long the service is left alone after a failed request, for example when it was too busy.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -24,6 +26,9 @@
     pub(super) failures: u32,
     /// How long the service took for the last answer; `None` before the first.
     pub(super) answer_time: Option<Duration>,
+    /// The number of jobs refused since the last log line.
+    refused: u64,
+    refusals_logged_at: Option<Duration>,
 }
 
 /// A request without an answer yet.
@@ -77,6 +82,17 @@
         self.next.as_ref().is_none_or(|next| urgency < next.urgency)
     }
 
+    /// Counts a refused job; returns how many were refused since the last log line if the next is due.
+    pub(super) fn count_refusal(&mut self, now: Duration) -> Option<u64> {
+        self.refused += 1;
+        let logged_at = self.refusals_logged_at;
+        if logged_at.is_some_and(|at| now.saturating_sub(at) < LINE_INTERVAL) {
+            return None;
+        }
+        self.refusals_logged_at = Some(now);
+        Some(std::mem::take(&mut self.refused))
+    }
+
     /// Records that the unanswered request has failed.
     pub(super) fn on_failure(&mut self, now: Duration) {
         self.failures = self.failures.saturating_add(1);
