soak: bursts on a pool with advice, and connections that go silent

One pool requires tickets now and gets a burst; connections to the store, to workers and to the advice service go silent at random; at the end those to the store do, and 3 s later a cancellation in each pool must be acknowledged within 4 s. The additions are drawn from a generator of their own, and seeds that failed before run without them, so they keep their faults.

--- a/crates/hyssop-edge/tests/soak.rs
+++ b/crates/hyssop-edge/tests/soak.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod support;
 
+use faults::Extras;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
@@ -51,7 +52,8 @@
 /// Stores, processes and workers fail together and one after another.
 #[test]
 fn guarantees_hold_while_store_and_workers_fail() {
-    let failures: Vec<String> = seeds().flat_map(faults::run_seed).collect();
+    let run = |seed| faults::run_seed(seed, Extras::BurstsAndSilence);
+    let failures: Vec<String> = seeds().flat_map(run).collect();
     assert!(failures.is_empty(), "\n{}", failures.join("\n"));
 }
 
@@ -59,7 +61,7 @@
 fn guarantees_hold_with_seeds_that_failed_before() {
     // The processes of a seed mostly wait, so all seeds run at the same time.
     let runs = REGRESSION_SEEDS.map(|(seed, cause)| {
-        let run = std::thread::spawn(move || faults::run_seed(seed));
+        let run = std::thread::spawn(move || faults::run_seed(seed, Extras::None));
         (run, cause)
     });
     let mut failures = Vec::new();
--- a/crates/hyssop-edge/tests/soak/callers.rs
+++ b/crates/hyssop-edge/tests/soak/callers.rs
@@ -9,7 +9,13 @@
 
 /// How often a submission without an answer is repeated.
 const ATTEMPT_COUNT: usize = 4;
+/// Also the time in which a cancellation is acknowledged (`ack-timeout-ms`).
 const CALL_TIMEOUT_S: u64 = 4;
+/// Jobs are submitted to the pools in turn.
+const POOL_COUNT: usize = 2;
+/// The jobs of a burst on the pool that requires advice, and how long their tasks take.
+const BURST_COUNT: usize = 20;
+const BURST_MS: u64 = 100;
 
 /// A job as its caller knows it.
 #[derive(Clone, Debug)]
@@ -23,6 +29,8 @@
     pub(crate) is_cancel_requested: bool,
     /// When a cancellation was acknowledged first.
     pub(crate) cancelled_at: Option<Duration>,
+    /// Whether a cancellation without a disruption near it was not acknowledged in time.
+    pub(crate) is_cancel_late: bool,
     /// Whether its final state was seen.
     pub(crate) is_finished: bool,
 }
@@ -71,6 +79,7 @@
             refusal: None,
             is_cancel_requested: false,
             cancelled_at: None,
+            is_cancel_late: false,
             is_finished: false,
         }));
         self.jobs.push(job.clone());
@@ -98,6 +107,30 @@
         }));
     }
 
+    /// Submits many short jobs to the pool that requires advice.
+    pub(crate) fn submit_burst(&mut self, cluster: &Cluster, process: usize) {
+        // Each second job is for that pool.
+        for number in 0..2 * BURST_COUNT {
+            self.submit(cluster, JobKind::Plain(BURST_MS), process + number);
+        }
+    }
+
+    /// Cancels the latest job of each pool, which must be acknowledged within the time of one call.
+    pub(crate) fn cancel_in_time(&mut self, cluster: &Cluster, process: usize) {
+        let Some(front) = cluster.front(process) else {
+            return;
+        };
+        for job in self.jobs.iter().rev().take(POOL_COUNT) {
+            let (job, front) = (job.clone(), front.clone());
+            let platform = cluster.platform.clone();
+            self.calls.push(std::thread::spawn(move || {
+                cancel(&job, &front, &platform);
+                let mut job = job.lock().expect("no caller panics");
+                job.is_cancel_late = job.is_accepted && job.cancelled_at.is_none();
+            }));
+        }
+    }
+
     /// Cancels the accepted job that is `back` before the latest.
     pub(crate) fn cancel(&mut self, cluster: &Cluster, back: usize, process: usize) {
         let is_accepted = |job: &&Arc<Mutex<Job>>| job.lock().expect("no panic").is_accepted;
--- a/crates/hyssop-edge/tests/soak/checks.rs
+++ b/crates/hyssop-edge/tests/soak/checks.rs
@@ -11,6 +11,8 @@
 pub(crate) fn broken_promises(jobs: &[Job], runs: &[Run]) -> Vec<String> {
     let jobs: BTreeMap<&str, &Job> = jobs.iter().map(|job| (job.id(), job)).collect();
     let mut broken = Vec::new();
+    let late = jobs.values().filter(|job| job.is_cancel_late);
+    broken.extend(late.map(|job| format!("a cancellation was not acknowledged in time: {job:?}")));
     let mut by_task: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
     for run in runs {
         by_task.entry(&run.task).or_default().push(run);
--- a/crates/hyssop-edge/tests/soak/cluster.rs
+++ b/crates/hyssop-edge/tests/soak/cluster.rs
@@ -1,13 +1,21 @@
 use super::callers::Callers;
 use super::fault::Fault;
 use super::plan::WORKERS_PER_POOL;
-use crate::support::{configure, Edge};
-use platform_standin::{Access, Platform, Shape};
+use crate::support::{configuration, Edge};
+use platform_standin::{Access, AdviceShape, Platform, Shape};
+use serde_json::json;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// The table of the shards' owners.
 const OWNERS: &str = "owner";
+/// The pool that requires tickets of the advice service, if any does, and how the service answers. Tickets
+/// are valid for less time than the service takes for a burst.
+const ADVISED_POOL: &str = "alpha";
+const DECISION: Duration = Duration::from_millis(100);
+const EACH: Duration = Duration::from_millis(5);
+const VALIDITY: Duration = Duration::from_millis(1_200);
 /// All shards: the pools and the fleet.
 const SHARDS: [&str; 3] = ["alpha", "beta", "fleet/"];
 
@@ -43,14 +51,27 @@
 
 impl Cluster {
     /// Starts the platform and its processes.
-    pub(crate) fn start(process_count: usize) -> Self {
+    pub(crate) fn start(process_count: usize, has_advice: bool) -> Self {
         let platform = Platform::start(&Shape {
             pools: ["alpha", "beta"]
                 .map(|pool| (pool.to_owned(), WORKERS_PER_POOL))
                 .to_vec(),
             spare: None,
         });
-        configure(&platform, 1, &[("/a/", "alpha"), ("/b/", "beta")]);
+        let mut value = configuration(1, &[("/a/", "alpha"), ("/b/", "beta")]);
+        if has_advice {
+            value["routes"][0]["advice"] = json!({
+                "decision-ms": DECISION.as_millis() as u64, "each-ms": EACH.as_millis() as u64,
+                "valid-ms": VALIDITY.as_millis() as u64,
+            });
+            platform.require_advice(AdviceShape {
+                pools: vec![ADVISED_POOL.to_owned()],
+                decision: DECISION,
+                each: EACH,
+                validity: VALIDITY,
+            });
+        }
+        platform.write_operator_row("config", &value);
         let ownerships: Arc<Mutex<Ownerships>> = Arc::default();
         let seen = ownerships.clone();
         platform.set_trigger(move |doors, call| {
@@ -110,7 +131,9 @@
                     platform.set_access(owner, Access::Open);
                 }
             }
+            Fault::EndAll => self.end_faults(),
             Fault::Forget => platform.forget_history(),
+            Fault::Silence(service) => platform.silence_open_connections(*service),
             Fault::Kill(process) => self.end(*process),
             Fault::Restart(process) => self.restart(*process),
             Fault::Terminate(process) => self.signal(*process, "TERM"),
@@ -124,6 +147,8 @@
             Fault::Expire => self.machines.iter().for_each(|m| platform.remove_entry(m)),
             Fault::Restore(worker) => platform.restore_entry(&self.machines[*worker]),
             Fault::Submit(kind, process) => callers.submit(self, *kind, *process),
+            Fault::Burst(process) => callers.submit_burst(self, *process),
+            Fault::CancelInTime(process) => callers.cancel_in_time(self, *process),
             Fault::Cancel(back, process) => callers.cancel(self, *back, *process),
         }
     }
--- a/crates/hyssop-edge/tests/soak/fault.rs
+++ b/crates/hyssop-edge/tests/soak/fault.rs
@@ -1,4 +1,4 @@
-use platform_standin::Access;
+use platform_standin::{Access, Service};
 
 /// A step of a plan.
 #[derive(Clone, Debug)]
@@ -10,8 +10,12 @@
     FailOver(&'static str),
     /// The process that was written as this pool's owner last has the store back.
     Reopen(&'static str),
+    /// All faults end.
+    EndAll,
     /// The store forgets its history.
     Forget,
+    /// All open connections to a service go silent for good; new ones work.
+    Silence(Service),
     /// A process is killed.
     Kill(usize),
     /// A process is asked to stop.
@@ -34,6 +38,10 @@
     Restore(usize),
     /// A caller submits a job of this kind to a process.
     Submit(JobKind, usize),
+    /// Callers submit many short jobs at once to the pool that requires advice.
+    Burst(usize),
+    /// Callers cancel the latest job of each pool while nothing disturbs it; it must be acknowledged in time.
+    CancelInTime(usize),
     /// A caller cancels the nth latest job at a process.
     Cancel(usize, usize),
 }
--- a/crates/hyssop-edge/tests/soak/mod.rs
+++ b/crates/hyssop-edge/tests/soak/mod.rs
@@ -15,11 +15,24 @@
 const END_TIMEOUT: Duration = Duration::from_secs(60);
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// What is added to the faults that a seed has always drawn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Extras {
+    /// Nothing.
+    None,
+    /// Bursts on a pool that requires advice, and connections that go silent.
+    BurstsAndSilence,
+}
+
 /// Runs a seed and returns the promises that were broken.
-pub(crate) fn run_seed(seed: u64) -> Vec<String> {
-    let plan = Plan::draw(seed);
+pub(crate) fn run_seed(seed: u64, extras: Extras) -> Vec<String> {
+    let mut plan = Plan::draw(seed);
+    let has_extras = extras == Extras::BurstsAndSilence;
+    if has_extras {
+        plan.add_bursts_and_silence(seed);
+    }
     println!("seed {seed}: {} processes", plan.process_count);
-    let mut cluster = Cluster::start(plan.process_count);
+    let mut cluster = Cluster::start(plan.process_count, has_extras);
     let mut callers = Callers::new(seed);
     let mut history = Vec::new();
     let started_at = Instant::now();
--- a/crates/hyssop-edge/tests/soak/plan.rs
+++ b/crates/hyssop-edge/tests/soak/plan.rs
@@ -1,5 +1,5 @@
 use super::fault::{Fault, JobKind};
-use platform_standin::Access;
+use platform_standin::{Access, Service};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
@@ -19,6 +19,16 @@
 /// A process that is asked to stop has ended by then.
 const GRACE_MS: u64 = 3_500;
 
+/// The generator of bursts and silent connections is another one, so that seeds keep their other faults.
+const EXTRA_SEED: u64 = 0x5117;
+const SILENCE_COUNT: std::ops::Range<usize> = 0..3;
+/// Without disruptions for this long, the platform's rules hold again (`contact-window-ms`).
+const CONTACT_WINDOW_MS: u64 = 3_000;
+/// A job that was submitted without disruptions is stored and its tasks run by then.
+const START_MS: u64 = 1_000;
+/// The store's answers take this long in the end, so that processes open several connections to it.
+const STORE_DELAY: Duration = Duration::from_millis(4);
+
 /// What happens when, drawn from a seed.
 pub(crate) struct Plan {
     pub(crate) process_count: usize,
@@ -118,6 +128,37 @@
             steps,
         }
     }
+
+    /// Adds bursts on the pool that requires advice, connections that go silent during the other faults,
+    /// and a cancellation after the connections to the store have gone silent at the end.
+    pub(crate) fn add_bursts_and_silence(&mut self, seed: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ EXTRA_SEED);
+        let mut add = |at_ms: u64, fault| self.steps.push((Duration::from_millis(at_ms), fault));
+        let process = random.random_range(0..self.process_count);
+        let burst_ms = random.random_range(2 * SETTLING_MS..FAULTS_MS);
+        add(burst_ms, Fault::Burst(process));
+        for _ in 0..random.random_range(SILENCE_COUNT) {
+            let at_ms = random.random_range(2 * SETTLING_MS..FAULTS_MS);
+            let services = [Service::Store, Service::Workers, Service::Advice];
+            let service = services[random.random_range(0..services.len())];
+            add(at_ms, Fault::Silence(service));
+        }
+        self.steps.sort_by_key(|(at, _)| *at);
+        let last = self.steps.last().map_or(Duration::ZERO, |(at, _)| *at);
+        let mut at = last + Duration::from_millis(CONTACT_WINDOW_MS);
+        let mut end = |pause_ms: u64, fault| {
+            self.steps.push((at, fault));
+            at += Duration::from_millis(pause_ms);
+        };
+        end(CONTACT_WINDOW_MS, Fault::EndAll);
+        end(START_MS, Fault::Store(None, Access::Slow(STORE_DELAY)));
+        // One for each pool.
+        end(0, Fault::Submit(JobKind::Lasting, process));
+        end(START_MS, Fault::Submit(JobKind::Lasting, process + 1));
+        end(CONTACT_WINDOW_MS, Fault::Forget);
+        end(CONTACT_WINDOW_MS, Fault::Silence(Service::Store));
+        end(0, Fault::CancelInTime(process));
+    }
 }
 
 fn draw_job(random: &mut ChaCha8Rng) -> JobKind {
