edge tests: name the proxy as such, say which failure each test guards against

A reader of late_orders and silent_connections would have stumbled over the name of the proxy and over tests that only said what they are related to.

--- a/crates/hyssop-edge/tests/late_orders.rs
+++ b/crates/hyssop-edge/tests/late_orders.rs
@@ -4,7 +4,7 @@
 
 use platform_standin::{Access, Platform, Shape};
 use std::time::Duration;
-use support::way::Way;
+use support::proxy::Proxy;
 use support::{announce_wave, configure, wait_for_wave, wait_until, Edge};
 
 /// So that idle machines have returned to the spare pool before the wave.
@@ -21,20 +21,20 @@
         spare: Some("spare".to_owned()),
     });
     configure(&platform, 1, &[("/a/", "alpha")]);
-    let way = Way::open(platform.machines);
-    let first = Edge::start_with_machines(&platform, "e0", way.address);
+    let proxy = Proxy::start(platform.machines);
+    let first = Edge::start_with_machines(&platform, "e0", proxy.address);
     wait_until("the fleet is owned", || first.owns("fleet/"));
     let second = Edge::start(&platform, "e1");
     std::thread::sleep(SETTLING_TIME);
-    way.cut_at_next_post();
+    proxy.cut_at_next_post();
     let machines: Vec<String> = platform.pools().into_keys().collect();
     announce_wave(&platform, &machines, 40, 2);
-    wait_until("an order is on its way", || way.is_cut());
+    wait_until("an order is on its way", || proxy.is_cut());
     platform.set_access("e0", Access::Silent);
     wait_until("the next owner has the fleet", || second.owns("fleet/"));
     wait_for_wave(&platform, "done");
     platform.set_access("e0", Access::Open);
-    way.heal();
+    proxy.heal();
     std::thread::sleep(DELIVERY_TIME);
     let tokens = |machine: &String| -> Vec<u64> {
         let orders = platform.orders().into_iter();
--- a/crates/hyssop-edge/tests/silent_connections.rs
+++ b/crates/hyssop-edge/tests/silent_connections.rs
@@ -85,7 +85,7 @@
     });
 }
 
-/// Related to the silent connections to the store: orders to workers.
+/// Guards against starts and renewals that take one silent connection to a worker after the other.
 #[test]
 fn jobs_go_on_though_all_open_connections_to_workers_are_silent() {
     let platform = start_platform(None);
@@ -98,7 +98,7 @@
     assert!(overlapping.is_empty(), "{:?}", platform.runs());
 }
 
-/// Related to the silent connections to the store: the API for machines.
+/// Guards against a wave whose orders take one silent connection to the machines' API after the other.
 #[test]
 fn wave_ends_though_all_open_connections_to_the_machines_api_are_silent() {
     let platform = start_platform(None);
@@ -110,7 +110,7 @@
     drop(edge);
 }
 
-/// Related to the silent connections to the store: the advice service.
+/// Guards against steps that get no tickets because the connection to the advice service is silent.
 #[test]
 fn job_starts_though_all_open_connections_to_the_advice_service_are_silent() {
     let platform = start_platform(Some(AdviceShape {
--- a/crates/hyssop-edge/tests/support/mod.rs
+++ b/crates/hyssop-edge/tests/support/mod.rs
@@ -6,7 +6,7 @@
 pub mod caller;
 pub mod crowd;
 pub mod flood;
-pub mod way;
+pub mod proxy;
 
 use platform_standin::{Platform, Shape};
 use serde_json::{json, Value};
--- a/crates/hyssop-edge/tests/support/way.rs
+++ b/crates/hyssop-edge/tests/support/proxy.rs
@@ -1,4 +1,4 @@
-//! A way to a service that can be cut: what is sent during the cut is held up, as by a network.
+//! A proxy whose network can be cut: what is sent during the cut is held up.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -12,10 +12,10 @@
 const CLOSE_DELAY: Duration = Duration::from_millis(100);
 const BUFFER_BYTES: usize = 16_384;
 
-/// A proxy on loopback. While it is cut it passes nothing on; when the cut heals it delivers what it has
-/// held up, unless the sender has reset the connection.
+/// A proxy on loopback. During a cut it passes nothing on; when the cut heals it delivers what it has held
+/// up, unless the sender has reset the connection.
 #[derive(Clone)]
-pub struct Way {
+pub struct Proxy {
     pub address: SocketAddr,
     state: Arc<State>,
 }
@@ -23,13 +23,13 @@
 #[derive(Default)]
 struct State {
     is_cut: AtomicBool,
-    /// Whether the next request of which these bytes are a part begins a cut.
+    /// Whether the next POST begins a cut.
     is_armed: AtomicBool,
 }
 
-impl Way {
-    /// Opens a way to `target`.
-    pub fn open(target: SocketAddr) -> Self {
+impl Proxy {
+    /// Starts a proxy for `target`.
+    pub fn start(target: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
         let address = listener.local_addr().expect("a bound address");
         let state: Arc<State> = Arc::default();
@@ -43,7 +43,7 @@
         Self { address, state }
     }
 
-    /// Cuts the way when the next POST is sent.
+    /// Begins a cut when the next POST is sent.
     pub fn cut_at_next_post(&self) {
         self.state.is_armed.store(true, Ordering::SeqCst);
     }
@@ -103,7 +103,7 @@
         let _ = to.shutdown(Shutdown::Write);
     }
 
-    /// Waits while the way is cut; returns whether it was.
+    /// Waits for the end of a cut; returns whether there was one.
     fn wait(&self) -> bool {
         let was_cut = self.is_cut.load(Ordering::SeqCst);
         while self.is_cut.load(Ordering::SeqCst) {
